--- /dev/null
+++ b/apps/sumacquay/main.cpp
@@ -0,0 +1,59 @@
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <asio.hpp>
+#include <cstdlib>
+#include <iostream>
+
+#include "config/settings.h"
+#include "node/node.h"
+
+namespace {
+
+bool set_up_log() {
+  auto logger = std::make_shared<spdlog::logger>("sumacquay",
+                                                 std::make_shared<spdlog::sinks::stderr_sink_st>());
+  logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
+  spdlog::set_default_logger(logger);
+  const char* level = std::getenv("LOG_LEVEL");
+  const std::string text = level && *level ? level : "info";
+  if (text != "error" && text != "info" && text != "debug") {
+    std::cerr << "LOG_LEVEL: must be error, info or debug\n";
+    return false;
+  }
+  spdlog::set_level(spdlog::level::from_str(text));
+  spdlog::flush_on(spdlog::level::debug);
+  return true;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"Scheduler for fleets that serve language models: one controller node."};
+  app.set_version_flag("--version", std::string("sumacquay ") + SUMACQUAY_VERSION);
+  std::string config, tuning;
+  bool check = false;
+  app.add_option("--config", config, "the platform's settings (TOML)")->required();
+  app.add_option("--tuning", tuning, "the operators' own settings (HCL)");
+  app.add_flag("--check", check, "check the settings and end");
+  CLI11_PARSE(app, argc, argv);
+  if (!set_up_log()) return 2;
+  try {
+    sumacquay::Settings settings = sumacquay::load_settings(config);
+    if (!tuning.empty()) settings.tuning = sumacquay::load_tuning(tuning);
+    if (check) {
+      std::cout << "settings are valid\n";
+      return 0;
+    }
+    asio::io_context io(1);
+    sumacquay::Node node(io, settings);
+    node.start();
+    spdlog::info("{} listens on {}", settings.node, settings.listen.text());
+    io.run();
+  } catch (const std::exception& e) {
+    std::cerr << e.what() << "\n";
+    return 2;
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/dispatch/leader_core.h
@@ -0,0 +1,176 @@
+#pragma once
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "config/settings.h"
+#include "fleet/machine.h"
+#include "jobs/record.h"
+#include "placement/placement.h"
+#include "provision/provision.h"
+
+namespace sumacquay {
+
+/// A job as the leader sees it.
+struct Job {
+  JobRecord stored;       ///< what the state service holds
+  uint64_t version = 0;
+  bool writing = false;
+  bool want_started = false;
+  Ranges done;            ///< at least stored.done
+  Seconds progress_since = -1;  ///< done numbers not yet stored since
+  /// Where each task is or may be; doubt counts as presence.
+  std::map<uint32_t, std::set<std::pair<std::string, uint64_t>>> at;
+  uint64_t gang_attempt = 0;
+  std::set<std::string> failed_on;
+  int failures = 0;
+  Seconds retry_at = 0;
+  Seconds waiting_since = -1;
+
+  const JobSpec& spec() const { return stored.spec; }
+  bool complete() const { return done.count() == stored.spec.tasks; }
+  bool runnable() const { return stored.state == JobState::Pending && !complete(); }
+};
+
+struct SendOrders {
+  std::string machine, addr;
+  uint64_t token = 0, session = 0;
+  std::vector<Command> commands;
+};
+struct Rent {
+  std::string request, type, zone;
+  bool spot = false;
+  int count = 0;
+};
+struct Release {
+  std::vector<std::string> machines;
+};
+using Action = std::variant<SendOrders, Rent, Release>;
+
+/// One change of a record that the leader wants.
+struct RecordWrite {
+  std::string job, host;    ///< which of the two it is
+  uint64_t version = 0;     ///< guard
+  std::optional<JobRecord> record;
+  bool over = false;        ///< the job leaves the live records
+  std::optional<HostRecord> host_record;  ///< none: delete
+  size_t changes() const { return over ? 2 : 1; }
+};
+
+/// All that a leader decides, without I/O: events and the time go in, actions and writes come out.
+class LeaderCore {
+ public:
+  /// `fence`: until when an earlier leader may have answered workers, at the latest.
+  LeaderCore(const Settings& settings, uint64_t term, Seconds now, Seconds fence);
+
+  // Records.
+  void job_stored(const JobRecord& record, uint64_t version, Seconds now);
+  void job_over(const std::string& id);
+  void host_stored(const HostRecord& host, Seconds now);  ///< at the takeover
+  std::vector<RecordWrite> wanted_writes(Seconds now, size_t most_changes);
+  void write_done(const RecordWrite& write, bool committed, uint64_t version, Seconds now);
+
+  // Workers.
+  struct ReportAnswer {
+    bool fresh = false;  ///< false: a late copy, which nobody waits for
+    uint64_t token = 0;
+    std::vector<Command> commands;
+  };
+  ReportAnswer report(const WorkerReport& report, bool may_act, Seconds now);
+  void orders_done(const std::string& machine, const std::optional<WorkerReport>& report,
+                   bool executed, Seconds now);
+  /// No earlier leader can answer a worker any more.
+  void fenced(Seconds now);
+
+  // Cloud.
+  void set_types(std::vector<MachineType> types) { types_ = std::move(types); }
+  void listed(const std::vector<ListedMachine>& machines, Seconds now);
+  enum class RentOutcome { Rented, Refused, Unknown };
+  void rent_done(const Rent& rent, RentOutcome outcome, const std::vector<std::string>& machines,
+                 Seconds now);
+  void release_done(const Release& release, bool ok, Seconds now);
+
+  /// Lapses, a placement round, provisioning and orders. Only while the leader may act.
+  std::vector<Action> tick(Seconds now);
+
+  void hurry() { next_round_ = 0; }  ///< something has changed that a round should see
+  uint32_t running(const Job& job) const;  ///< tasks that run, for display
+  bool all_accounted() const { return unaccounted_ == 0; }
+  const std::unordered_map<std::string, Job>& jobs() const { return jobs_; }
+  const std::map<std::string, Machine>& machines() const { return machines_; }
+  uint64_t term() const { return term_; }
+
+ private:
+  // leader_core.cpp: records, reports, commands
+  Machine& machine_of(const WorkerReport& report, Seconds now);
+  uint64_t token(const Machine& m) const { return (term_ << 20) | m.counter; }
+  void take_in(Machine& m, const WorkerReport& r, bool absence_counts, Seconds now);
+  void take_in_task(Machine& m, const TaskReport& t, Seconds now);
+  void adopt(Machine& m, const RunKey& key, Run& run, Job& job);
+  void settle_exit(Machine& m, const RunKey& key, Run& run, Seconds now);
+  void count_failure(Machine& m, Job& job, Seconds now);
+  void set_phase(Machine& m, const RunKey& key, Run& run, Run::Phase next, Seconds now);
+  void add_presence(Machine& m, const RunKey& key);
+  void drop_presence(Machine& m, const RunKey& key);
+  void remove_run(Machine& m, const RunKey& key);
+  void remove_all_runs(Machine& m);
+  void unwant(Run& run, bool graceful, Seconds now);
+  void stop_job(Job& job, bool graceful, Seconds now);
+  void stop_gang_of(const TaskKey& key, Seconds now);
+  void account(Machine& m);
+  std::vector<Command> commands_for(Machine& m, bool forget);
+  bool startable(const Machine& m, const RunKey& key, const Run& run) const;
+  const Job* find_job(const std::string& id) const;
+  Job* find_job(const std::string& id);
+  std::optional<RecordWrite> write_for(Job& job, Seconds now) const;
+  // rounds.cpp: placement
+  void round(Seconds now);
+  std::vector<Slot> picture(Seconds now, bool booting) const;
+  std::vector<Job*> waiting(Seconds now);
+  bool missing_in_doubt(const Job& job) const { return job.stored.started && !all_accounted(); }
+  std::optional<Demand> demand(Job& job, Seconds now, size_t most);
+  size_t quota_left(const Job& job) const;
+  void start_placed(Job& job, const std::vector<Placed>& placed, const std::vector<Slot>& slots,
+                    Seconds now);
+  void make_room(Job& job, Demand& demand, std::vector<Slot>& slots, Seconds now);
+  std::vector<Victim> victims(const std::vector<Slot>& slots, Seconds now) const;
+  void count_usage();
+  bool usable(const Machine& m, Seconds now) const;
+  // machines.cpp: lapses, renting, returning
+  void lapse(Seconds now);
+  Seconds certain_end(const Machine& m) const;
+  void provision(Seconds now, std::vector<Action>& out);
+  std::vector<Offer> offers(Seconds now) const;
+  std::vector<Demand> headroom(std::vector<JobSpec>& specs, Seconds now) const;
+  void return_idle(Seconds now);
+  void care_for_machines(Seconds now, std::vector<Action>& out);
+  bool give_up_on(const Machine& m, Seconds now, bool many_silent) const;
+  void order_starts(Seconds now, std::vector<Action>& out);
+  const MachineType* type(const std::string& name) const;
+  std::string name_request();
+
+  const Settings& settings_;
+  uint64_t term_;
+  Seconds began_, fence_;
+  bool fenced_ = false;
+  uint64_t next_attempt_ = 1, next_request_ = 1;
+  size_t unaccounted_ = 0;
+  std::unordered_map<std::string, Job> jobs_;
+  std::map<std::string, Machine> machines_;
+  std::map<std::string, Seconds> returned_;  ///< machines the cloud took back: they are gone
+  std::set<std::string> hosts_to_delete_;
+  std::set<std::string> writing_hosts_;
+  std::vector<MachineType> types_;
+  std::map<std::tuple<std::string, std::string, bool>, std::pair<Seconds, int>> refused_;
+  std::map<std::string, std::pair<Rent, Seconds>> open_rents_;
+  std::unordered_map<std::string, Amounts> used_;  ///< by team
+  std::vector<Demand> unplaced_;  ///< of the last round; used in the same tick only
+  Seconds next_round_ = 0, next_provision_ = 0, next_release_ = 0;
+  bool releasing_ = false;
+};
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/dispatch/machines.cpp
@@ -0,0 +1,301 @@
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "dispatch/leader_core.h"
+
+namespace sumacquay {
+namespace {
+
+/// Both clocks may drift; a little is added for what the arithmetic leaves out.
+constexpr double kDrift = 0.002;
+/// Boot times past which a machine counts as one that never comes up.
+constexpr double kOverdue = 3.5;
+/// Seconds for which the cloud is not asked again for what it refused, doubling each time.
+constexpr double kRefusal = 5;
+constexpr int kMostRented = 12;
+constexpr size_t kMostReleased = 100;
+/// Arrivals of the last so many boot times tell what to expect.
+constexpr double kMemory = 5;
+
+}  // namespace
+
+const MachineType* LeaderCore::type(const std::string& name) const {
+  for (const auto& t : types_)
+    if (t.name == name) return &t;
+  return nullptr;
+}
+
+std::vector<Action> LeaderCore::tick(Seconds now) {
+  std::vector<Action> out;
+  lapse(now);
+  if (now >= next_round_) {
+    next_round_ = now + settings_.tuning.round * settings_.report_s;
+    round(now);
+    provision(now, out);
+    unplaced_.clear();
+  }
+  care_for_machines(now, out);
+  order_starts(now, out);
+  return out;
+}
+
+/// When the worker's lease has ended for certain, counted from the last answer that anybody could
+/// have given it.
+Seconds LeaderCore::certain_end(const Machine& m) const {
+  const Seconds last = m.old_answers ? std::max(m.answered, fence_) : m.answered;
+  return last + settings_.lease_s * (1 + kDrift) + 0.1;
+}
+
+void LeaderCore::lapse(Seconds now) {
+  for (auto& [id, m] : machines_) {
+    if (m.stage != Machine::Stage::Up || now <= certain_end(m)) continue;
+    spdlog::info("{} lapsed with {} tasks", id, m.runs.size());
+    m.stage = Machine::Stage::Lapsed;
+    m.proven = false;
+    remove_all_runs(m);
+    account(m);
+  }
+}
+
+std::vector<Offer> LeaderCore::offers(Seconds now) const {
+  std::vector<Offer> out;
+  for (const auto& t : types_)
+    for (const auto& zone : t.zones)
+      for (bool spot : {false, true}) {
+        const auto refused = refused_.find({t.name, zone, spot});
+        out.push_back({&t, zone, spot, spot ? t.spot_price : t.price,
+                       refused != refused_.end() && now < refused->second.first});
+      }
+  return out;
+}
+
+/// Room for the production tasks that will arrive, at the rate of late, while a machine boots.
+std::vector<Demand> LeaderCore::headroom(std::vector<JobSpec>& specs, Seconds) const {
+  double boot = 0;
+  for (const auto& t : types_) boot = std::max(boot, t.boot_s);
+  struct Seen {
+    const JobSpec* spec = nullptr;
+    double tasks = 0;
+  };
+  uint64_t newest = 0;
+  for (const auto& [id, job] : jobs_) newest = std::max(newest, job.stored.submitted_ms);
+  std::map<std::string, Seen> seen;
+  const double span_ms = kMemory * boot * 1000;
+  for (const auto& [id, job] : jobs_) {
+    if (job.spec().priority != Priority::Production || job.stored.state != JobState::Pending) continue;
+    if (static_cast<double>(newest - job.stored.submitted_ms) > span_ms) continue;
+    Seen& s = seen[job.spec().job_class];
+    s.spec = &job.spec();
+    s.tasks += job.spec().tasks;
+  }
+  std::vector<Demand> out;
+  specs.reserve(seen.size());
+  for (const auto& [name, s] : seen) {
+    // Arrivals are uneven: the mean and one deviation of it.
+    const double mean = s.tasks / kMemory;
+    const auto n = static_cast<uint32_t>(
+        std::ceil(settings_.tuning.headroom * (mean + std::sqrt(mean)) - 1e-9));
+    if (n == 0) continue;
+    specs.push_back(*s.spec);
+    specs.back().tasks = std::max(n, 1u);
+    specs.back().kind = JobKind::Service;
+    Demand d;
+    d.spec = &specs.back();
+    for (uint32_t i = 0; i < n; ++i) d.tasks.push_back(i);
+    out.push_back(std::move(d));
+  }
+  return out;
+}
+
+void LeaderCore::provision(Seconds now, std::vector<Action>& out) {
+  if (now < next_provision_ || types_.empty() || !all_accounted()) return;
+  next_provision_ = now + settings_.report_s * 0.5;
+  for (auto& [name, open] : open_rents_) {
+    if (now < open.second) continue;
+    open.second = now + 1e9;
+    out.push_back(open.first);
+  }
+  if (!open_rents_.empty()) return;
+  auto booting = picture(now, true);
+  auto up = picture(now, false);
+  std::vector<JobSpec> specs;
+  for (auto& d : headroom(specs, now)) {
+    for (const auto& p : place(d, up)) {
+      ++d.zones[up[p.slot].zone];
+      std::erase(d.tasks, p.task);
+    }
+    if (!d.tasks.empty()) unplaced_.push_back(std::move(d));
+  }
+  for (const auto& r : rentals(unplaced_, booting, offers(now), kMostRented)) {
+    Rent rent{name_request(), r.type, r.zone, r.spot, r.count};
+    open_rents_[rent.request] = {rent, now + 1e9};
+    spdlog::info("rents {} {} in {}{}", rent.count, rent.type, rent.zone, rent.spot ? " (spot)" : "");
+    out.push_back(std::move(rent));
+  }
+}
+
+std::string LeaderCore::name_request() {
+  // The term is this leader's alone, so no node ever repeats a name.
+  return "sq-" + std::to_string(term_) + "-" + std::to_string(next_request_++);
+}
+
+void LeaderCore::rent_done(const Rent& rent, RentOutcome outcome,
+                           const std::vector<std::string>& machines, Seconds now) {
+  const auto open = open_rents_.find(rent.request);
+  if (open == open_rents_.end()) return;
+  if (outcome == RentOutcome::Unknown) {
+    // The same request again: if it was carried out it rents nothing more.
+    open->second.second = now + settings_.report_s;
+    return;
+  }
+  open_rents_.erase(open);
+  auto& [until, times] = refused_[{rent.type, rent.zone, rent.spot}];
+  const bool filled = outcome == RentOutcome::Rented && static_cast<int>(machines.size()) >= rent.count;
+  if (filled) {
+    times = 0;
+  } else {
+    until = now + kRefusal * (1 << std::min(times, 4));
+    ++times;
+  }
+  for (const auto& id : machines) {
+    auto [it, added] = machines_.try_emplace(id);
+    if (!added) continue;
+    Machine& m = it->second;
+    m.info = {id, "", rent.type, rent.zone, rent.spot};
+    m.first_seen = now;
+    m.accounted = true;
+  }
+}
+
+void LeaderCore::listed(const std::vector<ListedMachine>& list, Seconds now) {
+  for (const auto& l : list) {
+    const auto gone = returned_.find(l.id);
+    if (gone != returned_.end()) {
+      // Still listed long after it was returned: it was not returned after all.
+      if (now > gone->second + 10 * settings_.list_lag_s) returned_.erase(gone);
+      continue;
+    }
+    auto [it, added] = machines_.try_emplace(l.id);
+    Machine& m = it->second;
+    if (added) {
+      m.info.id = l.id;
+      m.first_seen = now - l.age_s;
+      m.accounted = true;  // it has no record: no start was ever ordered there
+    }
+    m.info.type = l.type;
+    m.info.zone = l.zone;
+    m.info.spot = l.spot;
+    if (m.info.addr.empty()) m.info.addr = l.addr;
+    if (l.state == ListedMachine::State::Failed) m.listed_failed = true;
+  }
+}
+
+bool LeaderCore::give_up_on(const Machine& m, Seconds now, bool many_silent) const {
+  const MachineType* t = type(m.info.type);
+  const double boot = t ? t->boot_s : 60;
+  switch (m.stage) {
+    case Machine::Stage::Booting: return m.listed_failed || now - m.first_seen > kOverdue * boot;
+    case Machine::Stage::Lapsed: return now - m.last_heard > settings_.lease_s;
+    case Machine::Stage::Up: {
+      if (m.listed_failed) return true;
+      if (m.sick && !m.has_presence()) return true;
+      const double heard = std::max(m.last_heard, began_);
+      // A machine that has been silent for long is dead more often than cut off. Many that fall
+      // silent at once are cut off, or this node is.
+      return !many_silent && m.has_presence() && now - heard > settings_.tuning.suspect * settings_.lease_s &&
+             m.proven;
+    }
+    case Machine::Stage::Returning: return false;
+  }
+  return false;
+}
+
+void LeaderCore::return_idle(Seconds now) {
+  if (!all_accounted() || !open_rents_.empty()) return;
+  for (auto& [id, m] : machines_) {
+    const bool idle = m.stage == Machine::Stage::Up && !m.has_presence();
+    if (!idle) m.idle_since = -1;
+    else if (m.idle_since < 0) m.idle_since = now;
+  }
+  for (auto& [id, m] : machines_) {
+    const MachineType* t = type(m.info.type);
+    if (m.idle_since < 0 || !t || now - m.idle_since < settings_.tuning.idle * t->boot_s) continue;
+    auto slots = picture(now, false);
+    std::erase_if(slots, [&id = id](const Slot& s) { return s.machine == id; });
+    std::vector<JobSpec> specs;
+    bool needed = false;
+    for (auto& d : headroom(specs, now)) needed = needed || place(d, slots).size() < d.tasks.size();
+    if (needed && !m.sick && !m.taken_at) continue;
+    m.stage = Machine::Stage::Returning;
+    return;
+  }
+}
+
+void LeaderCore::care_for_machines(Seconds now, std::vector<Action>& out) {
+  if (releasing_ || now < next_release_) return;
+  next_release_ = now + settings_.report_s * 0.5;
+  size_t up = 0, silent = 0;
+  for (const auto& [id, m] : machines_) {
+    if (m.stage != Machine::Stage::Up) continue;
+    ++up;
+    if (now - m.last_heard > settings_.tuning.suspect * settings_.lease_s * 0.6) ++silent;
+  }
+  const bool many_silent = silent > 1 + up / 6;
+  for (auto& [id, m] : machines_)
+    if (give_up_on(m, now, many_silent)) {
+      spdlog::info("gives {} back: stage {}, silent {:.1f} s", id, static_cast<int>(m.stage),
+                   now - m.last_heard);
+      m.stage = Machine::Stage::Returning;
+    }
+  return_idle(now);
+  Release release;
+  for (const auto& [id, m] : machines_)
+    if (m.stage == Machine::Stage::Returning && release.machines.size() < kMostReleased)
+      release.machines.push_back(id);
+  if (release.machines.empty()) return;
+  releasing_ = true;
+  out.push_back(std::move(release));
+}
+
+void LeaderCore::release_done(const Release& release, bool ok, Seconds now) {
+  releasing_ = false;
+  next_release_ = now + settings_.report_s * (ok ? 0.1 : 0.5);
+  if (!ok) return;
+  for (const auto& id : release.machines) {
+    const auto it = machines_.find(id);
+    if (it == machines_.end()) continue;
+    Machine& m = it->second;
+    remove_all_runs(m);
+    account(m);
+    if (m.recorded || m.recording) hosts_to_delete_.insert(id);
+    returned_[id] = now;
+    machines_.erase(it);
+  }
+}
+
+void LeaderCore::order_starts(Seconds now, std::vector<Action>& out) {
+  for (auto& [id, m] : machines_) {
+    if (m.stage != Machine::Stage::Up || m.order_in_flight || now < m.next_order) continue;
+    if (m.info.addr.empty()) continue;
+    const bool greet = !m.proven && m.old_answers && !m.accounted;
+    bool news = greet;
+    if (m.proven) {
+      for (const auto& [key, run] : m.runs) {
+        news = news || (startable(m, key, run) && !run.sent) ||
+               (!run.wanted && run.present() && run.phase != Run::Phase::Ordered && !run.stop_sent);
+      }
+    }
+    if (!news) continue;
+    SendOrders order{id, m.info.addr, token(m), std::max<uint64_t>(m.session, 1), {}};
+    if (m.proven) order.commands = commands_for(m, false);
+    for (auto& [key, run] : m.runs)
+      if (!run.wanted && run.present()) run.stop_sent = true;
+    m.order_in_flight = true;
+    if (greet) m.next_order = now + settings_.report_s;
+    out.push_back(std::move(order));
+  }
+}
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/dispatch/rounds.cpp
@@ -0,0 +1,206 @@
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "dispatch/leader_core.h"
+
+namespace sumacquay {
+namespace {
+
+/// Silence after which nothing new is started on a machine / report period. Reports come up to a
+/// quarter late, and one may be lost and sent again.
+constexpr double kSilence = 2.5;
+/// Tasks of one array that a round looks at: more than any fleet of this kind starts at once.
+constexpr size_t kMostTasks = 500;
+
+}  // namespace
+
+bool LeaderCore::usable(const Machine& m, Seconds now) const {
+  return m.stage == Machine::Stage::Up && m.proven && !m.sick && !m.taken_at &&
+         now - m.last_heard < kSilence * settings_.report_s + 0.5;
+}
+
+std::vector<Slot> LeaderCore::picture(Seconds now, bool booting) const {
+  std::vector<Slot> out;
+  for (const auto& [id, m] : machines_) {
+    const MachineType* t = type(m.info.type);
+    if (!t) continue;
+    const bool on_its_way = m.stage == Machine::Stage::Booting;
+    if (booting != on_its_way) continue;
+    if (!booting && m.stage != Machine::Stage::Up) continue;
+    Slot s;
+    s.machine = id;
+    s.type = m.info.type;
+    s.zone = m.info.zone;
+    s.spot = m.info.spot;
+    s.room = s.free = t->room;
+    s.usable = booting || usable(m, now);
+    for (const auto& [key, run] : m.runs) {
+      if (!run.present()) continue;
+      s.free -= run.need;
+      if (!run.wanted) s.coming += run.need;
+    }
+    out.push_back(std::move(s));
+  }
+  return out;
+}
+
+void LeaderCore::count_usage() {
+  used_.clear();
+  for (const auto& [id, job] : jobs_) {
+    size_t n = 0;
+    for (const auto& [task, places] : job.at) n += places.size();
+    // What nobody has accounted for since the takeover may be running somewhere.
+    if (missing_in_doubt(job)) n = std::max<size_t>(n, job.spec().tasks - std::min(job.spec().tasks, job.stored.done.count()));
+    used_[job.spec().team] += job.spec().need.times(static_cast<double>(n));
+  }
+}
+
+size_t LeaderCore::quota_left(const Job& job) const {
+  const TeamSettings* team = settings_.team(job.spec().team);
+  if (!team) return 0;
+  const auto it = used_.find(team->name);
+  const Amounts used = it == used_.end() ? Amounts{} : it->second;
+  auto fits = [](double limit, double used, double need) {
+    if (limit <= 0 || need <= 0) return 1e9;
+    return std::max(0.0, std::floor((limit - used) / need + 1e-6));
+  };
+  return static_cast<size_t>(std::min(fits(team->cpus_max, used.cpus, job.spec().need.cpus),
+                                      fits(team->gpus_max, used.gpus, job.spec().need.gpus)));
+}
+
+std::vector<Job*> LeaderCore::waiting(Seconds now) {
+  std::vector<Job*> out;
+  for (auto& [id, job] : jobs_) {
+    if (!job.runnable() || now < job.retry_at || missing_in_doubt(job)) continue;
+    if (job.at.size() + job.done.count() >= job.spec().tasks) continue;
+    if (job.spec().kind == JobKind::Gang && !job.at.empty()) continue;
+    out.push_back(&job);
+  }
+  // Arrival order; of those that arrive together the largest gang first. A job that might preempt
+  // another goes before it: started the other way round, the other would only be stopped again.
+  const double together_ms = settings_.report_s * 1000;
+  std::sort(out.begin(), out.end(), [&](const Job* a, const Job* b) {
+    auto rank = [&](const Job* j) {
+      return std::make_tuple(-static_cast<int>(j->spec().priority),
+                             std::floor(static_cast<double>(j->stored.submitted_ms) / together_ms),
+                             j->spec().kind == JobKind::Gang ? -static_cast<int>(j->spec().tasks) : 0,
+                             j->stored.submitted_ms, j->spec().id);
+    };
+    return rank(a) < rank(b);
+  });
+  return out;
+}
+
+std::optional<Demand> LeaderCore::demand(Job& job, Seconds, size_t most) {
+  Demand d;
+  d.spec = &job.spec();
+  const bool gang = job.spec().kind == JobKind::Gang;
+  if (gang && most < job.spec().tasks) return std::nullopt;
+  const size_t limit = gang ? job.spec().tasks : std::min(most, kMostTasks);
+  for (uint32_t t = job.done.next_missing(0); t < job.spec().tasks && d.tasks.size() < limit;
+       t = job.done.next_missing(t + 1))
+    if (!job.at.count(t)) d.tasks.push_back(t);
+  if (d.tasks.empty()) return std::nullopt;
+  for (const auto& [task, places] : job.at)
+    for (const auto& [machine, attempt] : places) {
+      const auto m = machines_.find(machine);
+      if (m != machines_.end()) ++d.zones[m->second.info.zone];
+    }
+  d.avoid = [&job](const std::string& machine) { return job.failed_on.count(machine) > 0; };
+  d.has_image = [this, &job](const std::string& machine) {
+    const auto m = machines_.find(machine);
+    return m != machines_.end() && m->second.images.count(job.spec().image) > 0;
+  };
+  return d;
+}
+
+void LeaderCore::round(Seconds now) {
+  unplaced_.clear();
+  count_usage();
+  auto slots = picture(now, false);
+  for (Job* job : waiting(now)) {
+    const size_t left = quota_left(*job);
+    auto d = left > 0 ? demand(*job, now, left) : std::nullopt;
+    if (!d) continue;
+    const auto placed = place(*d, slots);
+    start_placed(*job, placed, slots, now);
+    for (const auto& p : placed) {
+      ++d->zones[slots[p.slot].zone];
+      std::erase(d->tasks, p.task);
+    }
+    if (d->tasks.empty()) continue;
+    make_room(*job, *d, slots, now);
+    if (!d->tasks.empty()) unplaced_.push_back(std::move(*d));
+  }
+}
+
+void LeaderCore::start_placed(Job& job, const std::vector<Placed>& placed,
+                              const std::vector<Slot>& slots, Seconds now) {
+  if (placed.empty()) return;
+  const bool gang = job.spec().kind == JobKind::Gang;
+  auto new_attempt = [this] { return (term_ << 20) | next_attempt_++; };
+  if (gang) job.gang_attempt = new_attempt();
+  job.want_started = true;
+  for (const auto& p : placed) {
+    Machine& m = machines_.at(slots[p.slot].machine);
+    const RunKey key{{job.spec().id, p.task}, gang ? job.gang_attempt : new_attempt()};
+    Run& run = m.runs[key];
+    run.placed_at = now;
+    run.need = job.spec().need;
+    run.image = job.spec().image;
+    m.recording = true;
+    add_presence(m, key);
+    used_[job.spec().team] += run.need;
+  }
+}
+
+std::vector<Victim> LeaderCore::victims(const std::vector<Slot>& slots, Seconds now) const {
+  std::vector<Victim> out;
+  for (size_t i = 0; i < slots.size(); ++i) {
+    const auto m = machines_.find(slots[i].machine);
+    if (m == machines_.end()) continue;
+    for (const auto& [key, run] : m->second.runs) {
+      const Job* job = find_job(key.task.job);
+      if (!job || !run.present() || !run.wanted) continue;
+      const double ran = run.running_since < 0 ? 0 : now - run.running_since;
+      const double loss = job->spec().saves() ? std::min(ran, job->spec().save_s) : ran;
+      out.push_back({key.task.job, key.task.task, i, run.need, job->spec().priority, loss});
+    }
+  }
+  return out;
+}
+
+/// Stops tasks of lower priority for those that found no room. Their places are free once they are
+/// proven gone; until then the room is held for this job.
+void LeaderCore::make_room(Job& job, Demand& d, std::vector<Slot>& slots, Seconds now) {
+  if (job.spec().priority == Priority::Low) return;
+  if (job.spec().kind == JobKind::Gang && d.tasks.size() > 1) return;
+  const auto candidates = victims(slots, now);
+  while (!d.tasks.empty()) {
+    const auto p = preempt(d, slots, candidates);
+    if (!p) return;
+    Slot& slot = slots[p->slot];
+    for (size_t v : p->victims) {
+      const Victim& victim = candidates[v];
+      Job* loser = find_job(victim.job);
+      if (!loser) continue;
+      spdlog::info("{}/{} gives way to {}", victim.job, victim.task, job.spec().id);
+      if (loser->spec().kind == JobKind::Gang) {
+        stop_job(*loser, true, now);
+      } else {
+        for (auto& [key, run] : machines_.at(slot.machine).runs)
+          if (key.task.job == victim.job && key.task.task == victim.task && run.present())
+            unwant(run, true, now);
+      }
+      slot.coming += victim.need;
+    }
+    slot.free -= d.spec->need;
+    ++d.zones[slot.zone];
+    d.tasks.pop_back();
+    if (!p->victims.empty()) return;  // the candidates have changed: the next round sees to the rest
+  }
+}
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/fleet/machine.h
@@ -0,0 +1,79 @@
+#pragma once
+#include <limits>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "fleet/report.h"
+#include "jobs/record.h"
+
+namespace sumacquay {
+
+/// One start of one task.
+struct RunKey {
+  TaskKey task;
+  uint64_t attempt = 0;
+  auto operator<=>(const RunKey&) const = default;
+};
+
+/// A task that is on a machine, or may be: it is here until it is proven to be gone.
+struct Run {
+  enum class Phase { Ordered, Fetching, Waiting, Running, Saving, Exited };
+  Phase phase = Phase::Ordered;
+  ExitCause cause = ExitCause::None;
+  bool wanted = true;       ///< false: it is to stop
+  bool sent = false;        ///< a start may have left for the worker
+  bool graceful = false;    ///< stop: lets it save first
+  bool settled = false;     ///< exit: has been taken into account
+  Seconds placed_at = 0;
+  Seconds running_since = -1;
+  Seconds stop_since = -1;
+  bool stop_sent = false;
+  Amounts need;
+  std::string image;
+
+  bool present() const { return phase != Phase::Exited; }
+};
+
+/// A machine as the leader knows it.
+struct Machine {
+  enum class Stage {
+    Booting,   ///< rented, not heard yet
+    Up,        ///< reports
+    Lapsed,    ///< its worker's lease has certainly ended: nothing runs there
+    Returning, ///< the cloud was asked to take it back
+  };
+  HostRecord info;
+  Stage stage = Stage::Booting;
+  bool recorded = false, recording = false;  ///< its record is durable / being written
+
+  uint64_t session = 0, seq = 0, report_seq = 0, report_session = 0, token_seen = 0;
+  uint64_t counter = 0;     ///< low part of the token in force at this worker
+  bool proven = false;      ///< has shown the token in force
+  bool accounted = false;   ///< since the takeover: told what it has, or certainly has nothing
+  Seconds last_heard = -std::numeric_limits<Seconds>::infinity();
+  Seconds answered = -std::numeric_limits<Seconds>::infinity();  ///< last answer that may renew
+  bool old_answers = true;  ///< an earlier leader may have answered it until the fence
+  bool order_in_flight = false;
+  Seconds next_order = 0;
+
+  Seconds first_seen = 0;
+  double age_at_seen = 0;
+  bool listed_failed = false;
+  std::optional<Seconds> taken_at;  ///< spot notice: when the cloud takes it
+  Seconds idle_since = -1;
+  bool sick = false;  ///< fails what it starts: gets nothing new and is returned
+  std::set<std::string> error_jobs;  ///< jobs that failed here since one last succeeded
+  std::set<std::string> images;
+
+  std::map<RunKey, Run> runs;
+
+  bool has_presence() const {
+    for (const auto& [key, run] : runs)
+      if (run.present()) return true;
+    return false;
+  }
+};
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/fleet/report.h
@@ -0,0 +1,52 @@
+#pragma once
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "jobs/spec.h"
+
+namespace sumacquay {
+
+struct TaskKey {
+  std::string job;
+  uint32_t task = 0;
+  auto operator<=>(const TaskKey&) const = default;
+};
+
+enum class TaskState { Fetching, Waiting, Running, Saving, Exited };
+enum class ExitCause { None, Done, Stopped, Peers, Alone, Error, NoRoom, Busy, Unknown };
+
+struct TaskReport {
+  TaskKey key;
+  uint64_t attempt = 0;
+  TaskState state = TaskState::Fetching;
+  ExitCause cause = ExitCause::None;
+};
+
+struct WorkerReport {
+  std::string machine, addr, type, zone;
+  bool spot = false;
+  uint64_t session = 0, seq = 0, token = 0;
+  std::optional<double> notice_s;
+  std::vector<TaskReport> tasks;
+};
+
+enum class Verb { Start, Stop, Forget };
+
+struct Command {
+  Verb verb = Verb::Start;
+  TaskKey key;
+  uint64_t attempt = 0;
+  double grace_s = 0;
+  bool operator==(const Command&) const = default;
+};
+
+struct ListedMachine {
+  std::string id, addr, type, zone;
+  bool spot = false;
+  enum class State { Booting, Running, Failed } state = State::Booting;
+  double age_s = 0;
+};
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/frontend/frontend.cpp
@@ -0,0 +1,174 @@
+#include "frontend/frontend.h"
+
+#include <spdlog/spdlog.h>
+
+#include <chrono>
+
+namespace sumacquay {
+namespace {
+
+using wire::ShownState;
+
+void later_please(const Respond& respond, int status = 503) {
+  respond({status, wire::error_body("try again later"), 1});
+}
+
+ShownState shown(JobState state, uint32_t running) {
+  switch (state) {
+    case JobState::Done: return ShownState::Done;
+    case JobState::Cancelled: return ShownState::Cancelled;
+    case JobState::Pending: break;
+  }
+  return running > 0 ? ShownState::Running : ShownState::Pending;
+}
+
+}  // namespace
+
+Frontend::Frontend(const Settings& settings, StoreClient& store, Mirror& mirror, Sources sources)
+    : settings_(settings),
+      store_(store),
+      mirror_(mirror),
+      sources_(std::move(sources)),
+      limit_(settings.max_sockets * 0.05, settings.max_sockets * settings.tuning.sockets) {}
+
+Respond Frontend::limited(Respond respond) {
+  const auto began = std::chrono::steady_clock::now();
+  return [this, began, respond = std::move(respond)](HttpReply reply) {
+    const std::chrono::duration<double> took = std::chrono::steady_clock::now() - began;
+    limit_.leave(took.count());
+    respond(std::move(reply));
+  };
+}
+
+bool Frontend::handle(const HttpRequest& request, Respond respond) {
+  const std::string jobs = wire::path::kJobs;
+  if (request.path != jobs && !request.path.starts_with(jobs + "/")) return false;
+  if (!limit_.enter()) {
+    later_please(respond, 429);
+    return true;
+  }
+  const Respond done = limited(std::move(respond));
+  if (request.path == jobs) {
+    if (request.method == "POST") submit(request, done);
+    else done({405, wire::error_body("only POST"), 0});
+    return true;
+  }
+  std::string id = request.path.substr(jobs.size() + 1);
+  const std::string suffix = wire::path::kCancel;
+  const bool cancels = id.ends_with(suffix);
+  if (cancels) id.resize(id.size() - suffix.size());
+  if (!wire::valid_job_id(id)) done({404, wire::error_body("no such job"), 0});
+  else if (cancels && request.method == "POST") cancel(id, 0, done);
+  else if (!cancels && request.method == "GET") query(id, done);
+  else done({405, wire::error_body("no such method here"), 0});
+  return true;
+}
+
+void Frontend::look_up(const std::string& id, const Respond& respond,
+                       std::function<void(const Versioned<JobRecord>&)> live,
+                       std::function<void(const wire::OverRecord&)> over,
+                       std::function<void()> unknown) {
+  // Over is final: no read can find it changed.
+  if (const auto* known = mirror_.over(id)) return over(*known);
+  mirror_.refresh([=, this](bool fresh) {
+    if (!fresh) return later_please(respond);
+    if (const auto* record = mirror_.live(id)) return live(*record);
+    if (const auto* known = mirror_.over(id)) return over(*known);
+    // Jobs leave the live records only for those that are over, so reading these last finds a job
+    // that moves in between.
+    store_.read(Urgency::Rest, wire::item_path(keys::kOver + id), [=, this](HttpResult r) {
+      if (r.answered && r.status == 404) return unknown();
+      const auto page = r.ok() ? wire::parse_item(r.body) : std::nullopt;
+      const auto record = page ? wire::decode_over(page->items[0].value) : std::nullopt;
+      if (!record) return later_please(respond);
+      mirror_.learned_over(id, *record);
+      over(*record);
+    });
+  });
+}
+
+void Frontend::query(const std::string& id, const Respond& respond) {
+  auto answer = [=](JobState state, uint32_t done, uint32_t running) {
+    respond({200, wire::job_status(id, shown(state, running), done, running), 0});
+  };
+  look_up(
+      id, respond,
+      [=, this](const Versioned<JobRecord>& r) {
+        const auto counts = sources_.counts(id);
+        const bool pending = r.value.state == JobState::Pending;
+        answer(r.value.state, r.value.done.count(), pending ? counts.running : 0);
+      },
+      [=](const wire::OverRecord& r) { answer(r.state, r.done, 0); },
+      [=] { respond({404, wire::error_body("no such job"), 0}); });
+}
+
+void Frontend::cancel(const std::string& id, int tries, const Respond& respond) {
+  auto answer = [=](JobState state) { respond({200, wire::job_answer(id, shown(state, 0)), 0}); };
+  look_up(
+      id, respond,
+      [=, this](const Versioned<JobRecord>& r) {
+        if (r.value.state != JobState::Pending) return answer(r.value.state);
+        JobRecord cancelled = r.value;
+        cancelled.state = JobState::Cancelled;
+        const std::string key = keys::kLive + id;
+        store_.transact(Urgency::Record, {{key, r.version}}, {{key, wire::encode_job(cancelled), 0}},
+                        [=, this](TxnResult t) {
+                          if (t.outcome == TxnOutcome::Committed) {
+                            mirror_.wrote_job(cancelled, t.revision);
+                            return answer(JobState::Cancelled);
+                          }
+                          // The leader wrote the record in between: look again.
+                          constexpr int kTries = 4;
+                          if (t.outcome == TxnOutcome::Conflict && tries < kTries)
+                            return cancel(id, tries + 1, respond);
+                          later_please(respond);
+                        });
+      },
+      [=](const wire::OverRecord& r) { answer(r.state); },
+      [=] { respond({404, wire::error_body("no such job"), 0}); });
+}
+
+void Frontend::submit(const HttpRequest& request, const Respond& respond) {
+  const auto parsed = wire::parse_job(request.body);
+  if (!parsed.spec) return respond({400, wire::error_body(parsed.error), 0});
+  const JobSpec& spec = *parsed.spec;
+  if (!mirror_.loaded() || sources_.types().empty()) return later_please(respond);
+  // A job that was accepted stays so, whatever would be said of it now.
+  if (!mirror_.live(spec.id) && !mirror_.over(spec.id)) {
+    const auto never = never_runs(spec, sources_.types(), settings_.team(spec.team));
+    if (!never.empty()) return respond({422, wire::error_body(never), 0});
+    return accept(spec, respond);
+  }
+  answer_known(spec.id, respond);
+}
+
+void Frontend::answer_known(const std::string& id, const Respond& respond) {
+  auto answer = [=](JobState state, uint32_t running) {
+    respond({200, wire::job_answer(id, shown(state, running)), 0});
+  };
+  look_up(
+      id, respond,
+      [=, this](const Versioned<JobRecord>& r) { answer(r.value.state, sources_.counts(id).running); },
+      [=](const wire::OverRecord& r) { answer(r.state, 0); }, [=] { later_please(respond); });
+}
+
+void Frontend::accept(const JobSpec& spec, const Respond& respond) {
+  JobRecord record;
+  record.spec = spec;
+  record.submitted_ms = sources_.time_of_day_ms();
+  const std::string value = wire::encode_job(record);
+  if (value.size() > settings_.state_value_kb * 1024 * 0.5)
+    return respond({400, wire::error_body("the job's description is too large"), 0});
+  const std::string live = keys::kLive + spec.id, over = keys::kOver + spec.id;
+  store_.transact(
+      Urgency::Record, {{live, 0}, {over, 0}}, {{live, value, 0}}, [=, this](TxnResult t) {
+        if (t.outcome == TxnOutcome::Committed) {
+          mirror_.wrote_job(record, t.revision);
+          return respond({201, wire::job_answer(record.spec.id, ShownState::Pending), 0});
+        }
+        if (t.outcome != TxnOutcome::Conflict) return later_please(respond);
+        answer_known(record.spec.id, respond);
+      });
+}
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/frontend/frontend.h
@@ -0,0 +1,46 @@
+#pragma once
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "config/settings.h"
+#include "net/concurrency_limit.h"
+#include "net/http.h"
+#include "store/mirror.h"
+
+namespace sumacquay {
+
+/// The users' side: submissions, queries and cancellations, on any node.
+class Frontend {
+ public:
+  struct Sources {
+    std::function<const std::vector<MachineType>&()> types;
+    /// Tasks that run, as the leader last said; for display only.
+    std::function<wire::RunningCount(const std::string& id)> counts;
+    std::function<uint64_t()> time_of_day_ms;
+  };
+
+  Frontend(const Settings& settings, StoreClient& store, Mirror& mirror, Sources sources);
+  /// False: not a path of the users'.
+  bool handle(const HttpRequest& request, Respond respond);
+
+ private:
+  void submit(const HttpRequest& request, const Respond& respond);
+  void accept(const JobSpec& spec, const Respond& respond);
+  void answer_known(const std::string& id, const Respond& respond);
+  void query(const std::string& id, const Respond& respond);
+  void cancel(const std::string& id, int tries, const Respond& respond);
+  /// The job's state as of now or later; `unknown` is called only if no such job was ever accepted.
+  void look_up(const std::string& id, const Respond& respond,
+               std::function<void(const Versioned<JobRecord>&)> live,
+               std::function<void(const wire::OverRecord&)> over, std::function<void()> unknown);
+  Respond limited(Respond respond);
+
+  const Settings& settings_;
+  StoreClient& store_;
+  Mirror& mirror_;
+  Sources sources_;
+  ConcurrencyLimit limit_;
+};
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/jobs/spec.h
@@ -0,0 +1,68 @@
+#pragma once
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sumacquay {
+
+using Seconds = double;  ///< steady time, or a span of it
+
+enum class JobKind { Array, Gang, Service };
+enum class Priority { Low, Normal, High, Production };
+enum class JobState { Pending, Cancelled, Done };  ///< as recorded; "running" is only displayed
+
+struct Amounts {
+  double cpus = 0, gpus = 0, memory_gb = 0;
+
+  Amounts& operator+=(const Amounts& o) {
+    cpus += o.cpus, gpus += o.gpus, memory_gb += o.memory_gb;
+    return *this;
+  }
+  Amounts& operator-=(const Amounts& o) {
+    cpus -= o.cpus, gpus -= o.gpus, memory_gb -= o.memory_gb;
+    return *this;
+  }
+  Amounts times(double n) const { return {cpus * n, gpus * n, memory_gb * n}; }
+  /// Sums of decimals are not exact: a thousandth of a CPU is not worth a refusal.
+  bool fits_in(const Amounts& room) const {
+    constexpr double kSlack = 1e-6;
+    return cpus <= room.cpus + kSlack && gpus <= room.gpus + kSlack &&
+           memory_gb <= room.memory_gb + kSlack;
+  }
+  bool operator==(const Amounts&) const = default;
+};
+
+struct JobSpec {
+  std::string id, job_class, team, image;
+  JobKind kind = JobKind::Array;
+  Priority priority = Priority::Normal;
+  uint32_t tasks = 1;
+  Amounts need;
+  double image_gb = 0;
+  std::optional<std::vector<std::string>> types;
+  std::optional<std::string> zone;
+  bool one_zone = false, spread = false, spot = false;
+  double estimate_s = 0, checkpoint_s = 0, save_s = 0;
+  std::optional<double> deadline_s;
+
+  bool operator==(const JobSpec&) const = default;
+  bool allows_type(const std::string& type) const;
+  uint32_t zone_limit() const { return spread ? (tasks + 1) / 2 : tasks; }
+  bool saves() const { return checkpoint_s > 0; }
+};
+
+struct MachineType {
+  std::string name;
+  Amounts room;
+  double cache_gb = 0, fetch_gb_per_s = 1;
+  double price = 0, spot_price = 0, boot_s = 60;
+  std::vector<std::string> zones;
+  bool operator==(const MachineType&) const = default;
+};
+
+/// Why a well-formed job can never run; empty: it can.
+std::string never_runs(const JobSpec& spec, const std::vector<MachineType>& types,
+                       const struct TeamSettings* team);
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/leadership/leadership.cpp
@@ -0,0 +1,96 @@
+#include "leadership/leadership.h"
+
+#include <algorithm>
+
+namespace sumacquay {
+
+const char* name(Leadership::State state) {
+  switch (state) {
+    case Leadership::State::Follower: return "follower";
+    case Leadership::State::Campaigning: return "campaigning";
+    case Leadership::State::Leading: return "leading";
+    case Leadership::State::Lapsed: return "lapsed";
+  }
+  return "?";
+}
+
+void Leadership::enter(State next) {
+  if (next == state_) return;
+  const State from = state_;
+  state_ = next;
+  campaign_at_ = -1;
+  if (next == State::Follower) {
+    lease_ = 0;
+    renewing_ = false;
+  }
+  effects_.changed(from, next);
+}
+
+void Leadership::tick(Seconds now, bool loaded, bool leader_known, double jitter) {
+  switch (state_) {
+    case State::Follower:
+      if (!loaded || leader_known) {
+        campaign_at_ = -1;
+      } else if (campaign_at_ < 0) {
+        // Not all nodes at once; the spread is small beside the lease, which it prolongs.
+        campaign_at_ = now + jitter * config_.lease * 0.05;
+      } else if (now >= campaign_at_) {
+        enter(State::Campaigning);
+        campaign_end_ = now + config_.lease;
+        effects_.grant(config_.lease);
+      }
+      return;
+    case State::Campaigning:
+      if (now >= campaign_end_) enter(State::Follower);
+      return;
+    case State::Leading:
+      if (now >= valid_until_) enter(State::Lapsed);
+      break;
+    case State::Lapsed:
+      if (now >= valid_until_ + config_.grace) return enter(State::Follower);
+      break;
+  }
+  if (renewing_ || now < next_renew_) return;
+  renewing_ = true;
+  next_renew_ = now + config_.renew;
+  effects_.renew(lease_);
+}
+
+void Leadership::granted(Seconds now, std::optional<uint64_t> lease, Seconds asked_at) {
+  if (state_ != State::Campaigning) return;
+  if (!lease) return enter(State::Follower);
+  lease_ = *lease;
+  lease_sent_ = asked_at;
+  campaign_end_ = now + config_.lease;
+  effects_.elect(lease_);
+}
+
+void Leadership::elected(Seconds now, bool won, uint64_t term) {
+  if (state_ != State::Campaigning) return;
+  if (!won || term < highest_) return enter(State::Follower);
+  term_ = highest_ = term;
+  // The lease counts from when it was asked for: it can't have begun earlier.
+  valid_until_ = lease_sent_ + config_.lease * (1 - config_.drift);
+  next_renew_ = now;
+  renewing_ = false;
+  enter(State::Leading);
+}
+
+void Leadership::renewed(Seconds now, Seconds sent_at, bool answered, bool ended) {
+  renewing_ = false;
+  if (state_ != State::Leading && state_ != State::Lapsed) return;
+  if (ended) return enter(State::Follower);
+  if (!answered) {
+    next_renew_ = std::min(next_renew_, now + config_.renew * 0.3);
+    return;
+  }
+  valid_until_ = std::max(valid_until_, sent_at + config_.lease * (1 - config_.drift));
+  if (state_ == State::Lapsed && now < valid_until_) enter(State::Leading);
+}
+
+void Leadership::saw_term(Seconds, uint64_t term) {
+  highest_ = std::max(highest_, term);
+  if ((state_ == State::Leading || state_ == State::Lapsed) && term > term_) enter(State::Follower);
+}
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/leadership/leadership.h
@@ -0,0 +1,71 @@
+#pragma once
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "jobs/spec.h"
+
+namespace sumacquay {
+
+/// Who leads: a state machine over a lease in the state service. Does no I/O itself; time is the
+/// steady clock's. Every leader has a term of its own, and each term is higher than the one before.
+class Leadership {
+ public:
+  enum class State {
+    Follower,     ///< somebody else leads, or nobody is known to
+    Campaigning,  ///< nobody leads: this node tries to
+    Leading,      ///< holds the lease
+    Lapsed,       ///< the lease may have ended: answers only, until the grace is over
+  };
+
+  struct Config {
+    Seconds lease = 2;   ///< of the leader's key
+    Seconds renew = 0.5;
+    Seconds grace = 10;  ///< how long answers go on past the lease's certain end
+    double drift = 0.002;
+  };
+
+  struct Effects {
+    std::function<void(Seconds lease)> grant;
+    std::function<void(uint64_t lease)> elect;
+    std::function<void(uint64_t lease)> renew;
+    std::function<void(State from, State to)> changed;
+  };
+
+  Leadership(Config config, Effects effects) : config_(config), effects_(std::move(effects)) {}
+
+  /// `leader_known`: the records are loaded and show a leader's key. `jitter`: from 0 to 1.
+  void tick(Seconds now, bool loaded, bool leader_known, double jitter);
+  void granted(Seconds now, std::optional<uint64_t> lease, Seconds asked_at);
+  void elected(Seconds now, bool won, uint64_t term);
+  void renewed(Seconds now, Seconds sent_at, bool answered, bool ended);
+  /// Somebody leads with this term: a peer, a worker or a record says so.
+  void saw_term(Seconds now, uint64_t term);
+
+  State state() const { return state_; }
+  uint64_t term() const { return term_; }
+  uint64_t highest_term() const { return highest_; }
+  uint64_t lease() const { return lease_; }
+  /// May start tasks and write records.
+  bool may_act(Seconds now) const { return state_ == State::Leading && now < valid_until_; }
+  /// May answer workers.
+  bool may_answer(Seconds now) const {
+    return (state_ == State::Leading || state_ == State::Lapsed) &&
+           now < valid_until_ + config_.grace;
+  }
+
+ private:
+  void enter(State next);
+
+  Config config_;
+  Effects effects_;
+  State state_ = State::Follower;
+  uint64_t term_ = 0, highest_ = 0, lease_ = 0;
+  Seconds valid_until_ = 0, lease_sent_ = 0, next_renew_ = 0, campaign_at_ = -1, campaign_end_ = 0;
+  bool renewing_ = false;
+};
+
+const char* name(Leadership::State state);
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,416 @@
+#include "node/node.h"
+
+#include <spdlog/spdlog.h>
+
+namespace sumacquay {
+namespace {
+
+/// Changes of the term key and of nothing else go with a leader's transaction as its first guard.
+constexpr int kGuards = 1;
+
+Leadership::Config leadership_config(const Settings& s) {
+  Leadership::Config c;
+  c.lease = s.lease_s * s.tuning.leader_lease;
+  c.renew = c.lease * s.tuning.renew;
+  c.grace = s.lease_s * s.tuning.grace;
+  return c;
+}
+
+std::chrono::microseconds as_us(double seconds) {
+  return std::chrono::microseconds(static_cast<long long>(seconds * 1e6));
+}
+
+}  // namespace
+
+Node::Node(asio::io_context& io, const Settings& settings)
+    : io_(io),
+      settings_(settings),
+      rng_(std::random_device{}()),
+      nonce_(rng_() >> 1),
+      store_(io, settings),
+      mirror_(io, settings, store_),
+      leadership_(leadership_config(settings), leadership_effects()),
+      cloud_(io, settings.cloud, 4, 32),
+      peers_(io, settings, leadership_config(settings).renew,
+             {[this] { return own_pulse(); },
+              [this](const wire::Pulse& p) { leadership_.saw_term(now(), p.term); },
+              [this](const std::string& n, const wire::Pulse& p) { on_pulse_answer(n, p); }}),
+      frontend_(settings, store_, mirror_,
+                {[this]() -> const std::vector<MachineType>& { return types_; },
+                 [this](const std::string& id) {
+                   if (!core_) return peers_.counts(id);
+                   const auto job = core_->jobs().find(id);
+                   wire::RunningCount c{id, 0, 0};
+                   if (job != core_->jobs().end()) c.running = core_->running(job->second);
+                   return c;
+                 },
+                 [] {
+                   const auto t = std::chrono::system_clock::now().time_since_epoch();
+                   return static_cast<uint64_t>(
+                       std::chrono::duration_cast<std::chrono::milliseconds>(t).count());
+                 }}),
+      tick_timer_(io),
+      types_timer_(io),
+      list_timer_(io) {}
+
+void Node::start() {
+  HttpLimits limits;
+  limits.connections = static_cast<size_t>(settings_.max_sockets * settings_.tuning.sockets);
+  limits.idle_s = 60 * settings_.report_s;
+  server_ = std::make_unique<HttpServer>(
+      io_, settings_.listen, limits,
+      [this](const HttpRequest& request, Respond respond) { on_request(request, std::move(respond)); });
+  mirror_.set_listener({[this](const std::string& id) { on_job_record(id); },
+                        [this] { on_leader_record(); }});
+  mirror_.start();
+  peers_.start();
+  load_types();
+  tick();
+}
+
+Seconds Node::now() const {
+  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+
+double Node::random() { return std::uniform_real_distribution<double>(0, 1)(rng_); }
+
+void Node::tick() {
+  leadership_.tick(now(), mirror_.loaded(), mirror_.leader().version != 0, random());
+  tick_core();
+  tick_timer_.expires_after(as_us(settings_.report_s * settings_.tuning.round * 0.25));
+  tick_timer_.async_wait([this](auto error) {
+    if (!error) tick();
+  });
+}
+
+void Node::tick_core() {
+  if (!leads_now()) return;
+  for (const auto& action : core_->tick(now())) perform(action);
+  write_records();
+}
+
+// ---------------------------------------------------------------- requests
+
+void Node::on_request(const HttpRequest& request, Respond respond) {
+  if (request.path == wire::path::kReport && request.method == "POST")
+    return on_report(request, respond);
+  if (request.path == wire::path::kReady)
+    return respond({ready() ? 200 : 503, wire::error_body(ready() ? "" : "not ready"), 0});
+  if (!frontend_.handle(request, respond)) respond({404, wire::error_body("no such path"), 0});
+}
+
+bool Node::served() const {
+  const std::chrono::duration<double> age = std::chrono::steady_clock::now() - store_.last_served();
+  return age.count() < settings_.lease_s * 0.3;
+}
+
+bool Node::ready() const {
+  // In an outage for all, no other node could do better: the users stay where they are.
+  return mirror_.loaded() && !types_.empty() && (served() || !peers_.others_served());
+}
+
+void Node::on_report(const HttpRequest& request, const Respond& respond) {
+  const auto report = wire::parse_report(request.body);
+  if (!report) return respond({400, wire::error_body("not a report"), 0});
+  leadership_.saw_term(now(), report->token >> 20);
+  if (!core_ || !leadership_.may_answer(now())) {
+    const bool record_newer = mirror_.leader().value.term > peers_.leader_term();
+    std::string leader = record_newer ? mirror_.leader().value.node : peers_.leader();
+    if (leader == settings_.node) leader.clear();
+    return respond({421, wire::redirect_body(leader), 0});
+  }
+  const auto answer = core_->report(*report, leadership_.may_act(now()), now());
+  if (!answer.fresh) return respond({503, {}, 0});
+  respond({200, wire::report_answer(answer.token, answer.commands), 0});
+}
+
+// ---------------------------------------------------------------- leadership
+
+Leadership::Effects Node::leadership_effects() {
+  Leadership::Effects e;
+  e.grant = [this](Seconds lease) {
+    const Seconds asked = now();
+    store_.grant(lease, [this, asked](std::optional<uint64_t> id) {
+      leadership_.granted(now(), id, asked);
+    });
+  };
+  e.elect = [this](uint64_t lease) { elect(lease); };
+  e.renew = [this](uint64_t lease) {
+    const Seconds sent = now();
+    store_.renew(lease, leadership_config(settings_).renew, [this, sent](StoreClient::Renewal r) {
+      leadership_.renewed(now(), sent, r == StoreClient::Renewal::Renewed,
+                          r == StoreClient::Renewal::Ended);
+    });
+  };
+  e.changed = [this](Leadership::State from, Leadership::State to) { on_leadership(from, to); };
+  return e;
+}
+
+void Node::elect(uint64_t lease) {
+  const uint64_t term =
+      std::max(mirror_.term().value.term, leadership_.highest_term()) + 1;
+  const wire::LeaderRecord record{settings_.node, nonce_, term, lease};
+  const std::string value = wire::encode_leader(record);
+  const Seconds end = now() + leadership_config(settings_).lease;
+  store_.transact(Urgency::Leadership,
+                  {{keys::kLeader, 0}, {keys::kTerm, mirror_.term().version}},
+                  {{keys::kLeader, value, lease}, {keys::kTerm, value, 0}},
+                  [this, record, lease, end](TxnResult t) {
+                    if (t.outcome == TxnOutcome::Committed) {
+                      mirror_.wrote_leader(record, t.revision);
+                      return take_office(record.term, end);
+                    }
+                    // Ended at once, so that a transaction that is still on its way can't win.
+                    store_.revoke(lease, [](HttpResult) {});
+                    mirror_.refresh([this](bool) { leadership_.elected(now(), false, 0); });
+                  });
+}
+
+/// Reads everything that earlier leaders wrote before it acts on the records.
+void Node::take_office(uint64_t term, Seconds end) {
+  mirror_.refresh([this, term, end](bool fresh) {
+    if (fresh) return leadership_.elected(now(), true, term);
+    if (now() > end) return leadership_.elected(now(), false, 0);
+    auto timer = std::make_shared<asio::steady_timer>(io_, as_us(settings_.lease_s * 0.005));
+    timer->async_wait([this, timer, term, end](auto) { take_office(term, end); });
+  });
+}
+
+void Node::on_leadership(Leadership::State from, Leadership::State to) {
+  spdlog::info("leadership: {} -> {} (term {})", name(from), name(to), leadership_.term());
+  if (to == Leadership::State::Follower) {
+    // Reset from inside a call of the core's would pull it away under its feet.
+    asio::post(io_, [this, generation = core_generation_] {
+      if (generation == core_generation_ && leadership_.state() == Leadership::State::Follower)
+        core_.reset();
+    });
+    ++core_generation_;
+    list_timer_.cancel();
+    workers_.clear();
+    return;
+  }
+  if (to != Leadership::State::Leading || from == Leadership::State::Lapsed) return;
+  ++core_generation_;
+  writing_ = false;
+  peer_terms_.clear();
+  const Seconds fence = now() + leadership_config(settings_).grace;
+  core_ = std::make_unique<LeaderCore>(settings_, leadership_.term(), now(), fence);
+  core_->set_types(types_);
+  for (const auto& [id, host] : mirror_.hosts()) core_->host_stored(host.value, now());
+  for (const auto& [id, job] : mirror_.live()) core_->job_stored(job.value, job.version, now());
+  spdlog::info("takes over {} jobs and {} machines", mirror_.live().size(), mirror_.hosts().size());
+  if (settings_.peers.empty()) core_->fenced(now());
+  peers_.pulse_now();
+  list_machines();
+  asio::post(io_, [this] { tick_core(); });
+}
+
+void Node::on_leader_record() {
+  const auto& leader = mirror_.leader();
+  leadership_.saw_term(now(), std::max(leader.value.term, mirror_.term().value.term));
+  const bool mine = leader.version && leader.value.node == settings_.node;
+  if (!mine || leader.value.nonce == nonce_ || revoked_) return;
+  // An earlier process of this node held the lease. It has ended, so nobody need wait for it.
+  revoked_ = true;
+  store_.revoke(leader.value.lease, [](HttpResult) {});
+}
+
+void Node::on_job_record(const std::string& id) {
+  if (!core_) return;
+  if (id.empty()) {
+    std::vector<std::string> over;
+    for (const auto& [known, job] : core_->jobs())
+      if (!mirror_.live(known)) over.push_back(known);
+    for (const auto& gone : over) core_->job_over(gone);
+    for (const auto& [known, job] : mirror_.live()) core_->job_stored(job.value, job.version, now());
+  } else if (const auto* record = mirror_.live(id)) {
+    core_->job_stored(record->value, record->version, now());
+  } else {
+    core_->job_over(id);
+  }
+  core_->hurry();
+}
+
+wire::Pulse Node::own_pulse() {
+  wire::Pulse p;
+  p.node = settings_.node;
+  p.term = leadership_.highest_term();
+  p.leading = core_ && leadership_.may_answer(now());
+  p.served = served();
+  if (!p.leading) return p;
+  constexpr size_t kMostCounts = 1500;  // well under the limit of a request's body
+  for (const auto& [id, job] : core_->jobs())
+    if (const uint32_t running = core_->running(job); running > 0 && p.counts.size() < kMostCounts)
+      p.counts.push_back({id, job.done.count(), running});
+  return p;
+}
+
+void Node::on_pulse_answer(const std::string& node, const wire::Pulse& pulse) {
+  leadership_.saw_term(now(), pulse.term);
+  if (!core_ || pulse.leading || pulse.term < leadership_.term()) return;
+  // That node follows this term: it answers no worker under an older one. Once all do, nobody else
+  // can renew a worker's lease.
+  peer_terms_[node] = pulse.term;
+  if (peer_terms_.size() == settings_.peers.size()) core_->fenced(now());
+}
+
+// ---------------------------------------------------------------- the leader's hands
+
+void Node::perform(const Action& action) {
+  std::visit([this](const auto& a) { perform(a); }, action);
+}
+
+void Node::perform(const SendOrders& order) {
+  auto& client = workers_[order.addr];
+  if (!client) {
+    try {
+      const auto colon = order.addr.rfind(':');
+      const Endpoint to{order.addr.substr(0, colon),
+                        static_cast<unsigned short>(std::stoul(order.addr.substr(colon + 1)))};
+      asio::ip::make_address(to.host);
+      client = std::make_shared<HttpClient>(io_, to, 1, 4);
+    } catch (const std::exception&) {
+      workers_.erase(order.addr);
+      return spdlog::error("{} has no usable address: {}", order.machine, order.addr);
+    }
+  }
+  const double deadline = std::min(settings_.report_s * 1.5, settings_.lease_s * 0.2);
+  client->request("POST", wire::path::kOrders,
+                  wire::orders_body(order.token, order.session, order.commands), deadline,
+                  [this, client, machine = order.machine, generation = core_generation_](HttpResult r) {
+                    if (generation != core_generation_ || !core_) return;
+                    std::optional<WorkerReport> report;
+                    if (r.answered && (r.status == 200 || r.status == 409))
+                      report = wire::parse_report(r.body);
+                    if (report) leadership_.saw_term(now(), report->token >> 20);
+                    if (!core_) return;
+                    core_->orders_done(machine, report, r.ok() && report, now());
+                  });
+}
+
+void Node::perform(const Rent& rent) {
+  cloud_.request("POST", wire::path::kMachines,
+                 wire::rent_body(rent.request, rent.type, rent.zone, rent.spot, rent.count),
+                 settings_.lease_s * 0.5,
+                 [this, rent, generation = core_generation_](HttpResult r) {
+                   if (generation != core_generation_ || !core_) return;
+                   auto outcome = LeaderCore::RentOutcome::Unknown;
+                   std::vector<std::string> machines;
+                   if (r.ok()) {
+                     if (auto rented = wire::parse_rented(r.body)) {
+                       outcome = LeaderCore::RentOutcome::Rented;
+                       machines = *rented;
+                     }
+                   } else if (r.answered && (r.status == 503 || r.status == 400)) {
+                     outcome = LeaderCore::RentOutcome::Refused;
+                   }
+                   core_->rent_done(rent, outcome, machines, now());
+                 });
+}
+
+void Node::perform(const Release& release) {
+  cloud_.request("POST", wire::path::kRelease, wire::release_body(release.machines),
+                 settings_.lease_s * 0.5,
+                 [this, release, generation = core_generation_](HttpResult r) {
+                   if (generation != core_generation_ || !core_) return;
+                   core_->release_done(release, r.ok(), now());
+                 });
+}
+
+void Node::write_records() {
+  if (writing_ || !leads_now() || !mirror_.loaded()) return;
+  const auto writes = core_->wanted_writes(now(), static_cast<size_t>(settings_.state_txn_ops));
+  if (writes.empty()) return;
+  std::vector<wire::Guard> guards{{keys::kTerm, mirror_.term().version}};
+  std::vector<wire::Change> changes;
+  guards.reserve(writes.size() + kGuards);
+  for (const auto& w : writes) {
+    if (!w.host.empty()) {
+      const std::string key = keys::kHost + w.host;
+      changes.push_back({key, w.host_record ? wire::encode_host(*w.host_record) : "", 0});
+      continue;
+    }
+    const std::string live = keys::kLive + w.job;
+    guards.push_back({live, w.version});
+    if (w.over) {
+      changes.push_back({live, "", 0});
+      changes.push_back({keys::kOver + w.job,
+                         wire::encode_over(w.record->state, w.record->done.count()), 0});
+    } else {
+      changes.push_back({live, wire::encode_job(*w.record), 0});
+    }
+  }
+  writing_ = true;
+  store_.transact(Urgency::Record, guards, changes,
+                  [this, writes, generation = core_generation_](TxnResult t) {
+                    if (generation != core_generation_ || !core_) return;
+                    records_written(writes, t);
+                  });
+}
+
+void Node::records_written(const std::vector<RecordWrite>& writes, const TxnResult& t) {
+  const bool committed = t.outcome == TxnOutcome::Committed;
+  if (committed) {
+    for (const auto& w : writes) {
+      if (!w.host.empty())
+        mirror_.wrote_host(w.host, w.host_record ? &*w.host_record : nullptr, t.revision);
+      else if (w.over)
+        mirror_.wrote_over(w.job, {w.record->state, w.record->done.count()}, t.revision);
+      else
+        mirror_.wrote_job(*w.record, t.revision);
+    }
+  }
+  if (!core_) return;
+  for (const auto& w : writes) core_->write_done(w, committed, t.revision, now());
+  if (committed) {
+    writing_ = false;
+    core_->hurry();
+    return asio::post(io_, [this] { tick_core(); });
+  }
+  // It failed, or nobody knows: what the records say now decides what is still to be written.
+  for (const auto& key : t.failed)
+    if (key == keys::kTerm) spdlog::info("the term has changed");
+  mirror_.refresh([this, generation = core_generation_](bool) {
+    if (generation == core_generation_) writing_ = false;
+  });
+}
+
+void Node::list_machines() {
+  list_page(core_generation_, "", std::make_shared<std::vector<ListedMachine>>());
+}
+
+void Node::list_page(uint64_t generation, const std::string& after,
+                     std::shared_ptr<std::vector<ListedMachine>> so_far) {
+  cloud_.request("GET", wire::machines_path(after, 500), "", settings_.lease_s * 0.5,
+                 [this, generation, so_far](HttpResult r) {
+                   if (generation != core_generation_ || !core_) return;
+                   const auto page = r.ok() ? wire::parse_machines(r.body) : std::nullopt;
+                   if (page) {
+                     so_far->insert(so_far->end(), page->machines.begin(), page->machines.end());
+                     if (page->more && !page->machines.empty())
+                       return list_page(generation, page->machines.back().id, so_far);
+                     core_->listed(*so_far, now());
+                   }
+                   list_timer_.expires_after(as_us(settings_.list_lag_s * 0.5));
+                   list_timer_.async_wait([this, generation](auto error) {
+                     if (!error && generation == core_generation_) list_machines();
+                   });
+                 });
+}
+
+void Node::load_types() {
+  cloud_.request("GET", wire::path::kTypes, "", settings_.lease_s * 0.5, [this](HttpResult r) {
+    if (auto types = r.ok() ? wire::parse_types(r.body) : std::nullopt) {
+      types_ = std::move(*types);
+      if (core_) core_->set_types(types_);
+    }
+    // Prices move; a node that has no types yet can't take submissions.
+    const double pause = types_.empty() ? settings_.report_s * (0.3 + 0.4 * random()) : 6 * settings_.lease_s;
+    types_timer_.expires_after(as_us(pause));
+    types_timer_.async_wait([this](auto error) {
+      if (!error) load_types();
+    });
+  });
+}
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/peer/peers.cpp
@@ -0,0 +1,79 @@
+#include "peer/peers.h"
+
+namespace sumacquay {
+namespace {
+using Clock = std::chrono::steady_clock;
+constexpr double kRecent = 4;  ///< periods for which what was heard still counts
+}  // namespace
+
+Peers::Peers(asio::io_context& io, const Settings& settings, double period_s, Hooks hooks)
+    : io_(io), settings_(settings), period_s_(period_s), hooks_(std::move(hooks)), timer_(io) {
+  for (const auto& p : settings.peers)
+    clients_[p.node] = std::make_unique<HttpClient>(io, p.addr, 2, 4);
+}
+
+void Peers::start() {
+  HttpLimits limits;
+  limits.connections = 4 * settings_.peers.size() + 8;
+  server_ = std::make_unique<HttpServer>(
+      io_, settings_.peer_listen, limits, [this](const HttpRequest& request, Respond respond) {
+        const auto pulse = request.path == wire::path::kPulse ? wire::decode_pulse(request.body)
+                                                              : std::nullopt;
+        if (!pulse) return respond({400, {}, 0});
+        note(*pulse);
+        hooks_.received(*pulse);
+        wire::Pulse own = hooks_.own();
+        own.counts.clear();
+        respond({200, wire::encode_pulse(own), 0});
+      });
+  beat();
+}
+
+void Peers::pulse_now() {
+  const std::string body = wire::encode_pulse(hooks_.own());
+  for (auto& [node, client] : clients_) {
+    if (client->in_progress() > 1) continue;
+    client->request("POST", wire::path::kPulse, body, period_s_ * 2, [this, node = node](HttpResult r) {
+      const auto pulse = r.ok() ? wire::decode_pulse(r.body) : std::nullopt;
+      if (!pulse) return;
+      note(*pulse);
+      hooks_.answered(node, *pulse);
+    });
+  }
+}
+
+void Peers::beat() {
+  pulse_now();
+  timer_.expires_after(std::chrono::microseconds(static_cast<long long>(period_s_ * 1e6)));
+  timer_.async_wait([this](auto error) {
+    if (!error) beat();
+  });
+}
+
+void Peers::note(const wire::Pulse& pulse) {
+  if (pulse.served) served_heard_ = Clock::now();
+  if (!pulse.leading || pulse.term < leader_term_) return;
+  leader_ = pulse.node;
+  leader_term_ = pulse.term;
+  leader_heard_ = Clock::now();
+  if (pulse.counts.empty()) return;
+  counts_.clear();
+  for (const auto& c : pulse.counts) counts_[c.job] = c;
+}
+
+std::string Peers::leader() const {
+  const std::chrono::duration<double> age = Clock::now() - leader_heard_;
+  return age.count() < kRecent * period_s_ ? leader_ : std::string();
+}
+
+bool Peers::others_served() const {
+  const std::chrono::duration<double> age = Clock::now() - served_heard_;
+  return age.count() < kRecent * period_s_;
+}
+
+wire::RunningCount Peers::counts(const std::string& job) const {
+  const auto it = counts_.find(job);
+  return it == counts_.end() ? wire::RunningCount{job, 0, 0} : it->second;
+}
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/peer/peers.h
@@ -0,0 +1,51 @@
+#pragma once
+#include <asio.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "config/settings.h"
+#include "net/http.h"
+#include "wire/messages.h"
+
+namespace sumacquay {
+
+/// The channel among controllers: every node tells every other, at a steady pace, which term it
+/// knows; the leader adds the counts that users are shown. Nothing that safety needs rests on it,
+/// but for one answer: a node that has answered a term never acts under an older one.
+class Peers {
+ public:
+  struct Hooks {
+    std::function<wire::Pulse()> own;
+    std::function<void(const wire::Pulse&)> received;
+    std::function<void(const std::string& node, const wire::Pulse&)> answered;
+  };
+  Peers(asio::io_context& io, const Settings& settings, double period_s, Hooks hooks);
+  void start();
+  void pulse_now();
+
+  /// The leader that others speak of, empty if none was heard of lately.
+  std::string leader() const;
+  uint64_t leader_term() const { return leader_term_; }
+  wire::RunningCount counts(const std::string& job) const;
+  /// Another node was served by the state service lately.
+  bool others_served() const;
+
+ private:
+  void beat();
+  void note(const wire::Pulse& pulse);
+
+  asio::io_context& io_;
+  const Settings& settings_;
+  double period_s_;
+  Hooks hooks_;
+  std::map<std::string, std::unique_ptr<HttpClient>> clients_;
+  std::unique_ptr<HttpServer> server_;
+  asio::steady_timer timer_;
+  std::string leader_;
+  uint64_t leader_term_ = 0;
+  std::chrono::steady_clock::time_point leader_heard_{}, served_heard_{};
+  std::map<std::string, wire::RunningCount> counts_;
+};
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/placement/placement.cpp
@@ -0,0 +1,125 @@
+#include "placement/placement.h"
+
+#include <algorithm>
+#include <numeric>
+#include <tuple>
+
+namespace sumacquay {
+namespace {
+
+using Zones = std::unordered_map<std::string, uint32_t>;
+
+bool zone_allows(const JobSpec& spec, const Zones& zones, const std::string& zone) {
+  if (spec.one_zone)
+    for (const auto& [used, n] : zones)
+      if (n > 0 && used != zone) return false;
+  if (!spec.spread) return true;
+  const auto it = zones.find(zone);
+  return (it == zones.end() ? 0 : it->second) < spec.zone_limit();
+}
+
+/// Smaller is better: the fullest machine, GPUs first; ties go to one that holds the image.
+/// A task without GPUs keeps off machines that have some as long as others fit, since room beside
+/// idle GPUs is what GPU tasks need.
+auto rank(const Slot& s, const Demand& d) {
+  const bool wastes_gpus = d.spec->need.gpus == 0 && s.room.gpus > 0;
+  const bool image = d.has_image && d.has_image(s.machine);
+  return std::make_tuple(wastes_gpus, s.free.gpus, !image, s.free.cpus, s.free.memory_gb);
+}
+
+bool usable(const Slot& s, const Demand& d, const Zones& zones) {
+  return s.usable && allowed(*d.spec, s.type, s.zone, s.spot) &&
+         zone_allows(*d.spec, zones, s.zone) && !(d.avoid && d.avoid(s.machine));
+}
+
+std::optional<size_t> best_slot(const Demand& d, const std::vector<Slot>& slots,
+                                const Zones& zones) {
+  std::optional<size_t> best;
+  for (size_t i = 0; i < slots.size(); ++i) {
+    if (!usable(slots[i], d, zones) || !d.spec->need.fits_in(slots[i].free)) continue;
+    if (!best || rank(slots[i], d) < rank(slots[*best], d)) best = i;
+  }
+  return best;
+}
+
+std::vector<Placed> greedy(const Demand& d, std::vector<Slot>& slots, Zones zones) {
+  std::vector<Placed> out;
+  for (uint32_t task : d.tasks) {
+    const auto slot = best_slot(d, slots, zones);
+    if (!slot) break;  // tasks of a job are alike: the next one fits no better
+    slots[*slot].free -= d.spec->need;
+    ++zones[slots[*slot].zone];
+    out.push_back({task, *slot});
+  }
+  return out;
+}
+
+void give_back(const Demand& d, std::vector<Slot>& slots, const std::vector<Placed>& placed) {
+  for (const auto& p : placed) slots[p.slot].free += d.spec->need;
+}
+
+/// A gang in one zone may fit in another zone than the one the fullest machine is in.
+std::vector<Placed> gang_in_some_zone(const Demand& d, std::vector<Slot>& slots) {
+  std::vector<std::string> names;
+  for (const auto& s : slots)
+    if (std::find(names.begin(), names.end(), s.zone) == names.end()) names.push_back(s.zone);
+  for (const auto& zone : names) {
+    Zones zones = d.zones;
+    if (!zone_allows(*d.spec, zones, zone)) continue;
+    JobSpec pinned = *d.spec;
+    pinned.zone = zone;
+    Demand in_zone = d;
+    in_zone.spec = &pinned;
+    auto placed = greedy(in_zone, slots, zones);
+    if (placed.size() == d.tasks.size()) return placed;
+    give_back(in_zone, slots, placed);
+  }
+  return {};
+}
+
+}  // namespace
+
+bool allowed(const JobSpec& spec, const std::string& type, const std::string& zone, bool spot) {
+  return spec.allows_type(type) && (!spec.zone || *spec.zone == zone) && (spec.spot || !spot);
+}
+
+std::vector<Placed> place(const Demand& d, std::vector<Slot>& slots) {
+  auto placed = greedy(d, slots, d.zones);
+  const bool whole = placed.size() == d.tasks.size();
+  if (d.spec->kind != JobKind::Gang || whole) return placed;
+  give_back(d, slots, placed);
+  return d.spec->one_zone ? gang_in_some_zone(d, slots) : std::vector<Placed>{};
+}
+
+std::optional<Preemption> preempt(const Demand& d, const std::vector<Slot>& slots,
+                                  const std::vector<Victim>& victims) {
+  std::vector<std::vector<size_t>> by_slot(slots.size());
+  for (size_t v = 0; v < victims.size(); ++v)
+    if (victims[v].priority < d.spec->priority) by_slot[victims[v].slot].push_back(v);
+  std::optional<Preemption> best;
+  double best_loss = 0;
+  for (size_t i = 0; i < slots.size(); ++i) {
+    if (!usable(slots[i], d, d.zones)) continue;
+    Amounts room = slots[i].free;
+    room += slots[i].coming;
+    if (d.spec->need.fits_in(room)) return Preemption{i, {}, true};
+    auto& order = by_slot[i];
+    std::sort(order.begin(), order.end(), [&](size_t a, size_t b) {
+      return std::tie(victims[a].priority, victims[a].loss_s) <
+             std::tie(victims[b].priority, victims[b].loss_s);
+    });
+    Preemption p{i, {}, false};
+    double loss = 0;
+    for (size_t v : order) {
+      if (d.spec->need.fits_in(room)) break;
+      room += victims[v].need;
+      loss += 1 + victims[v].loss_s + 1000.0 * static_cast<int>(victims[v].priority);
+      p.victims.push_back(v);
+    }
+    if (!d.spec->need.fits_in(room)) continue;
+    if (!best || loss < best_loss) best = p, best_loss = loss;
+  }
+  return best;
+}
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/placement/placement.h
@@ -0,0 +1,63 @@
+#pragma once
+#include <functional>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "jobs/spec.h"
+
+namespace sumacquay {
+
+/// A machine as placement sees it.
+struct Slot {
+  std::string machine, type, zone;
+  bool spot = false;
+  Amounts room;        ///< the whole machine's
+  Amounts free;        ///< of it, what nothing takes
+  Amounts coming;      ///< free once the tasks that are being stopped are gone
+  bool usable = true;  ///< may be given new tasks
+};
+
+/// What of a job is to be placed, and what of it is somewhere already.
+struct Demand {
+  const JobSpec* spec = nullptr;
+  std::vector<uint32_t> tasks;                       ///< to be placed
+  std::unordered_map<std::string, uint32_t> zones;   ///< tasks of the job that are in a zone
+  std::function<bool(const std::string&)> avoid;     ///< machines the job failed on
+  std::function<bool(const std::string&)> has_image; ///< machines that hold the image
+};
+
+struct Placed {
+  uint32_t task = 0;
+  size_t slot = 0;
+};
+
+/// Whether a job may use a machine at all.
+bool allowed(const JobSpec& spec, const std::string& type, const std::string& zone, bool spot);
+
+/// Puts tasks on the fullest slots that fit, GPUs first, and takes the room there. A gang is placed
+/// whole or not at all; of arrays and services (gangs of one) as many tasks as fit.
+std::vector<Placed> place(const Demand& demand, std::vector<Slot>& slots);
+
+/// A running task that a job may be given the place of.
+struct Victim {
+  std::string job;
+  uint32_t task = 0;
+  size_t slot = 0;
+  Amounts need;
+  Priority priority = Priority::Low;
+  double loss_s = 0;  ///< progress that stopping it throws away
+};
+
+struct Preemption {
+  size_t slot = 0;
+  std::vector<size_t> victims;  ///< indices
+  bool on_its_way = false;      ///< enough is being stopped there already
+};
+
+/// Room for one task by stopping tasks of lower priority: the slot where the least is lost.
+std::optional<Preemption> preempt(const Demand& demand, const std::vector<Slot>& slots,
+                                  const std::vector<Victim>& victims);
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/provision/provision.h
@@ -0,0 +1,30 @@
+#pragma once
+#include <map>
+#include <string>
+#include <vector>
+
+#include "placement/placement.h"
+
+namespace sumacquay {
+
+/// One kind of machine that can be rented.
+struct Offer {
+  const MachineType* type = nullptr;
+  std::string zone;
+  bool spot = false;
+  double price = 0;
+  bool blocked = false;  ///< the cloud refused it not long ago
+};
+
+struct Rental {
+  std::string type, zone;
+  bool spot = false;
+  int count = 0;
+};
+
+/// The machines to rent for demands that found no room, beyond those that are booting already.
+/// `booting` is changed: room on booting and on newly rented machines is taken.
+std::vector<Rental> rentals(std::vector<Demand> unplaced, std::vector<Slot>& booting,
+                            const std::vector<Offer>& offers, int most);
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/store/mirror.cpp
@@ -0,0 +1,219 @@
+#include "store/mirror.h"
+
+#include <spdlog/spdlog.h>
+
+#include <memory>
+
+namespace sumacquay {
+namespace {
+
+/// Jobs that are over and still answered from memory; older ones are read again when asked for.
+constexpr size_t kOverKept = 20000;
+constexpr int kPage = 200;
+const std::vector<std::string>& load_order() {
+  static const std::vector<std::string> prefixes{keys::kLeader, keys::kTerm, keys::kHost,
+                                                 keys::kLive};
+  return prefixes;
+}
+
+}  // namespace
+
+Mirror::Mirror(asio::io_context& io, const Settings& s, StoreClient& store)
+    : io_(io), store_(store), wait_s_(s.lease_s), barrier_gap_s_(8.0 / s.state_rps) {}
+
+void Mirror::start() { load(); }
+
+void Mirror::enter(State next) {
+  if (state_ != next) spdlog::info("records: {}", next == State::Loading ? "loading" : "following");
+  state_ = next;
+}
+
+void Mirror::later(double seconds, std::function<void()> what) {
+  auto timer = std::make_shared<asio::steady_timer>(
+      io_, std::chrono::microseconds(static_cast<long long>(seconds * 1e6)));
+  timer->async_wait([timer, what = std::move(what)](auto error) {
+    if (!error) what();
+  });
+}
+
+void Mirror::load() {
+  enter(State::Loading);
+  ++generation_;
+  live_.clear();
+  hosts_.clear();
+  host_deleted_.clear();
+  leader_ = {};
+  term_ = {};
+  leader_seen_ = 0;
+  load_page(0, "", 0);
+}
+
+void Mirror::load_page(size_t prefix, const std::string& after, uint64_t from) {
+  const uint64_t generation = generation_;
+  store_.read(
+      Urgency::Record, wire::page_path(load_order()[prefix], after, kPage),
+      [this, prefix, after, from, generation](HttpResult r) {
+        if (generation != generation_) return;
+        const auto page = r.ok() ? wire::parse_page(r.body) : std::nullopt;
+        if (!page)
+          return later(wait_s_ * 0.03, [this, prefix, after, from, generation] {
+            if (generation == generation_) load_page(prefix, after, from);
+          });
+        // Changes are followed from the first page's revision on, so none between pages is missed.
+        const uint64_t first = from ? from : page->revision;
+        for (const auto& item : page->items) apply_item(item);
+        if (page->more && !page->items.empty())
+          return load_page(prefix, page->items.back().key, first);
+        if (prefix + 1 < load_order().size()) return load_page(prefix + 1, "", first);
+        revision_ = first;
+        enter(State::Following);
+        if (listener_.leader_changed) listener_.leader_changed();
+        if (listener_.job_changed) listener_.job_changed("");
+        follow();
+      });
+}
+
+void Mirror::follow() {
+  const uint64_t generation = generation_;
+  store_.watch(wire::changes_path(keys::kRoot, revision_, static_cast<uint64_t>(wait_s_ * 1000)),
+               wait_s_, [this, generation](HttpResult r) {
+                 if (generation != generation_) return;
+                 if (r.answered && r.status == 410) return load();
+                 const auto page = r.ok() ? wire::parse_changes(r.body) : std::nullopt;
+                 if (page) apply(*page, true);
+                 later(page ? 0.004 : wait_s_ * 0.03, [this, generation] {
+                   if (generation == generation_) follow();
+                 });
+               });
+}
+
+void Mirror::refresh(std::function<void(bool)> done) {
+  constexpr size_t kMostWaiting = 1000;
+  if (!loaded() || waiting_.size() >= kMostWaiting) {
+    asio::post(io_, [done = std::move(done)] { done(false); });
+    return;
+  }
+  waiting_.push_back(std::move(done));
+  if (!barrier_running_) run_barrier();
+}
+
+void Mirror::run_barrier() {
+  // Only those who asked before the request is sent are served by it.
+  auto served = std::make_shared<std::vector<std::function<void(bool)>>>(std::move(waiting_));
+  waiting_.clear();
+  barrier_running_ = true;
+  const uint64_t generation = generation_;
+  store_.read(Urgency::Rest, wire::changes_path(keys::kRoot, revision_, 0),
+              [this, served, generation](HttpResult r) {
+                const auto page =
+                    r.ok() && generation == generation_ ? wire::parse_changes(r.body) : std::nullopt;
+                if (page) apply(*page, true);
+                if (r.answered && r.status == 410 && generation == generation_) load();
+                for (auto& done : *served) done(page.has_value());
+                later(barrier_gap_s_, [this] {
+                  barrier_running_ = false;
+                  if (!waiting_.empty()) run_barrier();
+                });
+              });
+}
+
+void Mirror::apply(const wire::StorePage& page, bool whole) {
+  const uint64_t before = revision_;
+  for (const auto& item : page.items)
+    if (item.version > before) apply_item(item);
+  if (whole) revision_ = std::max(revision_, page.revision);
+}
+
+void Mirror::apply_item(const wire::StoreItem& item) {
+  const bool gone = item.value.missing();
+  if (item.key.starts_with(keys::kLive)) {
+    const std::string id = item.key.substr(keys::kLive.size());
+    auto known = live_.find(id);
+    if (known != live_.end() && known->second.version >= item.version) return;
+    // A job that is over never comes back, whatever an older change says.
+    if (gone || over_.count(id)) {
+      live_.erase(id);
+    } else {
+      auto record = wire::decode_job(item.value);
+      if (!record) return spdlog::error("record {} can't be read", item.key);
+      live_[id] = {std::move(*record), item.version};
+    }
+    if (loaded() && listener_.job_changed) listener_.job_changed(id);
+  } else if (item.key.starts_with(keys::kOver)) {
+    const std::string id = item.key.substr(keys::kOver.size());
+    const auto record = gone ? std::nullopt : wire::decode_over(item.value);
+    if (!record) return;
+    remember_over(id, *record);
+    if (loaded() && listener_.job_changed) listener_.job_changed(id);
+  } else if (item.key.starts_with(keys::kHost)) {
+    const std::string id = item.key.substr(keys::kHost.size());
+    auto known = hosts_.find(id);
+    if (known != hosts_.end() && known->second.version >= item.version) return;
+    const auto dead = host_deleted_.find(id);
+    if (dead != host_deleted_.end() && dead->second >= item.version) return;
+    const auto record = gone ? std::nullopt : wire::decode_host(item.value);
+    if (record) hosts_[id] = {*record, item.version};
+    else hosts_.erase(id);
+  } else if (item.key == keys::kLeader) {
+    if (item.version <= leader_seen_) return;
+    leader_seen_ = item.version;
+    const auto record = gone ? std::nullopt : wire::decode_leader(item.value);
+    leader_ = record ? Versioned<wire::LeaderRecord>{*record, item.version}
+                     : Versioned<wire::LeaderRecord>{};
+    if (loaded() && listener_.leader_changed) listener_.leader_changed();
+  } else if (item.key == keys::kTerm) {
+    const auto record = gone ? std::nullopt : wire::decode_leader(item.value);
+    if (!record || item.version <= term_.version) return;
+    term_ = {*record, item.version};
+    if (loaded() && listener_.leader_changed) listener_.leader_changed();
+  }
+}
+
+void Mirror::remember_over(const std::string& id, wire::OverRecord record) {
+  live_.erase(id);
+  if (!over_.emplace(id, record).second) return;
+  over_order_.push_back(id);
+  if (over_order_.size() <= kOverKept) return;
+  over_.erase(over_order_.front());
+  over_order_.pop_front();
+}
+
+const Versioned<JobRecord>* Mirror::live(const std::string& id) const {
+  const auto it = live_.find(id);
+  return it == live_.end() ? nullptr : &it->second;
+}
+
+const wire::OverRecord* Mirror::over(const std::string& id) const {
+  const auto it = over_.find(id);
+  return it == over_.end() ? nullptr : &it->second;
+}
+
+void Mirror::wrote_job(const JobRecord& record, uint64_t version) {
+  if (over_.count(record.spec.id)) return;
+  auto& slot = live_[record.spec.id];
+  if (slot.version >= version) return;
+  slot = {record, version};
+  if (listener_.job_changed) listener_.job_changed(record.spec.id);
+}
+
+void Mirror::wrote_over(const std::string& id, wire::OverRecord record, uint64_t) {
+  remember_over(id, record);
+  if (listener_.job_changed) listener_.job_changed(id);
+}
+
+void Mirror::wrote_host(const std::string& id, const HostRecord* record, uint64_t version) {
+  if (record) {
+    hosts_[id] = {*record, version};
+  } else {
+    hosts_.erase(id);
+    host_deleted_[id] = version;
+  }
+}
+
+void Mirror::wrote_leader(const wire::LeaderRecord& record, uint64_t version) {
+  leader_seen_ = std::max(leader_seen_, version);
+  leader_ = {record, version};
+  term_ = {record, version};
+}
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/store/mirror.h
@@ -0,0 +1,90 @@
+#pragma once
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "jobs/record.h"
+#include "store/store_client.h"
+
+namespace sumacquay {
+
+namespace keys {
+inline const std::string kRoot = "sq/";
+inline const std::string kLive = "sq/live/";
+inline const std::string kOver = "sq/over/";
+inline const std::string kHost = "sq/host/";
+inline const std::string kLeader = "sq/leader";
+inline const std::string kTerm = "sq/term";
+}  // namespace keys
+
+template <class T>
+struct Versioned {
+  T value{};
+  uint64_t version = 0;
+};
+
+/// A node's copy of the state service's records, kept up by a watch. `refresh` is the read
+/// barrier: one request brings the copy up to date for all who wait for it.
+class Mirror {
+ public:
+  struct Listener {
+    std::function<void(const std::string& id)> job_changed;
+    std::function<void()> leader_changed;
+  };
+
+  Mirror(asio::io_context& io, const Settings& settings, StoreClient& store);
+  void start();
+  void set_listener(Listener listener) { listener_ = std::move(listener); }
+
+  bool loaded() const { return state_ == State::Following; }
+  /// Calls back with true once the copy holds everything written before this call.
+  void refresh(std::function<void(bool)> done);
+
+  const std::unordered_map<std::string, Versioned<JobRecord>>& live() const { return live_; }
+  const Versioned<JobRecord>* live(const std::string& id) const;
+  const wire::OverRecord* over(const std::string& id) const;
+  const std::map<std::string, Versioned<HostRecord>>& hosts() const { return hosts_; }
+  const Versioned<wire::LeaderRecord>& leader() const { return leader_; }
+  const Versioned<wire::LeaderRecord>& term() const { return term_; }
+
+  // What this node itself has written, known before the watch brings it.
+  void wrote_job(const JobRecord& record, uint64_t version);
+  void wrote_over(const std::string& id, wire::OverRecord record, uint64_t version);
+  void wrote_host(const std::string& id, const HostRecord* record, uint64_t version);
+  void wrote_leader(const wire::LeaderRecord& record, uint64_t version);
+  void learned_over(const std::string& id, wire::OverRecord record) { remember_over(id, record); }
+
+ private:
+  enum class State { Loading, Following };
+  void enter(State next);
+  void load();
+  void load_page(size_t prefix, const std::string& after, uint64_t from);
+  void follow();
+  void apply(const wire::StorePage& page, bool whole);
+  void apply_item(const wire::StoreItem& item);
+  void remember_over(const std::string& id, wire::OverRecord record);
+  void run_barrier();
+  void later(double seconds, std::function<void()> what);
+
+  asio::io_context& io_;
+  StoreClient& store_;
+  double wait_s_, barrier_gap_s_;
+  Listener listener_;
+  State state_ = State::Loading;
+  uint64_t generation_ = 0;  ///< counts loads: answers to earlier ones are dropped
+  uint64_t revision_ = 0;
+  std::unordered_map<std::string, Versioned<JobRecord>> live_;
+  std::unordered_map<std::string, wire::OverRecord> over_;
+  std::deque<std::string> over_order_;
+  std::map<std::string, Versioned<HostRecord>> hosts_;
+  std::map<std::string, uint64_t> host_deleted_;
+  Versioned<wire::LeaderRecord> leader_, term_;
+  uint64_t leader_seen_ = 0;
+  std::vector<std::function<void(bool)>> waiting_;
+  bool barrier_running_ = false;
+};
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/wire/view.h
@@ -0,0 +1,80 @@
+#pragma once
+#include <cmath>
+#include <memory>
+#include <msgpack.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace sumacquay::wire {
+
+/// Read-only look at a decoded value; anything missing or of another type reads as "nothing".
+class View {
+ public:
+  View() = default;
+  explicit View(const msgpack::object* object) : object_(object) {}
+
+  bool is_map() const { return object_ && object_->type == msgpack::type::MAP; }
+  bool is_list() const { return object_ && object_->type == msgpack::type::ARRAY; }
+  bool missing() const { return !object_ || object_->type == msgpack::type::NIL; }
+
+  View operator[](std::string_view name) const {
+    if (!is_map()) return {};
+    const auto& map = object_->via.map;
+    for (uint32_t i = 0; i < map.size; ++i)
+      if (View(&map.ptr[i].key).text_view() == name) return View(&map.ptr[i].val);
+    return {};
+  }
+
+  size_t size() const { return is_list() ? object_->via.array.size : 0; }
+  View at(size_t i) const { return View(&object_->via.array.ptr[i]); }
+
+  std::optional<std::string_view> text_view() const {
+    if (!object_ || object_->type != msgpack::type::STR) return std::nullopt;
+    return std::string_view(object_->via.str.ptr, object_->via.str.size);
+  }
+  std::optional<std::string> text() const {
+    auto v = text_view();
+    return v ? std::optional<std::string>(std::string(*v)) : std::nullopt;
+  }
+  std::string text_or(std::string fallback) const { return text().value_or(std::move(fallback)); }
+
+  std::optional<double> number() const {
+    if (!object_) return std::nullopt;
+    switch (object_->type) {
+      case msgpack::type::POSITIVE_INTEGER: return static_cast<double>(object_->via.u64);
+      case msgpack::type::NEGATIVE_INTEGER: return static_cast<double>(object_->via.i64);
+      case msgpack::type::FLOAT32:
+      case msgpack::type::FLOAT64:
+        if (!std::isfinite(object_->via.f64)) return std::nullopt;
+        return object_->via.f64;
+      default: return std::nullopt;
+    }
+  }
+
+  std::optional<uint64_t> count() const {
+    if (!object_ || object_->type != msgpack::type::POSITIVE_INTEGER) return std::nullopt;
+    return object_->via.u64;
+  }
+
+  std::optional<bool> flag() const {
+    if (!object_ || object_->type != msgpack::type::BOOLEAN) return std::nullopt;
+    return object_->via.boolean;
+  }
+
+ private:
+  const msgpack::object* object_ = nullptr;
+};
+
+/// A decoded body. Hostile bytes are bounded by the size of the body and by the depth limit.
+class Document {
+ public:
+  static std::shared_ptr<Document> parse(std::string_view bytes);
+  View root() const { return View(&handle_.get()); }
+
+ private:
+  msgpack::object_handle handle_;
+  std::string bytes_;  ///< texts of the decoded value point into it
+};
+
+}  // namespace sumacquay::wire
