--- a/src/leadership/leadership.cpp
+++ b/src/leadership/leadership.cpp
@@ -37,7 +37,7 @@
       } else if (now >= campaign_at_) {
         enter(State::Campaigning);
         campaign_end_ = now + config_.lease;
-        effects_.grant(config_.lease);
+        effects_.grant(++campaign_, config_.lease);
       }
       return;
     case State::Campaigning:
@@ -56,17 +56,17 @@
   effects_.renew(lease_);
 }
 
-void Leadership::granted(Seconds now, std::optional<uint64_t> lease, Seconds asked_at) {
-  if (state_ != State::Campaigning) return;
+void Leadership::granted(Seconds now, Campaign campaign, std::optional<uint64_t> lease, Seconds asked_at) {
+  if (state_ != State::Campaigning || campaign != campaign_) return;
   if (!lease) return enter(State::Follower);
   lease_ = *lease;
   lease_sent_ = asked_at;
   campaign_end_ = now + config_.lease;
-  effects_.elect(lease_);
+  effects_.elect(campaign_, lease_);
 }
 
-void Leadership::elected(Seconds now, bool won, uint64_t term) {
-  if (state_ != State::Campaigning) return;
+void Leadership::elected(Seconds now, Campaign campaign, bool won, uint64_t term) {
+  if (state_ != State::Campaigning || campaign != campaign_) return;
   if (!won || term < highest_) return enter(State::Follower);
   term_ = highest_ = term;
   // The lease counts from when it was asked for: it can't have begun earlier.
@@ -76,7 +76,8 @@
   enter(State::Leading);
 }
 
-void Leadership::renewed(Seconds now, Seconds sent_at, bool answered, bool ended) {
+void Leadership::renewed(Seconds now, uint64_t lease, Seconds sent_at, bool answered, bool ended) {
+  if (lease != lease_) return;
   renewing_ = false;
   if (state_ != State::Leading && state_ != State::Lapsed) return;
   if (ended) return enter(State::Follower);
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -26,9 +26,13 @@
     double drift = 0.002;
   };
 
+  /// Numbers campaigns and what answers them. Without it a late answer to an earlier campaign
+  /// could win one lease and renew another, and two nodes would act at once.
+  using Campaign = uint64_t;
+
   struct Effects {
-    std::function<void(Seconds lease)> grant;
-    std::function<void(uint64_t lease)> elect;
+    std::function<void(Campaign campaign, Seconds lease)> grant;
+    std::function<void(Campaign campaign, uint64_t lease)> elect;
     std::function<void(uint64_t lease)> renew;
     std::function<void(State from, State to)> changed;
   };
@@ -37,9 +41,9 @@
 
   /// `leader_known`: the records are loaded and show a leader's key. `jitter`: from 0 to 1.
   void tick(Seconds now, bool loaded, bool leader_known, double jitter);
-  void granted(Seconds now, std::optional<uint64_t> lease, Seconds asked_at);
-  void elected(Seconds now, bool won, uint64_t term);
-  void renewed(Seconds now, Seconds sent_at, bool answered, bool ended);
+  void granted(Seconds now, Campaign campaign, std::optional<uint64_t> lease, Seconds asked_at);
+  void elected(Seconds now, Campaign campaign, bool won, uint64_t term);
+  void renewed(Seconds now, uint64_t lease, Seconds sent_at, bool answered, bool ended);
   /// Somebody leads with this term: a peer, a worker or a record says so.
   void saw_term(Seconds now, uint64_t term);
 
@@ -64,6 +68,7 @@
   uint64_t term_ = 0, highest_ = 0, lease_ = 0;
   Seconds valid_until_ = 0, lease_sent_ = 0, next_renew_ = 0, campaign_at_ = -1, campaign_end_ = 0;
   bool renewing_ = false;
+  Campaign campaign_ = 0;
 };
 
 const char* name(Leadership::State state);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -128,17 +128,17 @@
 
 Leadership::Effects Node::leadership_effects() {
   Leadership::Effects e;
-  e.grant = [this](Seconds lease) {
+  e.grant = [this](Leadership::Campaign campaign, Seconds lease) {
     const Seconds asked = now();
-    store_.grant(lease, [this, asked](std::optional<uint64_t> id) {
-      leadership_.granted(now(), id, asked);
+    store_.grant(lease, [this, campaign, asked](std::optional<uint64_t> id) {
+      leadership_.granted(now(), campaign, id, asked);
     });
   };
-  e.elect = [this](uint64_t lease) { elect(lease); };
+  e.elect = [this](Leadership::Campaign campaign, uint64_t lease) { elect(campaign, lease); };
   e.renew = [this](uint64_t lease) {
     const Seconds sent = now();
-    store_.renew(lease, leadership_config(settings_).renew, [this, sent](StoreClient::Renewal r) {
-      leadership_.renewed(now(), sent, r == StoreClient::Renewal::Renewed,
+    store_.renew(lease, leadership_config(settings_).renew, [this, lease, sent](StoreClient::Renewal r) {
+      leadership_.renewed(now(), lease, sent, r == StoreClient::Renewal::Renewed,
                           r == StoreClient::Renewal::Ended);
     });
   };
@@ -146,7 +146,7 @@
   return e;
 }
 
-void Node::elect(uint64_t lease) {
+void Node::elect(Leadership::Campaign campaign, uint64_t lease) {
   const uint64_t term =
       std::max(mirror_.term().value.term, leadership_.highest_term()) + 1;
   const wire::LeaderRecord record{settings_.node, nonce_, term, lease};
@@ -155,24 +155,24 @@
   store_.transact(Urgency::Leadership,
                   {{keys::kLeader, 0}, {keys::kTerm, mirror_.term().version}},
                   {{keys::kLeader, value, lease}, {keys::kTerm, value, 0}},
-                  [this, record, lease, end](TxnResult t) {
+                  [this, campaign, record, lease, end](TxnResult t) {
                     if (t.outcome == TxnOutcome::Committed) {
                       mirror_.wrote_leader(record, t.revision);
-                      return take_office(record.term, end);
+                      return take_office(campaign, record.term, end);
                     }
                     // Ended at once, so that a transaction that is still on its way can't win.
                     store_.revoke(lease, [](HttpResult) {});
-                    mirror_.refresh([this](bool) { leadership_.elected(now(), false, 0); });
+                    mirror_.refresh([this, campaign](bool) { leadership_.elected(now(), campaign, false, 0); });
                   });
 }
 
 /// Reads everything that earlier leaders wrote before it acts on the records.
-void Node::take_office(uint64_t term, Seconds end) {
-  mirror_.refresh([this, term, end](bool fresh) {
-    if (fresh) return leadership_.elected(now(), true, term);
-    if (now() > end) return leadership_.elected(now(), false, 0);
+void Node::take_office(Leadership::Campaign campaign, uint64_t term, Seconds end) {
+  mirror_.refresh([this, campaign, term, end](bool fresh) {
+    if (fresh) return leadership_.elected(now(), campaign, true, term);
+    if (now() > end) return leadership_.elected(now(), campaign, false, 0);
     auto timer = std::make_shared<asio::steady_timer>(io_, as_us(settings_.lease_s * 0.005));
-    timer->async_wait([this, timer, term, end](auto) { take_office(term, end); });
+    timer->async_wait([this, timer, campaign, term, end](auto) { take_office(campaign, term, end); });
   });
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -33,8 +33,8 @@
   bool served() const;
   // leadership
   Leadership::Effects leadership_effects();
-  void elect(uint64_t lease);
-  void take_office(uint64_t term, Seconds end);
+  void elect(Leadership::Campaign campaign, uint64_t lease);
+  void take_office(Leadership::Campaign campaign, uint64_t term, Seconds end);
   void on_leadership(Leadership::State from, Leadership::State to);
   void on_leader_record();
   void on_job_record(const std::string& id);
--- /dev/null
+++ b/tests/decisions_test.cpp
@@ -0,0 +1,244 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+
+#include "generators.h"
+#include "leadership/leadership.h"
+#include "placement/placement.h"
+#include "provision/provision.h"
+
+namespace sumacquay {
+namespace {
+
+using testing::holds;
+
+Slot slot(const std::string& id, const std::string& zone, Amounts room) {
+  Slot s;
+  s.machine = id;
+  s.type = "g";
+  s.zone = zone;
+  s.room = s.free = room;
+  return s;
+}
+
+TEST(Placement, KeepsEveryLimitAndPlacesGangsWholeOrNotAtAll) {
+  EXPECT_TRUE(holds("placement", [] {
+    JobSpec spec;
+    spec.kind = *rc::gen::element(JobKind::Array, JobKind::Gang, JobKind::Service);
+    spec.tasks = static_cast<uint32_t>(*rc::gen::inRange(1, 8));
+    spec.need = {*rc::gen::inRange(1, 5) * 1.0, *rc::gen::inRange(0, 3) * 1.0, 1};
+    spec.one_zone = *rc::gen::arbitrary<bool>();
+    spec.spread = !spec.one_zone && *rc::gen::arbitrary<bool>();
+    std::vector<Slot> slots;
+    const int n = *rc::gen::inRange(0, 6);
+    for (int i = 0; i < n; ++i) {
+      slots.push_back(slot("m" + std::to_string(i), *rc::gen::element<std::string>("e", "w"),
+                           {*rc::gen::inRange(0, 12) * 1.0, *rc::gen::inRange(0, 5) * 1.0, 8}));
+      slots.back().usable = *rc::gen::inRange(0, 5) > 0;
+      slots.back().spot = *rc::gen::inRange(0, 5) == 0;
+    }
+    const auto before = slots;
+    Demand d;
+    d.spec = &spec;
+    for (uint32_t t = 0; t < spec.tasks; ++t) d.tasks.push_back(t);
+    const auto placed = place(d, slots);
+    if (spec.kind == JobKind::Gang) RC_ASSERT(placed.empty() || placed.size() == spec.tasks);
+    std::map<std::string, uint32_t> zones;
+    std::vector<Amounts> taken(slots.size());
+    for (const auto& p : placed) {
+      RC_ASSERT(before[p.slot].usable && !before[p.slot].spot);
+      taken[p.slot] += spec.need;
+      ++zones[before[p.slot].zone];
+    }
+    for (size_t i = 0; i < slots.size(); ++i) {
+      RC_ASSERT(taken[i].fits_in(before[i].free));
+      Amounts left = before[i].free;
+      left -= taken[i];
+      RC_ASSERT(left == slots[i].free);
+    }
+    if (spec.one_zone) RC_ASSERT(zones.size() <= 1u);
+    if (spec.spread)
+      for (const auto& [zone, count] : zones) RC_ASSERT(count <= (spec.tasks + 1) / 2);
+  }, 1000));
+}
+
+TEST(Placement, PacksOntoTheFullestMachineGpusFirst) {
+  JobSpec spec;
+  spec.need = {1, 1, 1};
+  Demand d;
+  d.spec = &spec;
+  d.tasks = {0};
+  std::vector<Slot> slots{slot("empty", "e", {8, 8, 64}), slot("fuller", "e", {8, 8, 64})};
+  slots[1].free.gpus = 2;
+  EXPECT_EQ(place(d, slots).at(0).slot, 1u);
+  std::vector<Slot> tie{slot("a", "e", {8, 8, 64}), slot("b", "e", {8, 8, 64})};
+  d.has_image = [](const std::string& m) { return m == "b"; };
+  EXPECT_EQ(place(d, tie).at(0).slot, 1u) << "ties go to the one that has the image";
+}
+
+TEST(Placement, StopsOnlyLowerPriorityAndTheLeast) {
+  JobSpec spec;
+  spec.priority = Priority::High;
+  spec.need = {4, 4, 1};
+  Demand d;
+  d.spec = &spec;
+  d.tasks = {0};
+  std::vector<Slot> slots{slot("a", "e", {8, 8, 64}), slot("b", "e", {8, 8, 64})};
+  slots[0].free = slots[1].free = {};
+  const Amounts four{4, 4, 1};
+  std::vector<Victim> victims{{"prod", 0, 0, four, Priority::Production, 0},
+                              {"peer", 0, 0, four, Priority::High, 0},
+                              {"dear", 0, 1, four, Priority::Low, 50},
+                              {"cheap", 0, 1, four, Priority::Low, 5}};
+  auto p = preempt(d, slots, victims);
+  ASSERT_TRUE(p.has_value());
+  EXPECT_EQ(p->victims, std::vector<size_t>{3});
+  victims.resize(2);
+  EXPECT_FALSE(preempt(d, slots, victims).has_value());
+  slots[1].coming = four;
+  EXPECT_TRUE(preempt(d, slots, victims)->on_its_way) << "room is coming: nothing more is stopped";
+}
+
+TEST(Provision, CountsBootingMachinesAndAvoidsWhatWasRefused) {
+  MachineType g;
+  g.name = "g";
+  g.room = {8, 8, 64};
+  g.zones = {"e", "w"};
+  JobSpec spec;
+  spec.need = {4, 4, 4};
+  spec.tasks = 4;
+  spec.kind = JobKind::Service;
+  Demand d;
+  d.spec = &spec;
+  d.tasks = {0, 1, 2, 3};
+  std::vector<Slot> booting{slot("b", "e", g.room)};
+  std::vector<Offer> offers{{&g, "e", false, 10, true}, {&g, "w", false, 10, false}, {&g, "w", true, 1, false}};
+  const auto r = rentals({d}, booting, offers, 10);
+  ASSERT_EQ(r.size(), 1u);
+  EXPECT_EQ(r[0].zone, "w");
+  EXPECT_FALSE(r[0].spot) << "the job may not use spot machines";
+  EXPECT_EQ(r[0].count, 1) << "two of the four tasks fit on what is booting";
+}
+
+/// Nodes and a state service with one lease; time, delays and outages are generated.
+struct Nodes {
+  struct Node {
+    std::unique_ptr<Leadership> l;
+    double skew = 1;  ///< of its steady clock
+  };
+  double now = 0, lease_end = -1;
+  uint64_t term = 0, holder_lease = 0, next_lease = 1;
+  std::multimap<double, std::function<void()>> mail;
+  std::vector<Node> nodes;
+  std::map<uint64_t, double> leases;
+
+  void later(double delay, std::function<void()> f) { mail.emplace(now + delay, std::move(f)); }
+  void expire() {
+    for (auto it = leases.begin(); it != leases.end();)
+      it = it->second <= now ? leases.erase(it) : std::next(it);
+    if (holder_lease && !leases.count(holder_lease)) holder_lease = 0;
+  }
+};
+
+TEST(LeadershipMachine, NeverTwoThatMayActAndTermsRise) {
+  EXPECT_TRUE(holds("leadership", [] {
+    Nodes w;
+    // One generated seed a history: drawn one by one, small sizes would make every node stall.
+    std::mt19937_64 rng(*rc::gen::noShrink(rc::gen::arbitrary<uint64_t>()));
+    auto draw = [&rng](int least, int past) { return std::uniform_int_distribution<int>(least, past - 1)(rng); };
+    const double lease = 2;
+    auto delay = [&] { return draw(0, 100) < 90 ? draw(1, 30) * 0.001 : draw(1, 300) * 0.01; };
+    std::vector<uint64_t> terms;
+    for (int i = 0; i < 3; ++i) {
+      w.nodes.push_back({nullptr, 1 + 0.0005 * (i - 1)});
+      Leadership::Effects e;
+      auto self = [&w, i] { return w.nodes[i].l.get(); };
+      auto clock = [&w, i] { return w.now * w.nodes[i].skew; };
+      e.grant = [&, self, clock](uint64_t campaign, Seconds ttl) {
+        const double asked = clock();
+        w.later(delay(), [&, self, clock, asked, ttl, campaign] {
+          const uint64_t id = w.next_lease++;
+          w.leases[id] = w.now + ttl;
+          w.later(delay(), [self, clock, id, asked, campaign] { self()->granted(clock(), campaign, id, asked); });
+        });
+      };
+      e.elect = [&, self, clock](uint64_t campaign, uint64_t id) {
+        w.later(delay(), [&, self, clock, id, campaign] {
+          w.expire();
+          const bool won = w.holder_lease == 0 && w.leases.count(id);
+          if (won) {
+            w.holder_lease = id;
+            terms.push_back(++w.term);
+          }
+          w.later(delay(), [self, clock, won, campaign, t = w.term] {
+            self()->elected(clock(), campaign, won, t);
+          });
+        });
+      };
+      e.renew = [&, self, clock](uint64_t id) {
+        const double sent = clock();
+        const bool lost = draw(0, 10) == 0;
+        w.later(delay(), [&, self, clock, id, sent, lost] {
+          w.expire();
+          const bool known = w.leases.count(id) > 0;
+          if (known && !lost) w.leases[id] = w.now + 2;
+          w.later(delay(), [self, clock, id, sent, known, lost] {
+            self()->renewed(clock(), id, sent, !lost && known, !lost && !known);
+          });
+        });
+      };
+      e.changed = [](Leadership::State, Leadership::State) {};
+      w.nodes[i].l = std::make_unique<Leadership>(Leadership::Config{lease, 0.5, 10, 0.002}, e);
+    }
+    for (; w.now < 30; w.now += 0.01) {
+      while (!w.mail.empty() && w.mail.begin()->first <= w.now) {
+        auto f = std::move(w.mail.begin()->second);
+        w.mail.erase(w.mail.begin());
+        f();
+      }
+      w.expire();
+      int acting = 0;
+      for (auto& n : w.nodes) {
+        const bool stalls = draw(0, 20) == 0;
+        if (!stalls) n.l->tick(w.now * n.skew, true, w.holder_lease != 0, 0.5);
+        acting += n.l->may_act(w.now * n.skew);
+      }
+      RC_ASSERT(acting <= 1);
+    }
+    RC_ASSERT(!terms.empty());
+    RC_ASSERT(std::is_sorted(terms.begin(), terms.end()));
+  }, 100));
+}
+
+TEST(LeadershipMachine, AnswersPastItsLeaseForTheGraceOnlyAndStepsDownForAHigherTerm) {
+  std::vector<Leadership::State> seen;
+  Leadership::Effects e;
+  e.grant = [](uint64_t, Seconds) {};
+  e.elect = [](uint64_t, uint64_t) {};
+  e.renew = [](uint64_t) {};
+  e.changed = [&](Leadership::State, Leadership::State to) { seen.push_back(to); };
+  auto leading = [&] {
+    Leadership l({2, 0.5, 10, 0}, e);
+    l.tick(0, true, false, 0);
+    l.tick(0, true, false, 0);
+    l.granted(0, 1, 7, 0);
+    l.elected(0, 1, true, 3);
+    return l;
+  };
+  Leadership l = leading();
+  EXPECT_TRUE(l.may_act(1.9));
+  EXPECT_FALSE(l.may_act(2.1));
+  l.tick(2.1, true, true, 0);
+  EXPECT_EQ(l.state(), Leadership::State::Lapsed);
+  EXPECT_TRUE(l.may_answer(11.9));
+  EXPECT_FALSE(l.may_answer(12.1));
+  l.tick(12.1, true, true, 0);
+  EXPECT_EQ(l.state(), Leadership::State::Follower);
+  Leadership other = leading();
+  other.saw_term(1, 4);
+  EXPECT_FALSE(other.may_answer(1)) << "somebody else leads";
+}
+
+}  // namespace
+}  // namespace sumacquay
--- /dev/null
+++ b/tests/formats_test.cpp
@@ -0,0 +1,234 @@
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "config/settings.h"
+#include "generators.h"
+#include "wire/messages.h"
+
+namespace sumacquay {
+namespace {
+
+using testing::holds;
+
+const char* kToml = R"(
+label = "n0"
+area = "east"
+listen = "127.0.0.1:8080"
+back = "127.0.0.1:8081"
+someday = 3
+[[known]]
+label = "n1"
+area = "west"
+peer_addr = "127.0.0.1:9081"
+[services]
+cloud = "127.0.0.1:1"
+state = "127.0.0.1:2"
+[params]
+zones = ["east", "west"]
+[[params.teams]]
+name = "blue"
+gpus = 4.0
+gpus_max = 8.0
+[params.workers]
+report_s = 1.0
+lease_s = 10.0
+gang_wait_s = 30.0
+gang_peer_s = 5.0
+cancel_s = 40.0
+[params.state]
+rps = 250.0
+write_rps = 30.0
+value_kb = 8.0
+txn_ops = 24
+[params.cloud]
+rps = 6.0
+list_lag_s = 8.0
+[params.quota]
+fd_limit = 600
+)";
+
+std::string settings_error(std::string text, const std::string& from, const std::string& to) {
+  const auto at = text.find(from);
+  if (at == std::string::npos) return "no such text";
+  text.replace(at, from.size(), to);
+  try {
+    parse_settings(text, "f.toml");
+  } catch (const SettingsError& e) {
+    return e.what();
+  }
+  return "";
+}
+
+TEST(Settings, ReadsThePlatformsFileAndIgnoresWhatItDoesNotKnow) {
+  const Settings s = parse_settings(kToml, "f.toml");
+  EXPECT_EQ(s.node, "n0");
+  EXPECT_EQ(s.listen.port, 8080);
+  ASSERT_EQ(s.peers.size(), 1u);
+  EXPECT_EQ(s.peers[0].addr.port, 9081);
+  EXPECT_EQ(s.team("blue")->gpus_max, 8);
+  EXPECT_EQ(s.team("red"), nullptr);
+}
+
+TEST(Settings, AnErrorNamesTheField) {
+  EXPECT_NE(settings_error(kToml, "lease_s = 10.0", "lease_s = \"x\"").find("params.workers.lease_s"),
+            std::string::npos);
+  EXPECT_NE(settings_error(kToml, "txn_ops = 24", "txn_ops = -1").find("params.state.txn_ops"),
+            std::string::npos);
+  EXPECT_NE(settings_error(kToml, "127.0.0.1:8081", "here").find("back"), std::string::npos);
+  EXPECT_NE(settings_error(kToml, "name = \"blue\"", "").find("params.teams[0].name"),
+            std::string::npos);
+  EXPECT_NE(settings_error(kToml, "[services]", "[services").find("line"), std::string::npos);
+}
+
+TEST(Settings, OperatorsSettingsAreCheckedByName) {
+  EXPECT_EQ(parse_tuning("# none\n", "t.hcl").start_tries, 3);
+  const Tuning t = parse_tuning("leader_lease = 0.25\nstart_tries = 5\n", "t.hcl");
+  EXPECT_DOUBLE_EQ(t.leader_lease, 0.25);
+  EXPECT_EQ(t.start_tries, 5);
+  EXPECT_THROW(parse_tuning("leader_lease = 9\n", "t.hcl"), SettingsError);
+  EXPECT_THROW(parse_tuning("lease = 1\n", "t.hcl"), SettingsError);
+  EXPECT_THROW(parse_tuning("grace = }\n", "t.hcl"), SettingsError);
+}
+
+TEST(Records, ComeBackAsTheyWere) {
+  EXPECT_TRUE(holds("job records round trip", [] {
+    JobRecord r;
+    r.spec = *testing::job_spec();
+    r.state = *rc::gen::element(JobState::Pending, JobState::Cancelled, JobState::Done);
+    r.started = *rc::gen::arbitrary<bool>();
+    r.submitted_ms = static_cast<uint64_t>(*rc::gen::inRange(0, 1 << 30));
+    for (int n : *rc::gen::container<std::vector<int>>(rc::gen::inRange<int>(0, r.spec.tasks)))
+      r.done.add(static_cast<uint32_t>(n));
+    const auto document = wire::Document::parse(wire::encode_job(r));
+    RC_ASSERT(document != nullptr);
+    RC_ASSERT(wire::decode_job(document->root()) == r);
+  }));
+}
+
+TEST(Submissions, ASpecIsReadBackFromItsWireForm) {
+  EXPECT_TRUE(holds("submission", [] {
+    JobRecord r;
+    r.spec = *testing::job_spec();
+    // A stored description has the spelling of a submitted one.
+    const auto document = wire::Document::parse(wire::encode_job(r));
+    const msgpack::object_handle copy = [&] {
+      msgpack::sbuffer buffer;
+      const std::string bytes = wire::encode_job(r);
+      const auto whole = msgpack::unpack(bytes.data(), bytes.size());
+      msgpack::pack(buffer, whole.get().via.map.ptr[0].val);
+      return msgpack::unpack(buffer.data(), buffer.size());
+    }();
+    msgpack::sbuffer body;
+    msgpack::pack(body, copy.get());
+    const auto parsed = wire::parse_job({body.data(), body.size()});
+    RC_ASSERT(parsed.spec.has_value());
+    RC_ASSERT(*parsed.spec == r.spec);
+  }));
+}
+
+TEST(Submissions, HostileBytesAreRefusedAndNothingElse) {
+  EXPECT_TRUE(holds("hostile bytes", [] {
+    const auto bytes = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
+    wire::parse_job(bytes);
+    wire::parse_report(bytes);
+    wire::parse_types(bytes);
+    wire::parse_machines(bytes);
+    wire::parse_changes(bytes);
+    wire::decode_pulse(bytes);
+  }, 2000));
+  EXPECT_TRUE(holds("a cut or changed record never passes for another shape", [] {
+    JobRecord r;
+    r.spec = *testing::job_spec();
+    std::string bytes = wire::encode_job(r);
+    const auto cut = *rc::gen::inRange<size_t>(0, bytes.size());
+    RC_ASSERT(wire::Document::parse(std::string_view(bytes).substr(0, cut)) == nullptr);
+    bytes[cut] = *rc::gen::arbitrary<char>();
+    if (const auto d = wire::Document::parse(bytes)) wire::decode_job(d->root());
+  }));
+  EXPECT_EQ(wire::Document::parse(std::string(5000, '\x91')), nullptr) << "deep nesting";
+  EXPECT_EQ(wire::Document::parse("\xdd\xff\xff\xff\xff"), nullptr) << "a list said to be huge";
+  EXPECT_EQ(wire::Document::parse("\xdf\xff\xff\xff\xff"), nullptr) << "a map said to be huge";
+}
+
+TEST(Submissions, EachWrongFieldIsNamed) {
+  auto body = [](const char* field, auto value) {
+    JobRecord r;
+    r.spec = JobSpec{};
+    r.spec.id = "job-1";
+    const std::string bytes = wire::encode_job(r);
+    const auto whole = msgpack::unpack(bytes.data(), bytes.size());
+    msgpack::object spec = whole.get().via.map.ptr[0].val;
+    msgpack::sbuffer out;
+    msgpack::packer<msgpack::sbuffer> p(out);
+    p.pack_map(spec.via.map.size);
+    for (uint32_t i = 0; i < spec.via.map.size; ++i) {
+      const auto& kv = spec.via.map.ptr[i];
+      p.pack(kv.key);
+      if (kv.key.as<std::string>() == field) p.pack(value);
+      else p.pack(kv.val);
+    }
+    return wire::parse_job({out.data(), out.size()});
+  };
+  EXPECT_TRUE(body("none", 0).spec.has_value());
+  EXPECT_NE(body("vcpus", -1.0).error.find("vcpus"), std::string::npos);
+  EXPECT_NE(body("vcpus", std::nan("")).error.find("vcpus"), std::string::npos);
+  EXPECT_NE(body("cards", 1e300).error.find("cards"), std::string::npos);
+  EXPECT_NE(body("threads", 0).error.find("threads"), std::string::npos);
+  EXPECT_NE(body("threads", 100001).error.find("threads"), std::string::npos);
+  EXPECT_NE(body("threads", "3").error.find("threads"), std::string::npos);
+  EXPECT_NE(body("urgency", "extreme").error.find("urgency"), std::string::npos);
+  EXPECT_NE(body("id", "job-1/x").error.find("id"), std::string::npos);
+  EXPECT_NE(body("together", 1).error.find("together"), std::string::npos);
+}
+
+TEST(Ranges, AgreeWithASetOfNumbers) {
+  EXPECT_TRUE(holds("ranges", [] {
+    Ranges ranges;
+    std::set<uint32_t> model;
+    for (int n : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 60))) {
+      const auto number = static_cast<uint32_t>(n);
+      RC_ASSERT(ranges.add(number) == model.insert(number).second);
+    }
+    RC_ASSERT(ranges.count() == model.size());
+    for (uint32_t n = 0; n < 62; ++n) {
+      RC_ASSERT(ranges.contains(n) == (model.count(n) > 0));
+      uint32_t next = n;
+      while (model.count(next)) ++next;
+      RC_ASSERT(ranges.next_missing(n) == next);
+    }
+    Ranges back;
+    RC_ASSERT(Ranges::from_lengths(ranges.to_lengths(), 60, back));
+    RC_ASSERT(back == ranges && back.count() == ranges.count());
+  }));
+  Ranges r;
+  EXPECT_FALSE(Ranges::from_lengths({0, 61}, 60, r));
+  EXPECT_FALSE(Ranges::from_lengths({0, 1, 0, 1}, 60, r)) << "spans that touch";
+  EXPECT_FALSE(Ranges::from_lengths({5}, 60, r));
+}
+
+TEST(Jobs, WhatCanNeverRunIsToldApart) {
+  MachineType g;
+  g.name = "g";
+  g.room = {8, 2, 32};
+  g.zones = {"east"};
+  TeamSettings team;
+  team.gpus_max = 4;
+  JobSpec s;
+  s.need = {4, 1, 16};
+  s.tasks = 100;
+  EXPECT_EQ(never_runs(s, {g}, &team), "") << "an array needs room for one task";
+  s.kind = JobKind::Gang;
+  EXPECT_NE(never_runs(s, {g}, &team), "") << "a gang needs it for all";
+  s.tasks = 4;
+  EXPECT_EQ(never_runs(s, {g}, &team), "");
+  EXPECT_NE(never_runs(s, {g}, nullptr), "");
+  s.zone = "west";
+  EXPECT_NE(never_runs(s, {g}, &team), "");
+  s.zone.reset();
+  s.types = std::vector<std::string>{"h"};
+  EXPECT_NE(never_runs(s, {g}, &team), "");
+}
+
+}  // namespace
+}  // namespace sumacquay
