--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -42,7 +42,7 @@
   double grace = 1.0;            ///< answers past validity / worker lease
   double round = 0.1;            ///< placement round / report period
   double suspect = 0.45;         ///< silence that makes a machine suspect / worker lease
-  double idle = 1.0;             ///< idle time before a machine is returned / its boot time
+  double idle = 0.4;             ///< idle time before a machine is returned / its boot time
   double headroom = 1.0;         ///< spare room / room that expected arrivals need
   double sockets = 0.6;          ///< sockets open to users and workers / all sockets
   int start_tries = 3;           ///< starts of a job before it backs off
--- a/src/dispatch/machines.cpp
+++ b/src/dispatch/machines.cpp
@@ -11,7 +11,7 @@
 /// Both clocks may drift; a little is added for what the arithmetic leaves out.
 constexpr double kDrift = 0.002;
 /// Boot times past which a machine counts as one that never comes up.
-constexpr double kOverdue = 3.5;
+constexpr double kOverdue = 1.8;
 /// Seconds for which the cloud is not asked again for what it refused, doubling each time.
 constexpr double kRefusal = 5;
 constexpr int kMostRented = 12;
@@ -226,7 +226,8 @@
     std::erase_if(slots, [&id = id](const Slot& s) { return s.machine == id; });
     std::vector<JobSpec> specs;
     bool needed = false;
-    for (auto& d : headroom(specs, now)) needed = needed || place(d, slots).size() < d.tasks.size();
+    for (auto& d : headroom(specs, now))
+      needed = needed || place(d, slots).size() < d.tasks.size();
     if (needed && !m.sick && !m.taken_at) continue;
     m.stage = Machine::Stage::Returning;
     return;
