Replicas are moved together onto machines that have their image

A move takes 0.1 s where the image is there and 5 to 10 s where it is not, so only the first kind is made, and a replica that is down goes where its image is before all else.

--- a/src/dispatch/leader_core.cpp
+++ b/src/dispatch/leader_core.cpp
@@ -12,6 +12,10 @@
 /// Keeps an answer to a worker well under the protocol's 64 KiB.
 constexpr size_t kMostCommands = 300;
 
+/// The part of a machine's cache that is counted on: fetches that were given up, and images of
+/// tasks that an earlier leader started, take room that nobody has told this one about.
+constexpr double kSureCache = 0.8;
+
 Run::Phase phase_of(TaskState s) {
   switch (s) {
     case TaskState::Fetching: return Run::Phase::Fetching;
@@ -270,6 +274,7 @@
   const JobSpec& spec = job.spec();
   run.need = spec.need;
   run.image = spec.image;
+  run.image_gb = spec.image_gb;
   const bool first = !job.at.count(key.task.task);
   add_presence(m, key);
   run.wanted = first && job.runnable() && key.task.task < spec.tasks &&
@@ -295,10 +300,13 @@
 
 void LeaderCore::set_phase(Machine& m, const RunKey& key, Run& run, Run::Phase next, Seconds now) {
   if (run.phase == next) return;
+  spdlog::debug("{}/{} try {} on {}: phase {} -> {}", key.task.job, key.task.task, key.attempt,
+                m.info.id, static_cast<int>(run.phase), static_cast<int>(next));
   run.phase = next;
   run.sent = true;
   if (next == Run::Phase::Running || next == Run::Phase::Waiting) {
-    if (!run.image.empty()) m.images.insert(run.image);
+    const MachineType* t = type(m.info.type);
+    if (!run.image.empty()) m.images.use(run.image, run.image_gb, t ? t->cache_gb * kSureCache : 0);
     if (run.running_since < 0) run.running_since = now;
   }
   if (next == Run::Phase::Exited) {
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -147,6 +147,12 @@
   std::vector<Offer> offers(Seconds now) const;
   std::vector<Demand> headroom(std::vector<JobSpec>& specs, Seconds now) const;
   void return_idle(Seconds now);
+  // moves.cpp: replicas moved together
+  void move_replicas(Seconds now);
+  bool finish_move(Seconds now);
+  bool movable(const Machine& m, std::vector<Slot>& others, Seconds now);
+  bool spare_without(std::vector<Slot> others, Seconds now) const;
+  void drain(Machine& m, const char* why, Seconds now);
   void care_for_machines(Seconds now, std::vector<Action>& out);
   bool give_up_on(const Machine& m, Seconds now, bool many_silent) const;
   void order_starts(Seconds now, std::vector<Action>& out);
@@ -169,7 +175,7 @@
   std::map<std::string, std::pair<Rent, Seconds>> open_rents_;
   std::unordered_map<std::string, Amounts> used_;  ///< by team
   std::vector<Demand> unplaced_;  ///< of the last round; used in the same tick only
-  Seconds next_round_ = 0, next_provision_ = 0, next_release_ = 0;
+  Seconds next_round_ = 0, next_provision_ = 0, next_release_ = 0, next_move_ = 0;
   bool releasing_ = false;
 };
 
--- a/src/dispatch/machines.cpp
+++ b/src/dispatch/machines.cpp
@@ -33,6 +33,7 @@
   if (now >= next_round_) {
     next_round_ = now + settings_.tuning.round * settings_.report_s;
     round(now);
+    move_replicas(now);
     provision(now, out);
     unplaced_.clear();
   }
@@ -212,6 +213,14 @@
   return false;
 }
 
+/// Whether the room kept for arrivals is there on these machines alone.
+bool LeaderCore::spare_without(std::vector<Slot> others, Seconds now) const {
+  std::vector<JobSpec> specs;
+  for (const auto& d : headroom(specs, now))
+    if (place(d, others).size() < d.tasks.size()) return false;
+  return true;
+}
+
 void LeaderCore::return_idle(Seconds now) {
   if (!all_accounted() || !open_rents_.empty()) return;
   for (auto& [id, m] : machines_) {
@@ -222,13 +231,9 @@
   for (auto& [id, m] : machines_) {
     const MachineType* t = type(m.info.type);
     if (m.idle_since < 0 || !t || now - m.idle_since < settings_.tuning.idle * t->boot_s) continue;
-    auto slots = picture(now, false);
-    std::erase_if(slots, [&id = id](const Slot& s) { return s.machine == id; });
-    std::vector<JobSpec> specs;
-    bool needed = false;
-    for (auto& d : headroom(specs, now))
-      needed = needed || place(d, slots).size() < d.tasks.size();
-    if (needed && !m.sick && !m.taken_at) continue;
+    auto others = picture(now, false);
+    std::erase_if(others, [&id = id](const Slot& s) { return s.machine == id; });
+    if (!m.sick && !m.taken_at && !spare_without(std::move(others), now)) continue;
     m.stage = Machine::Stage::Returning;
     return;
   }
--- /dev/null
+++ b/src/dispatch/moves.cpp
@@ -0,0 +1,98 @@
+// Replicas of services stay for as long as their users want them, so what packing joined comes
+// apart as other jobs end: many machines, each a little used. Replicas are moved together where
+// that costs them next to nothing, which is on machines that have their image.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "dispatch/leader_core.h"
+
+namespace sumacquay {
+namespace {
+
+/// The protocol counts a start only if no command stops the task within 30 s of it; a replica is
+/// left alone for several times that, so that none is moved again and again.
+constexpr Seconds kSettled = 4 * 30;
+/// Pause between moves / report period.
+constexpr double kPause = 2;
+
+double used_part(const Slot& s) {
+  if (s.room.gpus > 0) return 1 - s.free.gpus / s.room.gpus;
+  return s.room.cpus > 0 ? 1 - s.free.cpus / s.room.cpus : 1;
+}
+
+}  // namespace
+
+/// Whether every task on the machine is a settled replica that fits on another machine with its
+/// image; takes the room there.
+bool LeaderCore::movable(const Machine& m, std::vector<Slot>& others, Seconds now) {
+  for (const auto& [key, run] : m.runs) {
+    if (!run.present()) continue;
+    Job* job = find_job(key.task.job);
+    if (!job || job->spec().kind != JobKind::Service || !run.wanted) return false;
+    if (run.phase != Run::Phase::Running || now - run.running_since < kSettled) return false;
+    Demand d;
+    d.spec = &job->spec();
+    d.tasks = {key.task.task};
+    for (const auto& [task, places] : job->at)
+      for (const auto& [machine, attempt] : places)
+        if (task != key.task.task) ++d.zones[machines_.at(machine).info.zone];
+    d.avoid = [this, job](const std::string& machine) {
+      return job->failed_on.count(machine) > 0 ||
+             !machines_.at(machine).images.has(job->spec().image);
+    };
+    if (place(d, others).empty()) return false;
+  }
+  return true;
+}
+
+void LeaderCore::drain(Machine& m, const char* why, Seconds now) {
+  spdlog::info("moves what runs on {}: {}", m.info.id, why);
+  m.draining = true;
+  for (auto& [key, run] : m.runs)
+    if (run.present()) unwant(run, false, now);
+}
+
+/// One machine at a time: true while a move is on its way.
+bool LeaderCore::finish_move(Seconds now) {
+  for (auto& [id, m] : machines_) {
+    if (!m.draining || m.stage != Machine::Stage::Up) continue;
+    if (m.has_presence()) return true;
+    m.draining = false;
+    m.idle_since = now;
+  }
+  return false;
+}
+
+void LeaderCore::move_replicas(Seconds now) {
+  if (finish_move(now) || now < next_move_ || !all_accounted()) return;
+  const Demand* gang = nullptr;
+  for (const auto& d : unplaced_)
+    if (d.spec->kind == JobKind::Gang && d.tasks.size() == 1 && !gang) gang = &d;
+  if (!gang && !unplaced_.empty()) return;
+  auto slots = picture(now, false);
+  std::vector<size_t> order;
+  for (size_t i = 0; i < slots.size(); ++i)
+    if (slots[i].usable && used_part(slots[i]) > 0) order.push_back(i);
+  std::sort(order.begin(), order.end(),
+            [&](size_t a, size_t b) { return used_part(slots[a]) < used_part(slots[b]); });
+  for (size_t i : order) {
+    Slot whole = slots[i];
+    whole.free = whole.room;
+    if (gang) {
+      std::vector<Slot> alone{whole};
+      if (place(*gang, alone).empty()) continue;
+    }
+    Machine& m = machines_.at(slots[i].machine);
+    auto others = slots;
+    others.erase(others.begin() + static_cast<long>(i));
+    // Nothing is moved to a machine that is emptier: that would only go back and forth.
+    for (auto& s : others) s.usable = s.usable && used_part(s) > 0;
+    if (!movable(m, others, now)) continue;
+    if (!gang && !spare_without(others, now)) continue;
+    next_move_ = now + kPause * settings_.report_s;
+    return drain(m, gang ? "a gang needs the whole machine" : "it can be returned", now);
+  }
+}
+
+}  // namespace sumacquay
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -17,7 +17,7 @@
 }  // namespace
 
 bool LeaderCore::usable(const Machine& m, Seconds now) const {
-  return m.stage == Machine::Stage::Up && m.proven && !m.sick && !m.taken_at &&
+  return m.stage == Machine::Stage::Up && m.proven && !m.sick && !m.draining && !m.taken_at &&
          now - m.last_heard < kSilence * settings_.report_s + 0.5;
 }
 
@@ -108,10 +108,11 @@
       const auto m = machines_.find(machine);
       if (m != machines_.end()) ++d.zones[m->second.info.zone];
     }
+  d.image_first = job.spec().kind == JobKind::Service && job.stored.started;
   d.avoid = [&job](const std::string& machine) { return job.failed_on.count(machine) > 0; };
   d.has_image = [this, &job](const std::string& machine) {
     const auto m = machines_.find(machine);
-    return m != machines_.end() && m->second.images.count(job.spec().image) > 0;
+    return m != machines_.end() && m->second.images.has(job.spec().image);
   };
   return d;
 }
@@ -146,10 +147,12 @@
   for (const auto& p : placed) {
     Machine& m = machines_.at(slots[p.slot].machine);
     const RunKey key{{job.spec().id, p.task}, gang ? job.gang_attempt : new_attempt()};
+    spdlog::debug("{}/{} try {} placed on {}", key.task.job, key.task.task, key.attempt, m.info.id);
     Run& run = m.runs[key];
     run.placed_at = now;
     run.need = job.spec().need;
     run.image = job.spec().image;
+    run.image_gb = job.spec().image_gb;
     m.recording = true;
     add_presence(m, key);
     used_[job.spec().team] += run.need;
--- a/src/fleet/machine.h
+++ b/src/fleet/machine.h
@@ -1,9 +1,12 @@
 #pragma once
+#include <algorithm>
 #include <limits>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "fleet/report.h"
 #include "jobs/record.h"
@@ -32,10 +35,34 @@
   bool stop_sent = false;
   Amounts need;
   std::string image;
+  double image_gb = 0;
 
   bool present() const { return phase != Phase::Exited; }
 };
 
+/// The images a machine has as far as can be told: it reports none, but keeps the most recently
+/// used ones that fit its disk.
+class Images {
+ public:
+  void use(const std::string& image, double gb, double room_gb) {
+    std::erase_if(kept_, [&](const auto& i) { return i.first == image; });
+    kept_.emplace_back(image, gb);
+    double sum = 0;
+    for (const auto& i : kept_) sum += i.second;
+    while (kept_.size() > 1 && sum > room_gb) {
+      sum -= kept_.front().second;
+      kept_.erase(kept_.begin());
+    }
+  }
+  bool has(const std::string& image) const {
+    return std::any_of(kept_.begin(), kept_.end(), [&](const auto& i) { return i.first == image; });
+  }
+  void clear() { kept_.clear(); }
+
+ private:
+  std::vector<std::pair<std::string, double>> kept_;  ///< the most recently used last
+};
+
 /// A machine as the leader knows it.
 struct Machine {
   enum class Stage {
@@ -65,7 +92,8 @@
   Seconds idle_since = -1;
   bool sick = false;  ///< fails what it starts: gets nothing new and is returned
   std::set<std::string> error_jobs;  ///< jobs that failed here since one last succeeded
-  std::set<std::string> images;
+  Images images;
+  bool draining = false;  ///< its tasks are moved elsewhere: gets nothing new
 
   std::map<RunKey, Run> runs;
 
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -24,7 +24,8 @@
 auto rank(const Slot& s, const Demand& d) {
   const bool wastes_gpus = d.spec->need.gpus == 0 && s.room.gpus > 0;
   const bool image = d.has_image && d.has_image(s.machine);
-  return std::make_tuple(wastes_gpus, s.room.gpus, !image, s.free.gpus, s.free.cpus, s.free.memory_gb);
+  return std::make_tuple(wastes_gpus, d.image_first && !image, s.room.gpus, !image, s.free.gpus,
+                         s.free.cpus, s.free.memory_gb);
 }
 
 bool usable(const Slot& s, const Demand& d, const Zones& zones) {
