--- a/src/dispatch/leader_core.cpp
+++ b/src/dispatch/leader_core.cpp
@@ -64,7 +64,7 @@
   job.version = version;
   if (added) {
     job.done = record.done;
-    job.waiting_since = now;
+    note_arrival(record);
     // A report may have brought tasks of this job before its record was read.
     for (auto& [id, m] : machines_)
       for (auto& [key, run] : m.runs)
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -1,4 +1,5 @@
 #pragma once
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -29,7 +30,6 @@
   std::set<std::string> failed_on;
   int failures = 0;
   Seconds retry_at = 0;
-  Seconds waiting_since = -1;
 
   const JobSpec& spec() const { return stored.spec; }
   bool complete() const { return done.count() == stored.spec.tasks; }
@@ -145,6 +145,7 @@
   Seconds certain_end(const Machine& m) const;
   void provision(Seconds now, std::vector<Action>& out);
   std::vector<Offer> offers(Seconds now) const;
+  void note_arrival(const JobRecord& record);
   std::vector<Demand> headroom(std::vector<JobSpec>& specs, Seconds now) const;
   void return_idle(Seconds now);
   // moves.cpp: replicas moved together
@@ -174,6 +175,12 @@
   std::map<std::tuple<std::string, std::string, bool>, std::pair<Seconds, int>> refused_;
   std::map<std::string, std::pair<Rent, Seconds>> open_rents_;
   std::unordered_map<std::string, Amounts> used_;  ///< by team
+  struct Arrivals {
+    JobSpec spec;  ///< of the last one
+    std::deque<std::pair<uint64_t, uint32_t>> jobs;  ///< time of day and number of tasks
+  };
+  std::map<std::string, Arrivals> arrivals_;  ///< by class
+  uint64_t newest_ms_ = 0;
   std::vector<Demand> unplaced_;  ///< of the last round; used in the same tick only
   Seconds next_round_ = 0, next_provision_ = 0, next_release_ = 0, next_move_ = 0;
   bool releasing_ = false;
--- a/src/dispatch/machines.cpp
+++ b/src/dispatch/machines.cpp
@@ -72,35 +72,38 @@
   return out;
 }
 
-/// Room for the production tasks that will arrive, at the rate of late, while a machine boots.
-std::vector<Demand> LeaderCore::headroom(std::vector<JobSpec>& specs, Seconds) const {
+/// Takes note of a job that has arrived; what is older than the span is forgotten.
+void LeaderCore::note_arrival(const JobRecord& record) {
   double boot = 0;
   for (const auto& t : types_) boot = std::max(boot, t.boot_s);
-  struct Seen {
-    const JobSpec* spec = nullptr;
-    double tasks = 0;
-  };
-  uint64_t newest = 0;
-  for (const auto& [id, job] : jobs_) newest = std::max(newest, job.stored.submitted_ms);
-  std::map<std::string, Seen> seen;
-  const double span_ms = kMemory * boot * 1000;
-  for (const auto& [id, job] : jobs_) {
-    if (job.spec().priority != Priority::Production || job.stored.state != JobState::Pending) continue;
-    if (static_cast<double>(newest - job.stored.submitted_ms) > span_ms) continue;
-    Seen& s = seen[job.spec().job_class];
-    s.spec = &job.spec();
-    s.tasks += job.spec().tasks;
-  }
+  Arrivals& a = arrivals_[record.spec.job_class];
+  a.spec = record.spec;
+  a.jobs.emplace_back(record.submitted_ms, record.spec.tasks);
+  newest_ms_ = std::max(newest_ms_, record.submitted_ms);
+  const auto span_ms = static_cast<uint64_t>(kMemory * boot * 1000);
+  for (auto& [name, other] : arrivals_)
+    std::erase_if(other.jobs, [&](const auto& j) { return j.first + span_ms < newest_ms_; });
+}
+
+/// Room for what will arrive while a machine boots, at the rate of late. Services stay, so each
+/// arrival needs room of its own; of arrays, which come and go, one is expected at a time, and
+/// room is only kept for those that may use cheap machines.
+std::vector<Demand> LeaderCore::headroom(std::vector<JobSpec>& specs, Seconds) const {
   std::vector<Demand> out;
-  specs.reserve(seen.size());
-  for (const auto& [name, s] : seen) {
+  specs.reserve(arrivals_.size());
+  for (const auto& [name, a] : arrivals_) {
+    double tasks = 0;
+    for (const auto& [at, n] : a.jobs) tasks += n;
+    double expected = 0;
     // Arrivals are uneven: the mean and one deviation of it.
-    const double mean = s.tasks / kMemory;
-    const auto n = static_cast<uint32_t>(
-        std::ceil(settings_.tuning.headroom * (mean + std::sqrt(mean)) - 1e-9));
+    const double mean = tasks / kMemory;
+    if (a.spec.kind == JobKind::Service) expected = mean + std::sqrt(mean);
+    else if (a.spec.kind == JobKind::Array && a.spec.spot && !a.jobs.empty())
+      expected = tasks / static_cast<double>(a.jobs.size());
+    const auto n = static_cast<uint32_t>(std::ceil(settings_.tuning.headroom * expected - 1e-9));
     if (n == 0) continue;
-    specs.push_back(*s.spec);
-    specs.back().tasks = std::max(n, 1u);
+    specs.push_back(a.spec);
+    specs.back().tasks = n;
     specs.back().kind = JobKind::Service;
     Demand d;
     d.spec = &specs.back();
