--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -77,6 +77,21 @@
   EXPECT_EQ(place(d, tie).at(0).slot, 1u) << "ties go to the one that has the image";
 }
 
+TEST(Placement, LeavesLargeMachinesToThoseThatNeedThem) {
+  JobSpec spec;
+  spec.need = {1, 1, 1};
+  Demand d;
+  d.spec = &spec;
+  d.tasks = {0};
+  std::vector<Slot> slots{slot("large", "e", {8, 8, 64}), slot("small", "e", {4, 4, 32})};
+  slots[0].free.gpus = 1;
+  EXPECT_EQ(place(d, slots).at(0).slot, 1u) << "though the large one is fuller";
+  std::vector<Slot> again{slot("large", "e", {8, 8, 64}), slot("small", "e", {4, 4, 32})};
+  d.image_first = true;
+  d.has_image = [](const std::string& m) { return m == "large"; };
+  EXPECT_EQ(place(d, again).at(0).slot, 0u) << "a replica that is down goes where its image is";
+}
+
 TEST(Placement, StopsOnlyLowerPriorityAndTheLeast) {
   JobSpec spec;
   spec.priority = Priority::High;
--- /dev/null
+++ b/tests/net_test.cpp
@@ -0,0 +1,119 @@
+#include <gtest/gtest.h>
+
+#include "net/http.h"
+
+namespace sumacquay {
+namespace {
+
+using asio::ip::tcp;
+
+/// A server on an ephemeral port of the loopback interface that echoes bodies.
+struct Loopback : ::testing::Test {
+  asio::io_context io;
+  HttpLimits limits;
+  std::unique_ptr<HttpServer> server;
+  int handled = 0;
+
+  void serve() {
+    server = std::make_unique<HttpServer>(io, Endpoint{"127.0.0.1", 0}, limits,
+                                          [this](const HttpRequest& r, Respond respond) {
+                                            ++handled;
+                                            if (r.path == "/never") return;
+                                            respond({200, r.method + r.path + r.body, 7});
+                                            respond({500, "a second answer goes nowhere", 0});
+                                          });
+  }
+
+  /// Sends bytes and returns all that comes until the server closes.
+  std::string raw(const std::string& bytes) {
+    tcp::socket s(io);
+    std::string got;
+    bool closed = false;
+    s.connect({asio::ip::make_address("127.0.0.1"), server->port()});
+    asio::write(s, asio::buffer(bytes));
+    std::array<char, 1024> chunk;
+    std::function<void()> read = [&] {
+      s.async_read_some(asio::buffer(chunk), [&](auto error, size_t n) {
+        if (error) return void(closed = true);
+        got.append(chunk.data(), n);
+        read();
+      });
+    };
+    read();
+    run_until([&] { return closed; });
+    return got;
+  }
+
+  void run_until(const std::function<bool()>& done) {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    io.restart();
+    while (!done() && std::chrono::steady_clock::now() < end)
+      io.run_one_for(std::chrono::milliseconds(20));
+    EXPECT_TRUE(done());
+  }
+
+  HttpResult ask(HttpClient& client, const std::string& path, const std::string& body, double deadline) {
+    std::optional<HttpResult> result;
+    client.request("POST", path, body, deadline, [&](HttpResult r) { result = std::move(r); });
+    EXPECT_FALSE(result.has_value()) << "never from inside the call";
+    run_until([&] { return result.has_value(); });
+    return result.value_or(HttpResult{});
+  }
+};
+
+TEST_F(Loopback, AnswersAndKeepsConnections) {
+  serve();
+  HttpClient client(io, {"127.0.0.1", server->port()}, 2, 4);
+  for (int i = 0; i < 3; ++i) {
+    const auto r = ask(client, "/a?x=1", "body", 5);
+    EXPECT_TRUE(r.ok());
+    EXPECT_EQ(r.body, "POST/abody");
+  }
+  EXPECT_EQ(client.in_progress(), 0u);
+  const std::string text = raw("GET /b HTTP/1.1\r\nConnection: close\r\n\r\n");
+  EXPECT_NE(text.find("Retry-After: 7"), std::string::npos);
+  EXPECT_NE(text.find("GET/b"), std::string::npos);
+}
+
+TEST_F(Loopback, HostileRequestsGetAnAnswerAndTheirConnectionIsClosed) {
+  limits.body_bytes = 1000;
+  limits.header_bytes = 500;
+  serve();
+  EXPECT_NE(raw("this is not HTTP\r\n\r\n").find("400"), std::string::npos);
+  EXPECT_NE(raw("POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n" + std::string(1001, 'x')).find("413"),
+            std::string::npos);
+  EXPECT_NE(raw("GET /" + std::string(600, 'x') + " HTTP/1.1\r\n\r\n").find("413"), std::string::npos);
+  EXPECT_EQ(handled, 0);
+}
+
+TEST_F(Loopback, SlowRequestsAndIdleConnectionsAreTimedOut) {
+  limits.request_s = 0.05;
+  limits.idle_s = 0.05;
+  serve();
+  EXPECT_EQ(raw("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab"), "");
+  EXPECT_EQ(raw(""), "");
+  EXPECT_EQ(handled, 0);
+}
+
+TEST_F(Loopback, ASilentServerCostsTheDeadlineOnly) {
+  serve();
+  HttpClient client(io, {"127.0.0.1", server->port()}, 1, 1);
+  EXPECT_FALSE(ask(client, "/never", "", 0.05).answered);
+  EXPECT_TRUE(ask(client, "/a", "", 5).ok()) << "the next request gets a new connection";
+  std::vector<bool> answers;
+  for (int i = 0; i < 3; ++i)
+    client.request("POST", "/a", "", 5, [&](HttpResult r) { answers.push_back(r.answered); });
+  run_until([&] { return answers.size() == 3; });
+  EXPECT_EQ(std::count(answers.begin(), answers.end(), true), 2) << "one runs, one waits, one is refused";
+}
+
+TEST_F(Loopback, AServerThatCameBackIsAskedOnANewConnection) {
+  serve();
+  HttpClient client(io, {"127.0.0.1", server->port()}, 1, 1);
+  EXPECT_TRUE(ask(client, "/a", "", 5).ok());
+  server->close_all();
+  EXPECT_TRUE(ask(client, "/a", "", 5).ok()) << "a connection that the other side closed is not used";
+}
+
+}  // namespace
+}  // namespace sumacquay
