Where a fetch hurts, tasks of lower priority give way on machines with the image

Ruled out: slow detection (10 s of the 40) and failover. Moving replicas off machines that cost next to nothing is dropped too.

--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -133,6 +133,9 @@
   std::vector<Job*> waiting(Seconds now);
   bool missing_in_doubt(const Job& job) const { return job.stored.started && !all_accounted(); }
   std::optional<Demand> demand(Job& job, Seconds now, size_t most);
+  bool fetch_hurts(const Job& job) const;
+  void place_warm(Job& job, Demand& demand, std::vector<Slot>& slots, Seconds now);
+  void place_part(Job& job, Demand& demand, std::vector<Slot>& slots, Seconds now);
   size_t quota_left(const Job& job) const;
   void start_placed(Job& job, const std::vector<Placed>& placed, const std::vector<Slot>& slots,
                     Seconds now);
--- a/src/dispatch/moves.cpp
+++ b/src/dispatch/moves.cpp
@@ -16,6 +16,9 @@
 /// Pause between moves / report period.
 constexpr double kPause = 2;
 
+/// Machines that cost less than this part of the dearest are not worth any replica's downtime.
+constexpr double kWorthMoving = 0.25;
+
 double used_part(const Slot& s) {
   if (s.room.gpus > 0) return 1 - s.free.gpus / s.room.gpus;
   return s.room.cpus > 0 ? 1 - s.free.cpus / s.room.cpus : 1;
@@ -71,9 +74,14 @@
     if (d.spec->kind == JobKind::Gang && d.tasks.size() == 1 && !gang) gang = &d;
   if (!gang && !unplaced_.empty()) return;
   auto slots = picture(now, false);
+  double dearest = 0;
+  for (const auto& t : types_) dearest = std::max(dearest, t.price);
   std::vector<size_t> order;
-  for (size_t i = 0; i < slots.size(); ++i)
-    if (slots[i].usable && used_part(slots[i]) > 0) order.push_back(i);
+  for (size_t i = 0; i < slots.size(); ++i) {
+    const MachineType* t = type(slots[i].type);
+    const bool dear = t && t->price >= kWorthMoving * dearest;
+    if (slots[i].usable && used_part(slots[i]) > 0 && dear) order.push_back(i);
+  }
   std::sort(order.begin(), order.end(),
             [&](size_t a, size_t b) { return used_part(slots[a]) < used_part(slots[b]); });
   for (size_t i : order) {
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -93,6 +93,40 @@
   return out;
 }
 
+/// Whether a fetch on a machine that lacks the image costs what users were promised: a replica that
+/// is down stays down for it, and one that is new misses the aim for its class.
+bool LeaderCore::fetch_hurts(const Job& job) const {
+  if (job.spec().kind != JobKind::Service) return false;
+  double longest = 0;
+  for (const auto& t : types_)
+    if (t.fetch_gb_per_s > 0 && job.spec().allows_type(t.name) && job.spec().need.fits_in(t.room))
+      longest = std::max(longest, job.spec().image_gb / t.fetch_gb_per_s);
+  if (job.stored.started) return longest > settings_.report_s;
+  for (const auto& o : settings_.objectives)
+    if (o.kind == "wait" && o.job_class == job.spec().job_class && longest > o.within_s) return true;
+  return false;
+}
+
+/// First on machines that have the image, where tasks of lower priority give way; what is left of
+/// the demand goes the ordinary way.
+void LeaderCore::place_warm(Job& job, Demand& d, std::vector<Slot>& slots, Seconds now) {
+  Demand warm = d;
+  warm.avoid = [&d](const std::string& machine) { return d.avoid(machine) || !d.has_image(machine); };
+  place_part(job, warm, slots, now);
+  if (!warm.tasks.empty()) make_room(job, warm, slots, now);
+  d.tasks = warm.tasks;
+  d.zones = warm.zones;
+}
+
+void LeaderCore::place_part(Job& job, Demand& d, std::vector<Slot>& slots, Seconds now) {
+  const auto placed = place(d, slots);
+  start_placed(job, placed, slots, now);
+  for (const auto& p : placed) {
+    ++d.zones[slots[p.slot].zone];
+    std::erase(d.tasks, p.task);
+  }
+}
+
 std::optional<Demand> LeaderCore::demand(Job& job, Seconds, size_t most) {
   Demand d;
   d.spec = &job.spec();
@@ -108,7 +142,7 @@
       const auto m = machines_.find(machine);
       if (m != machines_.end()) ++d.zones[m->second.info.zone];
     }
-  d.image_first = job.spec().kind == JobKind::Service && job.stored.started;
+  d.image_first = fetch_hurts(job);
   d.avoid = [&job](const std::string& machine) { return job.failed_on.count(machine) > 0; };
   d.has_image = [this, &job](const std::string& machine) {
     const auto m = machines_.find(machine);
@@ -125,12 +159,8 @@
     const size_t left = quota_left(*job);
     auto d = left > 0 ? demand(*job, now, left) : std::nullopt;
     if (!d) continue;
-    const auto placed = place(*d, slots);
-    start_placed(*job, placed, slots, now);
-    for (const auto& p : placed) {
-      ++d->zones[slots[p.slot].zone];
-      std::erase(d->tasks, p.task);
-    }
+    if (d->image_first) place_warm(*job, *d, slots, now);
+    if (!d->tasks.empty()) place_part(*job, *d, slots, now);
     if (d->tasks.empty()) continue;
     make_room(*job, *d, slots, now);
     if (!d->tasks.empty()) unplaced_.push_back(std::move(*d));
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -24,7 +24,7 @@
   const JobSpec* spec = nullptr;
   std::vector<uint32_t> tasks;                       ///< to be placed
   std::unordered_map<std::string, uint32_t> zones;   ///< tasks of the job that are in a zone
-  bool image_first = false;  ///< a replica that is down: a fetch is downtime
+  bool image_first = false;  ///< a fetch costs more than packing gains
   std::function<bool(const std::string&)> avoid;     ///< machines the job failed on
   std::function<bool(const std::string&)> has_image; ///< machines that hold the image
 };
