Expected arrivals fade with time, not only with the next arrival

Cause: with no arrivals at all the spare room of the last busy minutes was kept and paid for without end.

--- a/src/dispatch/leader_core.cpp
+++ b/src/dispatch/leader_core.cpp
@@ -37,8 +37,9 @@
 
 }  // namespace
 
-LeaderCore::LeaderCore(const Settings& settings, uint64_t term, Seconds now, Seconds fence)
-    : settings_(settings), term_(term), began_(now), fence_(fence) {}
+LeaderCore::LeaderCore(const Settings& settings, uint64_t term, Seconds now, Seconds fence,
+                       Seconds wall_offset)
+    : settings_(settings), term_(term), began_(now), fence_(fence), wall_offset_(wall_offset) {}
 
 const Job* LeaderCore::find_job(const std::string& id) const {
   const auto it = jobs_.find(id);
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -65,7 +65,9 @@
 class LeaderCore {
  public:
   /// `fence`: until when an earlier leader may have answered workers, at the latest.
-  LeaderCore(const Settings& settings, uint64_t term, Seconds now, Seconds fence);
+  /// `wall_offset`: the time of day less the steady time; arrivals alone are judged by it.
+  LeaderCore(const Settings& settings, uint64_t term, Seconds now, Seconds fence,
+             Seconds wall_offset = 0);
 
   // Records.
   void job_stored(const JobRecord& record, uint64_t version, Seconds now);
@@ -149,6 +151,7 @@
   void provision(Seconds now, std::vector<Action>& out);
   std::vector<Offer> offers(Seconds now) const;
   void note_arrival(const JobRecord& record);
+  void forget_arrivals(Seconds now);
   std::vector<Demand> headroom(std::vector<JobSpec>& specs, Seconds now) const;
   void return_idle(Seconds now);
   // moves.cpp: replicas moved together
@@ -165,7 +168,7 @@
 
   const Settings& settings_;
   uint64_t term_;
-  Seconds began_, fence_;
+  Seconds began_, fence_, wall_offset_;
   bool fenced_ = false;
   uint64_t next_attempt_ = 1, next_request_ = 1;
   size_t unaccounted_ = 0;
@@ -180,10 +183,9 @@
   std::unordered_map<std::string, Amounts> used_;  ///< by team
   struct Arrivals {
     JobSpec spec;  ///< of the last one
-    std::deque<std::pair<uint64_t, uint32_t>> jobs;  ///< time of day and number of tasks
+    std::deque<std::pair<Seconds, uint32_t>> jobs;  ///< steady time and number of tasks
   };
   std::map<std::string, Arrivals> arrivals_;  ///< by class
-  uint64_t newest_ms_ = 0;
   std::vector<Demand> unplaced_;  ///< of the last round; used in the same tick only
   Seconds next_round_ = 0, next_provision_ = 0, next_release_ = 0, next_move_ = 0;
   bool releasing_ = false;
--- a/src/dispatch/machines.cpp
+++ b/src/dispatch/machines.cpp
@@ -72,17 +72,19 @@
   return out;
 }
 
-/// Takes note of a job that has arrived; what is older than the span is forgotten.
 void LeaderCore::note_arrival(const JobRecord& record) {
-  double boot = 0;
-  for (const auto& t : types_) boot = std::max(boot, t.boot_s);
   Arrivals& a = arrivals_[record.spec.job_class];
   a.spec = record.spec;
-  a.jobs.emplace_back(record.submitted_ms, record.spec.tasks);
-  newest_ms_ = std::max(newest_ms_, record.submitted_ms);
-  const auto span_ms = static_cast<uint64_t>(kMemory * boot * 1000);
-  for (auto& [name, other] : arrivals_)
-    std::erase_if(other.jobs, [&](const auto& j) { return j.first + span_ms < newest_ms_; });
+  a.jobs.emplace_back(static_cast<double>(record.submitted_ms) / 1000 - wall_offset_,
+                      record.spec.tasks);
+}
+
+/// Arrivals count for a few boot times: when fewer come, less room is kept.
+void LeaderCore::forget_arrivals(Seconds now) {
+  double boot = 0;
+  for (const auto& t : types_) boot = std::max(boot, t.boot_s);
+  for (auto& [name, a] : arrivals_)
+    std::erase_if(a.jobs, [&](const auto& j) { return j.first < now - kMemory * boot; });
 }
 
 /// Room for what will arrive while a machine boots, at the rate of late. Services stay, so each
@@ -116,6 +118,7 @@
 void LeaderCore::provision(Seconds now, std::vector<Action>& out) {
   if (now < next_provision_ || types_.empty() || !all_accounted()) return;
   next_provision_ = now + settings_.report_s * 0.5;
+  forget_arrivals(now);
   for (auto& [name, open] : open_rents_) {
     if (now < open.second) continue;
     open.second = now + 1e9;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -16,6 +16,11 @@
   return c;
 }
 
+uint64_t time_of_day_ms() {
+  const auto t = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(t).count());
+}
+
 std::chrono::microseconds as_us(double seconds) {
   return std::chrono::microseconds(static_cast<long long>(seconds * 1e6));
 }
@@ -44,11 +49,7 @@
                    if (job != core_->jobs().end()) c.running = core_->running(job->second);
                    return c;
                  },
-                 [] {
-                   const auto t = std::chrono::system_clock::now().time_since_epoch();
-                   return static_cast<uint64_t>(
-                       std::chrono::duration_cast<std::chrono::milliseconds>(t).count());
-                 }}),
+                 time_of_day_ms}),
       tick_timer_(io),
       types_timer_(io),
       list_timer_(io) {}
@@ -194,7 +195,8 @@
   writing_ = false;
   peer_terms_.clear();
   const Seconds fence = now() + leadership_config(settings_).grace;
-  core_ = std::make_unique<LeaderCore>(settings_, leadership_.term(), now(), fence);
+  core_ = std::make_unique<LeaderCore>(settings_, leadership_.term(), now(), fence,
+                                       static_cast<double>(time_of_day_ms()) / 1000 - now());
   core_->set_types(types_);
   for (const auto& [id, host] : mirror_.hosts()) core_->host_stored(host.value, now());
   for (const auto& [id, job] : mirror_.live()) core_->job_stored(job.value, job.version, now());
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -84,6 +84,44 @@
   EXPECT_EQ(sent[0].commands.size(), 2u);
 }
 
+TEST_F(Fixture, NothingIsStartedOnAMachineBeforeItsRecordIsDurable) {
+  record.started = true;
+  auto core = leader(1, 0);
+  core->job_stored(record, 5, now);
+  const auto token = core->report(report("i-9", 1, 0), true, now).token;
+  core->report(report("i-9", 2, token), true, now + 0.1);
+  core->tick(now + 0.2);
+  const auto writes = core->wanted_writes(now + 0.2, 20);
+  ASSERT_EQ(writes.size(), 1u);
+  EXPECT_EQ(writes[0].host, "i-9") << "a new leader must know every place to ask";
+  EXPECT_TRUE(orders(core->tick(now + 0.3)).empty());
+  core->write_done(writes[0], true, 200, now + 0.4);
+  EXPECT_EQ(orders(core->tick(now + 0.5)).size(), 1u);
+}
+
+TEST_F(Fixture, RoomForArrivalsIsGivenUpWhenNoneCome) {
+  record.submitted_ms = static_cast<uint64_t>(now * 1000);
+  record.spec.priority = Priority::Production;
+  record.spec.need = {4, 4, 4};
+  auto core = leader(1, 0);
+  core->job_stored(record, 5, now);
+  auto rented = [&](double at) {
+    size_t n = 0;
+    for (const auto& a : core->tick(at)) n += std::holds_alternative<Rent>(a);
+    return n;
+  };
+  EXPECT_GT(rented(now + 0.1), 0u);
+  record.state = JobState::Cancelled;
+  core->job_stored(record, 6, now + 1);
+  core->job_over("job-1");
+  auto later_core = leader(2, 0);
+  later_core->job_stored(record, 6, now);
+  EXPECT_GT(std::holds_alternative<Rent>(later_core->tick(now + 1).at(0)), 0) << "one came just now";
+  auto much_later = leader(3, 0);
+  much_later->job_stored(record, 6, now);
+  EXPECT_TRUE(much_later->tick(now + 1000).empty());
+}
+
 TEST_F(Fixture, AnUnheardMachinesTasksWaitForTheFenceAndTheLease) {
   record.started = true;
   auto core = leader(2, 10);
