429 of the state service waits for the budget instead of failing

Cause: one controller alone accepts every submission of a burst; its part of the write limit held them back for a second, and a 429 cost the user a retry.

--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -5,9 +5,9 @@
 
 using Clock = std::chrono::steady_clock;
 
-/// A node's part of the service's limits. Only the leader comes near it, so the parts may add up
-/// to more than the whole; 429 empties the node's bucket when they do.
-constexpr double kShare = 0.6;
+/// A node's part of the service's limits. Bursts come to one node at a time, so the parts add up to
+/// more than the whole; 429 empties the node's bucket when they do.
+constexpr double kShare = 0.85;
 constexpr size_t kMostQueued = 2000;
 /// The part of a burst that less urgent requests leave alone.
 constexpr std::array<double, 3> kReserve{0.0, 0.1, 0.3};
@@ -39,6 +39,19 @@
                  observe(std::move(op.done)));
 }
 
+/// A request over the limit was not executed: it waits for the budget instead of failing, which
+/// would cost a user a second and more.
+void StoreClient::send_again_if_refused(Urgency urgency, Op op) {
+  Op copy = op;
+  copy.done = [this, urgency, op = std::move(op)](HttpResult r) {
+    const std::chrono::duration<double> age = Clock::now() - op.asked_at;
+    if (!r.answered || r.status != 429 || age.count() > deadline_s_) return op.done(std::move(r));
+    queues_[static_cast<size_t>(urgency)].push_front(op);
+    arm();
+  };
+  send(normal_, std::move(copy));
+}
+
 void StoreClient::submit(Urgency urgency, Op op) {
   auto& queue = queues_[static_cast<size_t>(urgency)];
   if (queue.size() >= kMostQueued) {
@@ -48,6 +61,7 @@
     asio::post(io_, [done = std::move(op.done), refused] { done(refused); });
     return;
   }
+  op.asked_at = Clock::now();
   queue.push_back(std::move(op));
   pump();
 }
@@ -71,11 +85,15 @@
       writes_.take(writes);
       Op op = std::move(queue.front());
       queue.pop_front();
-      send(urgent ? urgent_ : normal_, std::move(op));
+      if (urgent) send(urgent_, std::move(op));
+      else send_again_if_refused(static_cast<Urgency>(u), std::move(op));
     }
   }
-  const bool waiting = !queues_[1].empty() || !queues_[2].empty();
-  if (!waiting || timer_armed_) return;
+  if (!queues_[1].empty() || !queues_[2].empty()) arm();
+}
+
+void StoreClient::arm() {
+  if (timer_armed_) return;
   timer_armed_ = true;
   timer_.expires_after(std::chrono::milliseconds(10));
   timer_.async_wait([this](auto error) {
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -50,6 +50,7 @@
     std::string method, target, body;
     double writes = 0;
     HttpDone done;
+    std::chrono::steady_clock::time_point asked_at{};
   };
   class Bucket {
    public:
@@ -65,7 +66,9 @@
 
   void submit(Urgency urgency, Op op);
   void pump();
+  void arm();
   void send(HttpClient& client, Op op);
+  void send_again_if_refused(Urgency urgency, Op op);
   HttpDone observe(HttpDone done);
 
   asio::io_context& io_;
