--- a/src/dispatch/machines.cpp
+++ b/src/dispatch/machines.cpp
@@ -211,8 +211,10 @@
       const double heard = std::max(m.last_heard, began_);
       // A machine that has been silent for long is dead more often than cut off. Many that fall
       // silent at once are cut off, or this node is.
-      return !many_silent && m.has_presence() && now - heard > settings_.tuning.suspect * settings_.lease_s &&
-             m.proven;
+      // An order that went unanswered is no reason to wait for the lease: nothing of the machine is
+      // left once the cloud has taken it back.
+      return !many_silent && m.has_presence() &&
+             now - heard > settings_.tuning.suspect * settings_.lease_s;
     }
     case Machine::Stage::Returning: return false;
   }
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -99,6 +99,22 @@
   EXPECT_EQ(orders(core->tick(now + 0.5)).size(), 1u);
 }
 
+TEST_F(Fixture, ASilentMachineIsGivenUpThoughAnOrderToItWentUnanswered) {
+  record.started = true;
+  auto core = leader(1, 0);
+  core->job_stored(record, 5, now);
+  const auto token = core->report(report("i-9", 1, 0), true, now).token;
+  core->report(report("i-9", 2, token), true, now + 0.1);
+  core->tick(now + 0.2);
+  write_all(*core);
+  ASSERT_EQ(orders(core->tick(now + 0.3)).size(), 1u);
+  core->orders_done("i-9", std::nullopt, false, now + 2);
+  bool released = false;
+  for (double t = 2; t < settings.lease_s * 0.6; t += 0.1)
+    for (const auto& a : core->tick(now + t)) released = released || std::holds_alternative<Release>(a);
+  EXPECT_TRUE(released);
+}
+
 TEST_F(Fixture, RoomForArrivalsIsGivenUpWhenNoneCome) {
   record.submitted_ms = static_cast<uint64_t>(now * 1000);
   record.spec.priority = Priority::Production;
