--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -1,6 +1,7 @@
 #include "config/settings.h"
 
 #include <confuse.h>
+#include <toml++/toml.h>
 
 #include <charconv>
 #include <cmath>
@@ -9,12 +10,12 @@
 #include <fstream>
 #include <memory>
 #include <sstream>
-#include <toml++/toml.h>
 
 namespace sumacquay {
 namespace {
 
-[[noreturn]] void fail(const std::string& source, const std::string& field, const std::string& why) {
+[[noreturn]] void fail(const std::string& source, const std::string& field,
+                       const std::string& why) {
   throw SettingsError(source + ": " + field + ": " + why);
 }
 
@@ -96,7 +97,8 @@
     const std::string v = text(name);
     const auto colon = v.rfind(':');
     unsigned port = 0;
-    if (colon == std::string::npos || colon == 0) fail(source_, field(name), "must be address:port");
+    if (colon == std::string::npos || colon == 0)
+      fail(source_, field(name), "must be address:port");
     auto [end, error] = std::from_chars(v.data() + colon + 1, v.data() + v.size(), port);
     if (error != std::errc() || end != v.data() + v.size() || port > 65535)
       fail(source_, field(name), "must be address:port");
@@ -220,7 +222,9 @@
   return s;
 }
 
-Settings load_settings(const std::string& path) { return parse_settings(read_file(path), path); }
+Settings load_settings(const std::string& path) {
+  return parse_settings(read_file(path), path);
+}
 
 Tuning parse_tuning(const std::string& hcl_text, const std::string& source) {
   Tuning t;
@@ -245,6 +249,8 @@
   return t;
 }
 
-Tuning load_tuning(const std::string& path) { return parse_tuning(read_file(path), path); }
+Tuning load_tuning(const std::string& path) {
+  return parse_tuning(read_file(path), path);
+}
 
 }  // namespace sumacquay
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -35,17 +35,18 @@
   double share = 0;
 };
 
-/// Operators' own settings (HCL, read by its nearest kin libconfuse). Each is a ratio to a platform figure.
+/// Operators' own settings (HCL, read by its nearest kin libconfuse). Each is a ratio to a platform
+/// figure.
 struct Tuning {
-  double leader_lease = 0.2;     ///< leader lease / worker lease
-  double renew = 0.3;            ///< renewal period / leader lease
-  double grace = 1.0;            ///< answers past validity / worker lease
-  double round = 0.1;            ///< placement round / report period
-  double suspect = 0.45;         ///< silence that makes a machine suspect / worker lease
-  double idle = 0.4;             ///< idle time before a machine is returned / its boot time
-  double headroom = 1.0;         ///< spare room / room that expected arrivals need
-  double sockets = 0.6;          ///< sockets open to users and workers / all sockets
-  int start_tries = 3;           ///< starts of a job before it backs off
+  double leader_lease = 0.2;  ///< leader lease / worker lease
+  double renew = 0.3;         ///< renewal period / leader lease
+  double grace = 1.0;         ///< answers past validity / worker lease
+  double round = 0.1;         ///< placement round / report period
+  double suspect = 0.45;      ///< silence that makes a machine suspect / worker lease
+  double idle = 0.4;          ///< idle time before a machine is returned / its boot time
+  double headroom = 1.0;      ///< spare room / room that expected arrivals need
+  double sockets = 0.6;       ///< sockets open to users and workers / all sockets
+  int start_tries = 3;        ///< starts of a job before it backs off
 };
 
 struct Settings {
--- a/src/dispatch/leader_core.cpp
+++ b/src/dispatch/leader_core.cpp
@@ -26,11 +26,16 @@
 
 Run::Phase phase_of(TaskState s) {
   switch (s) {
-    case TaskState::Fetching: return Run::Phase::Fetching;
-    case TaskState::Waiting: return Run::Phase::Waiting;
-    case TaskState::Running: return Run::Phase::Running;
-    case TaskState::Saving: return Run::Phase::Saving;
-    case TaskState::Exited: return Run::Phase::Exited;
+    case TaskState::Fetching:
+      return Run::Phase::Fetching;
+    case TaskState::Waiting:
+      return Run::Phase::Waiting;
+    case TaskState::Running:
+      return Run::Phase::Running;
+    case TaskState::Saving:
+      return Run::Phase::Saving;
+    case TaskState::Exited:
+      return Run::Phase::Exited;
   }
   return Run::Phase::Exited;
 }
@@ -106,6 +111,16 @@
   ++unaccounted_;
 }
 
+void LeaderCore::image_held(const std::string& machine, const std::string& image, double gb) {
+  const auto m = machines_.find(machine);
+  if (m != machines_.end()) use_image(m->second, image, gb);
+}
+
+void LeaderCore::use_image(Machine& m, const std::string& image, double gb) {
+  const MachineType* t = type(m.info.type);
+  if (!image.empty()) m.images.use(image, gb, t ? t->cache_gb * kSureCache : 0);
+}
+
 std::optional<RecordWrite> LeaderCore::write_for(Job& job, Seconds now) const {
   if (job.writing || job.version == 0) return std::nullopt;
   RecordWrite w;
@@ -123,7 +138,8 @@
   w.over = w.record->state != JobState::Pending && nowhere;
   if (w.over) return w;
   if (*w.record == job.stored) return std::nullopt;
-  const bool urgent = w.record->state != job.stored.state || w.record->started != job.stored.started;
+  const bool urgent =
+      w.record->state != job.stored.state || w.record->started != job.stored.started;
   // Progress of an array is written in batches.
   if (!urgent && now < job.progress_since + settings_.report_s) return std::nullopt;
   return w;
@@ -246,7 +262,6 @@
   if (r.session > m.session) {
     // A new session begins with nothing: the old one's tasks ended with its lease.
     remove_all_runs(m);
-    m.images.clear();
     m.error_jobs.clear();
     m.proven = false;
     m.session = r.session;
@@ -291,8 +306,8 @@
   run.image_gb = spec.image_gb;
   const bool first = !job.at.count(key.task.task);
   add_presence(m, key);
-  run.wanted = first && job.runnable() && key.task.task < spec.tasks &&
-               !job.done.contains(key.task.task);
+  run.wanted =
+      first && job.runnable() && key.task.task < spec.tasks && !job.done.contains(key.task.task);
   if (spec.kind != JobKind::Gang || !run.wanted) return;
   if (job.gang_attempt == 0) job.gang_attempt = key.attempt;
   run.wanted = job.gang_attempt == key.attempt;
@@ -319,8 +334,7 @@
   run.phase = next;
   run.sent = true;
   if (next == Run::Phase::Running || next == Run::Phase::Waiting) {
-    const MachineType* t = type(m.info.type);
-    if (!run.image.empty()) m.images.use(run.image, run.image_gb, t ? t->cache_gb * kSureCache : 0);
+    use_image(m, run.image, run.image_gb);
     if (run.running_since < 0) run.running_since = now;
   }
   if (next == Run::Phase::Exited) {
@@ -341,7 +355,8 @@
     if (job->spec().kind == JobKind::Service) return;
     const bool gang = job->spec().kind == JobKind::Gang;
     // The tasks of a gang complete together.
-    for (uint32_t t = gang ? 0 : key.task.task; t < (gang ? job->spec().tasks : key.task.task + 1); ++t)
+    for (uint32_t t = gang ? 0 : key.task.task; t < (gang ? job->spec().tasks : key.task.task + 1);
+         ++t)
       if (t < job->spec().tasks && job->done.add(t) && job->progress_since < 0)
         job->progress_since = now;
     return;
@@ -349,7 +364,8 @@
   spdlog::info("{}/{} try {} ended on {}: cause {}", key.task.job, key.task.task, key.attempt,
                m.info.id, static_cast<int>(run.cause));
   if (run.cause == ExitCause::Error || run.cause == ExitCause::Unknown) count_failure(m, *job, now);
-  if (run.cause == ExitCause::NoRoom || run.cause == ExitCause::Busy) job->retry_at = now + settings_.report_s;
+  if (run.cause == ExitCause::NoRoom || run.cause == ExitCause::Busy)
+    job->retry_at = now + settings_.report_s;
   stop_gang_of(key.task, now);
 }
 
@@ -420,8 +436,10 @@
       const RunKey key{{job.spec().id, task}, attempt};
       const auto run = m->second.runs.find(key);
       if (run == m->second.runs.end()) continue;
-      if (!run->second.sent) remove_run(m->second, key);  // never left this node
-      else unwant(run->second, graceful, now);
+      if (!run->second.sent)
+        remove_run(m->second, key);  // never left this node
+      else
+        unwant(run->second, graceful, now);
     }
 }
 
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -18,11 +18,11 @@
 
 /// A job as the leader sees it.
 struct Job {
-  JobRecord stored;       ///< what the state service holds
+  JobRecord stored;  ///< what the state service holds
   uint64_t version = 0;
   bool writing = false;
   bool want_started = false;
-  Ranges done;            ///< at least stored.done
+  Ranges done;                  ///< at least stored.done
   Seconds progress_since = -1;  ///< done numbers not yet stored since
   /// Where each task is or may be; doubt counts as presence.
   std::map<uint32_t, std::set<std::pair<std::string, uint64_t>>> at;
@@ -53,10 +53,10 @@
 
 /// One change of a record that the leader wants.
 struct RecordWrite {
-  std::string job, host;    ///< which of the two it is
-  uint64_t version = 0;     ///< guard
+  std::string job, host;  ///< which of the two it is
+  uint64_t version = 0;   ///< guard
   std::optional<JobRecord> record;
-  bool over = false;        ///< the job leaves the live records
+  bool over = false;                      ///< the job leaves the live records
   std::optional<HostRecord> host_record;  ///< none: delete
   size_t changes() const { return over ? 2 : 1; }
 };
@@ -73,6 +73,8 @@
   void job_stored(const JobRecord& record, uint64_t version, Seconds now);
   void job_over(const std::string& id);
   void host_stored(const HostRecord& host, Seconds now);  ///< at the takeover
+  /// What the leader before knew of a machine's images. A hint: placement alone looks at it.
+  void image_held(const std::string& machine, const std::string& image, double gb);
   std::vector<RecordWrite> wanted_writes(Seconds now, size_t most_changes);
   void write_done(const RecordWrite& write, bool committed, uint64_t version, Seconds now);
 
@@ -99,7 +101,7 @@
   /// Lapses, a placement round, provisioning and orders. Only while the leader may act.
   std::vector<Action> tick(Seconds now);
 
-  void hurry() { next_round_ = 0; }  ///< something has changed that a round should see
+  void hurry() { next_round_ = 0; }        ///< something has changed that a round should see
   uint32_t running(const Job& job) const;  ///< tasks that run, for display
   bool all_accounted() const { return unaccounted_ == 0; }
   const std::unordered_map<std::string, Job>& jobs() const { return jobs_; }
@@ -113,6 +115,7 @@
   void take_in(Machine& m, const WorkerReport& r, bool absence_counts, Seconds now);
   void take_in_task(Machine& m, const TaskReport& t, Seconds now);
   void adopt(Machine& m, const RunKey& key, Run& run, Job& job);
+  void use_image(Machine& m, const std::string& image, double gb);
   void settle_exit(Machine& m, const RunKey& key, Run& run, Seconds now);
   void count_failure(Machine& m, Job& job, Seconds now);
   void set_phase(Machine& m, const RunKey& key, Run& run, Run::Phase next, Seconds now);
@@ -182,11 +185,11 @@
   std::map<std::string, std::pair<Rent, Seconds>> open_rents_;
   std::unordered_map<std::string, Amounts> used_;  ///< by team
   struct Arrivals {
-    JobSpec spec;  ///< of the last one
+    JobSpec spec;                                   ///< of the last one
     std::deque<std::pair<Seconds, uint32_t>> jobs;  ///< steady time and number of tasks
   };
   std::map<std::string, Arrivals> arrivals_;  ///< by class
-  std::vector<Demand> unplaced_;  ///< of the last round; used in the same tick only
+  std::vector<Demand> unplaced_;              ///< of the last round; used in the same tick only
   Seconds next_round_ = 0, next_provision_ = 0, next_release_ = 0, next_move_ = 0;
   bool releasing_ = false;
 };
--- a/src/dispatch/machines.cpp
+++ b/src/dispatch/machines.cpp
@@ -99,7 +99,8 @@
     double expected = 0;
     // Arrivals are uneven: the mean and one deviation of it.
     const double mean = tasks / kMemory;
-    if (a.spec.kind == JobKind::Service) expected = mean + std::sqrt(mean);
+    if (a.spec.kind == JobKind::Service)
+      expected = mean + std::sqrt(mean);
     else if (a.spec.kind == JobKind::Array && a.spec.spot && !a.jobs.empty())
       expected = tasks / static_cast<double>(a.jobs.size());
     const auto n = static_cast<uint32_t>(std::ceil(settings_.tuning.headroom * expected - 1e-9));
@@ -138,7 +139,8 @@
   for (const auto& r : rentals(unplaced_, booting, offers(now), kMostRented)) {
     Rent rent{name_request(), r.type, r.zone, r.spot, r.count};
     open_rents_[rent.request] = {rent, now + 1e9};
-    spdlog::info("rents {} {} in {}{}", rent.count, rent.type, rent.zone, rent.spot ? " (spot)" : "");
+    spdlog::info("rents {} {} in {}{}", rent.count, rent.type, rent.zone,
+                 rent.spot ? " (spot)" : "");
     out.push_back(std::move(rent));
   }
 }
@@ -159,7 +161,8 @@
   }
   open_rents_.erase(open);
   auto& [until, times] = refused_[{rent.type, rent.zone, rent.spot}];
-  const bool filled = outcome == RentOutcome::Rented && static_cast<int>(machines.size()) >= rent.count;
+  const bool filled =
+      outcome == RentOutcome::Rented && static_cast<int>(machines.size()) >= rent.count;
   if (filled) {
     times = 0;
   } else {
@@ -203,8 +206,10 @@
   const MachineType* t = type(m.info.type);
   const double boot = t ? t->boot_s : 60;
   switch (m.stage) {
-    case Machine::Stage::Booting: return m.listed_failed || now - m.first_seen > kOverdue * boot;
-    case Machine::Stage::Lapsed: return now - m.last_heard > settings_.lease_s;
+    case Machine::Stage::Booting:
+      return m.listed_failed || now - m.first_seen > kOverdue * boot;
+    case Machine::Stage::Lapsed:
+      return now - m.last_heard > settings_.lease_s;
     case Machine::Stage::Up: {
       if (m.listed_failed) return true;
       if (m.sick && !m.has_presence()) return true;
@@ -216,7 +221,8 @@
       return !many_silent && m.has_presence() &&
              now - heard > settings_.tuning.suspect * settings_.lease_s;
     }
-    case Machine::Stage::Returning: return false;
+    case Machine::Stage::Returning:
+      return false;
   }
   return false;
 }
@@ -233,8 +239,10 @@
   if (!all_accounted() || !open_rents_.empty()) return;
   for (auto& [id, m] : machines_) {
     const bool idle = m.stage == Machine::Stage::Up && !m.has_presence();
-    if (!idle) m.idle_since = -1;
-    else if (m.idle_since < 0) m.idle_since = now;
+    if (!idle)
+      m.idle_since = -1;
+    else if (m.idle_since < 0)
+      m.idle_since = now;
   }
   for (auto& [id, m] : machines_) {
     const MachineType* t = type(m.info.type);
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -52,7 +52,9 @@
     size_t n = 0;
     for (const auto& [task, places] : job.at) n += places.size();
     // What nobody has accounted for since the takeover may be running somewhere.
-    if (missing_in_doubt(job)) n = std::max<size_t>(n, job.spec().tasks - std::min(job.spec().tasks, job.stored.done.count()));
+    if (missing_in_doubt(job))
+      n = std::max<size_t>(n,
+                           job.spec().tasks - std::min(job.spec().tasks, job.stored.done.count()));
     used_[job.spec().team] += job.spec().need.times(static_cast<double>(n));
   }
 }
@@ -83,10 +85,11 @@
   const double together_ms = settings_.report_s * 1000;
   std::sort(out.begin(), out.end(), [&](const Job* a, const Job* b) {
     auto rank = [&](const Job* j) {
-      return std::make_tuple(-static_cast<int>(j->spec().priority),
-                             std::floor(static_cast<double>(j->stored.submitted_ms) / together_ms),
-                             j->spec().kind == JobKind::Gang ? -static_cast<int>(j->spec().tasks) : 0,
-                             j->stored.submitted_ms, j->spec().id);
+      return std::make_tuple(
+          -static_cast<int>(j->spec().priority),
+          std::floor(static_cast<double>(j->stored.submitted_ms) / together_ms),
+          j->spec().kind == JobKind::Gang ? -static_cast<int>(j->spec().tasks) : 0,
+          j->stored.submitted_ms, j->spec().id);
     };
     return rank(a) < rank(b);
   });
@@ -103,7 +106,8 @@
       longest = std::max(longest, job.spec().image_gb / t.fetch_gb_per_s);
   if (job.stored.started) return longest > settings_.report_s;
   for (const auto& o : settings_.objectives)
-    if (o.kind == "wait" && o.job_class == job.spec().job_class && longest > o.within_s) return true;
+    if (o.kind == "wait" && o.job_class == job.spec().job_class && longest > o.within_s)
+      return true;
   return false;
 }
 
@@ -111,7 +115,9 @@
 /// the demand goes the ordinary way.
 void LeaderCore::place_warm(Job& job, Demand& d, std::vector<Slot>& slots, Seconds now) {
   Demand warm = d;
-  warm.avoid = [&d](const std::string& machine) { return d.avoid(machine) || !d.has_image(machine); };
+  warm.avoid = [&d](const std::string& machine) {
+    return d.avoid(machine) || !d.has_image(machine);
+  };
   place_part(job, warm, slots, now);
   if (!warm.tasks.empty()) make_room(job, warm, slots, now);
   d.tasks = warm.tasks;
@@ -232,7 +238,8 @@
     slot.free -= d.spec->need;
     ++d.zones[slot.zone];
     d.tasks.pop_back();
-    if (!p->victims.empty()) return;  // the candidates have changed: the next round sees to the rest
+    if (!p->victims.empty())
+      return;  // the candidates have changed: the next round sees to the rest
   }
 }
 
--- a/src/fleet/machine.h
+++ b/src/fleet/machine.h
@@ -25,10 +25,10 @@
   enum class Phase { Ordered, Fetching, Waiting, Running, Saving, Exited };
   Phase phase = Phase::Ordered;
   ExitCause cause = ExitCause::None;
-  bool wanted = true;       ///< false: it is to stop
-  bool sent = false;        ///< a start may have left for the worker
-  bool graceful = false;    ///< stop: lets it save first
-  bool settled = false;     ///< exit: has been taken into account
+  bool wanted = true;     ///< false: it is to stop
+  bool sent = false;      ///< a start may have left for the worker
+  bool graceful = false;  ///< stop: lets it save first
+  bool settled = false;   ///< exit: has been taken into account
   Seconds placed_at = 0;
   Seconds running_since = -1;
   Seconds stop_since = -1;
@@ -58,6 +58,7 @@
     return std::any_of(kept_.begin(), kept_.end(), [&](const auto& i) { return i.first == image; });
   }
   void clear() { kept_.clear(); }
+  const std::vector<std::pair<std::string, double>>& kept() const { return kept_; }
 
  private:
   std::vector<std::pair<std::string, double>> kept_;  ///< the most recently used last
@@ -66,19 +67,19 @@
 /// A machine as the leader knows it.
 struct Machine {
   enum class Stage {
-    Booting,   ///< rented, not heard yet
-    Up,        ///< reports
-    Lapsed,    ///< its worker's lease has certainly ended: nothing runs there
-    Returning, ///< the cloud was asked to take it back
+    Booting,    ///< rented, not heard yet
+    Up,         ///< reports
+    Lapsed,     ///< its worker's lease has certainly ended: nothing runs there
+    Returning,  ///< the cloud was asked to take it back
   };
   HostRecord info;
   Stage stage = Stage::Booting;
   bool recorded = false, recording = false;  ///< its record is durable / being written
 
   uint64_t session = 0, seq = 0, report_seq = 0, report_session = 0, token_seen = 0;
-  uint64_t counter = 0;     ///< low part of the token in force at this worker
-  bool proven = false;      ///< has shown the token in force
-  bool accounted = false;   ///< since the takeover: told what it has, or certainly has nothing
+  uint64_t counter = 0;    ///< low part of the token in force at this worker
+  bool proven = false;     ///< has shown the token in force
+  bool accounted = false;  ///< since the takeover: told what it has, or certainly has nothing
   Seconds last_heard = -std::numeric_limits<Seconds>::infinity();
   Seconds answered = -std::numeric_limits<Seconds>::infinity();  ///< last answer that may renew
   bool old_answers = true;  ///< an earlier leader may have answered it until the fence
@@ -90,7 +91,7 @@
   bool listed_failed = false;
   std::optional<Seconds> taken_at;  ///< spot notice: when the cloud takes it
   Seconds idle_since = -1;
-  bool sick = false;  ///< fails what it starts: gets nothing new and is returned
+  bool sick = false;                 ///< fails what it starts: gets nothing new and is returned
   std::set<std::string> error_jobs;  ///< jobs that failed here since one last succeeded
   Images images;
   bool draining = false;  ///< its tasks are moved elsewhere: gets nothing new
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -15,9 +15,12 @@
 
 ShownState shown(JobState state, uint32_t running) {
   switch (state) {
-    case JobState::Done: return ShownState::Done;
-    case JobState::Cancelled: return ShownState::Cancelled;
-    case JobState::Pending: break;
+    case JobState::Done:
+      return ShownState::Done;
+    case JobState::Cancelled:
+      return ShownState::Cancelled;
+    case JobState::Pending:
+      break;
   }
   return running > 0 ? ShownState::Running : ShownState::Pending;
 }
@@ -49,18 +52,24 @@
   }
   const Respond done = limited(std::move(respond));
   if (request.path == jobs) {
-    if (request.method == "POST") submit(request, done);
-    else done({405, wire::error_body("only POST"), 0});
+    if (request.method == "POST")
+      submit(request, done);
+    else
+      done({405, wire::error_body("only POST"), 0});
     return true;
   }
   std::string id = request.path.substr(jobs.size() + 1);
   const std::string suffix = wire::path::kCancel;
   const bool cancels = id.ends_with(suffix);
   if (cancels) id.resize(id.size() - suffix.size());
-  if (!wire::valid_job_id(id)) done({404, wire::error_body("no such job"), 0});
-  else if (cancels && request.method == "POST") cancel(id, 0, done);
-  else if (!cancels && request.method == "GET") query(id, done);
-  else done({405, wire::error_body("no such method here"), 0});
+  if (!wire::valid_job_id(id))
+    done({404, wire::error_body("no such job"), 0});
+  else if (cancels && request.method == "POST")
+    cancel(id, 0, done);
+  else if (!cancels && request.method == "GET")
+    query(id, done);
+  else
+    done({405, wire::error_body("no such method here"), 0});
   return true;
 }
 
@@ -99,7 +108,9 @@
         answer(r.value.state, r.value.done.count(), pending ? counts.running : 0);
       },
       [=](const wire::OverRecord& r) { answer(r.state, r.done, 0); },
-      [=] { respond({404, wire::error_body("no such job"), 0}); });
+      [=] {
+        respond({404, wire::error_body("no such job"), 0});
+      });
 }
 
 void Frontend::cancel(const std::string& id, int tries, const Respond& respond) {
@@ -111,8 +122,8 @@
         JobRecord cancelled = r.value;
         cancelled.state = JobState::Cancelled;
         const std::string key = keys::kLive + id;
-        store_.transact(Urgency::Record, {{key, r.version}}, {{key, wire::encode_job(cancelled), 0}},
-                        [=, this](TxnResult t) {
+        store_.transact(Urgency::Record, {{key, r.version}},
+                        {{key, wire::encode_job(cancelled), 0}}, [=, this](TxnResult t) {
                           if (t.outcome == TxnOutcome::Committed) {
                             mirror_.wrote_job(cancelled, t.revision);
                             return answer(JobState::Cancelled);
@@ -125,7 +136,9 @@
                         });
       },
       [=](const wire::OverRecord& r) { answer(r.state); },
-      [=] { respond({404, wire::error_body("no such job"), 0}); });
+      [=] {
+        respond({404, wire::error_body("no such job"), 0});
+      });
 }
 
 void Frontend::submit(const HttpRequest& request, const Respond& respond) {
@@ -148,7 +161,9 @@
   };
   look_up(
       id, respond,
-      [=, this](const Versioned<JobRecord>& r) { answer(r.value.state, sources_.counts(id).running); },
+      [=, this](const Versioned<JobRecord>& r) {
+        answer(r.value.state, sources_.counts(id).running);
+      },
       [=](const wire::OverRecord& r) { answer(r.state, 0); }, [=] { later_please(respond); });
 }
 
--- a/src/leadership/leadership.cpp
+++ b/src/leadership/leadership.cpp
@@ -6,10 +6,14 @@
 
 const char* name(Leadership::State state) {
   switch (state) {
-    case Leadership::State::Follower: return "follower";
-    case Leadership::State::Campaigning: return "campaigning";
-    case Leadership::State::Leading: return "leading";
-    case Leadership::State::Lapsed: return "lapsed";
+    case Leadership::State::Follower:
+      return "follower";
+    case Leadership::State::Campaigning:
+      return "campaigning";
+    case Leadership::State::Leading:
+      return "leading";
+    case Leadership::State::Lapsed:
+      return "lapsed";
   }
   return "?";
 }
@@ -56,7 +60,8 @@
   effects_.renew(lease_);
 }
 
-void Leadership::granted(Seconds now, Campaign campaign, std::optional<uint64_t> lease, Seconds asked_at) {
+void Leadership::granted(Seconds now, Campaign campaign, std::optional<uint64_t> lease,
+                         Seconds asked_at) {
   if (state_ != State::Campaigning || campaign != campaign_) return;
   if (!lease) return enter(State::Follower);
   lease_ = *lease;
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -20,7 +20,7 @@
   };
 
   struct Config {
-    Seconds lease = 2;   ///< of the leader's key
+    Seconds lease = 2;  ///< of the leader's key
     Seconds renew = 0.5;
     Seconds grace = 10;  ///< how long answers go on past the lease's certain end
     double drift = 0.002;
--- a/src/net/concurrency_limit.h
+++ b/src/net/concurrency_limit.h
@@ -20,8 +20,10 @@
     // The fastest of late; it creeps up so that a lasting change becomes the new measure.
     best_ = best_ <= 0 ? seconds : std::min(best_ * 1.002, seconds);
     const double floor = std::max(best_, kFloor);
-    if (seconds > kSlow * floor) limit_ = std::max(least_, limit_ * 0.98);
-    else if (in_progress_ * 2 >= limit_) limit_ = std::min(most_, limit_ + 1);
+    if (seconds > kSlow * floor)
+      limit_ = std::max(least_, limit_ * 0.98);
+    else if (in_progress_ * 2 >= limit_)
+      limit_ = std::min(most_, limit_ + 1);
   }
 
   double limit() const { return limit_; }
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -14,17 +14,28 @@
 
 const char* reason(int status) {
   switch (status) {
-    case 200: return "OK";
-    case 201: return "Created";
-    case 400: return "Bad Request";
-    case 404: return "Not Found";
-    case 405: return "Method Not Allowed";
-    case 413: return "Payload Too Large";
-    case 421: return "Misdirected Request";
-    case 422: return "Unprocessable Entity";
-    case 429: return "Too Many Requests";
-    case 503: return "Service Unavailable";
-    default: return "Status";
+    case 200:
+      return "OK";
+    case 201:
+      return "Created";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 413:
+      return "Payload Too Large";
+    case 421:
+      return "Misdirected Request";
+    case 422:
+      return "Unprocessable Entity";
+    case 429:
+      return "Too Many Requests";
+    case 503:
+      return "Service Unavailable";
+    default:
+      return "Status";
   }
 }
 
@@ -69,10 +80,12 @@
   void read() {
     state_ = State::Reading;
     arm(started_ ? server_->limits_.request_s : server_->limits_.idle_s);
-    socket_.async_read_some(asio::buffer(chunk_), [self = shared_from_this()](auto error, size_t n) {
-      if (error || self->state_ == State::Closed || !self->server_) return self->close();
-      self->consume(n);
-    });
+    socket_.async_read_some(asio::buffer(chunk_),
+                            [self = shared_from_this()](auto error, size_t n) {
+                              if (error || self->state_ == State::Closed || !self->server_)
+                                return self->close();
+                              self->consume(n);
+                            });
   }
 
   void arm(double seconds) {
@@ -212,7 +225,9 @@
   for (auto& c : connections_) c->forget_server();
 }
 
-unsigned short HttpServer::port() const { return acceptor_.local_endpoint().port(); }
+unsigned short HttpServer::port() const {
+  return acceptor_.local_endpoint().port();
+}
 
 void HttpServer::close_all() {
   const auto copy = connections_;
@@ -328,15 +343,15 @@
   }
 
   void read() {
-    socket_.async_read_some(
-        asio::buffer(chunk_), [self = shared_from_this(), job = job_](auto error, size_t n) {
-          if (self->state_ != State::Busy || self->job_ != job) return;
-          if (error) return self->end(false);
-          const size_t used = http_parser_execute(&self->parser_, &settings(), self->chunk_.data(), n);
-          if (self->complete_) return self->end(true);
-          if (self->parser_.http_errno != HPE_OK || used != n) return self->end(false);
-          self->read();
-        });
+    socket_.async_read_some(asio::buffer(chunk_), [self = shared_from_this(), job = job_](
+                                                      auto error, size_t n) {
+      if (self->state_ != State::Busy || self->job_ != job) return;
+      if (error) return self->end(false);
+      const size_t used = http_parser_execute(&self->parser_, &settings(), self->chunk_.data(), n);
+      if (self->complete_) return self->end(true);
+      if (self->parser_.http_errno != HPE_OK || used != n) return self->end(false);
+      self->read();
+    });
   }
 
   static Connection& self(http_parser* p) { return *static_cast<Connection*>(p->data); }
@@ -370,8 +385,7 @@
   std::shared_ptr<Job> job_;
 };
 
-HttpClient::HttpClient(asio::io_context& io, Endpoint to, size_t max_connections,
-                       size_t max_queued)
+HttpClient::HttpClient(asio::io_context& io, Endpoint to, size_t max_connections, size_t max_queued)
     : io_(io), to_(std::move(to)), max_connections_(max_connections), max_queued_(max_queued) {}
 
 HttpClient::~HttpClient() {
@@ -414,8 +428,10 @@
   while (!queue_.empty() && busy_.size() < max_connections_) {
     std::shared_ptr<Connection> c;
     while (!idle_.empty() && !c) {
-      if (idle_.back()->usable()) c = idle_.back();
-      else idle_.back()->close();
+      if (idle_.back()->usable())
+        c = idle_.back();
+      else
+        idle_.back()->close();
       idle_.pop_back();
     }
     if (!c) c = std::make_shared<Connection>(*this, io_);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -58,11 +58,12 @@
   HttpLimits limits;
   limits.connections = static_cast<size_t>(settings_.max_sockets * settings_.tuning.sockets);
   limits.idle_s = 60 * settings_.report_s;
-  server_ = std::make_unique<HttpServer>(
-      io_, settings_.listen, limits,
-      [this](const HttpRequest& request, Respond respond) { on_request(request, std::move(respond)); });
-  mirror_.set_listener({[this](const std::string& id) { on_job_record(id); },
-                        [this] { on_leader_record(); }});
+  server_ = std::make_unique<HttpServer>(io_, settings_.listen, limits,
+                                         [this](const HttpRequest& request, Respond respond) {
+                                           on_request(request, std::move(respond));
+                                         });
+  mirror_.set_listener(
+      {[this](const std::string& id) { on_job_record(id); }, [this] { on_leader_record(); }});
   mirror_.start();
   peers_.start();
   load_types();
@@ -73,7 +74,9 @@
   return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
 }
 
-double Node::random() { return std::uniform_real_distribution<double>(0, 1)(rng_); }
+double Node::random() {
+  return std::uniform_real_distribution<double>(0, 1)(rng_);
+}
 
 void Node::tick() {
   leadership_.tick(now(), mirror_.loaded(), mirror_.leader().version != 0, random());
@@ -138,33 +141,33 @@
   e.elect = [this](Leadership::Campaign campaign, uint64_t lease) { elect(campaign, lease); };
   e.renew = [this](uint64_t lease) {
     const Seconds sent = now();
-    store_.renew(lease, leadership_config(settings_).renew, [this, lease, sent](StoreClient::Renewal r) {
-      leadership_.renewed(now(), lease, sent, r == StoreClient::Renewal::Renewed,
-                          r == StoreClient::Renewal::Ended);
-    });
+    store_.renew(lease, leadership_config(settings_).renew,
+                 [this, lease, sent](StoreClient::Renewal r) {
+                   leadership_.renewed(now(), lease, sent, r == StoreClient::Renewal::Renewed,
+                                       r == StoreClient::Renewal::Ended);
+                 });
   };
   e.changed = [this](Leadership::State from, Leadership::State to) { on_leadership(from, to); };
   return e;
 }
 
 void Node::elect(Leadership::Campaign campaign, uint64_t lease) {
-  const uint64_t term =
-      std::max(mirror_.term().value.term, leadership_.highest_term()) + 1;
+  const uint64_t term = std::max(mirror_.term().value.term, leadership_.highest_term()) + 1;
   const wire::LeaderRecord record{settings_.node, nonce_, term, lease};
   const std::string value = wire::encode_leader(record);
   const Seconds end = now() + leadership_config(settings_).lease;
-  store_.transact(Urgency::Leadership,
-                  {{keys::kLeader, 0}, {keys::kTerm, mirror_.term().version}},
-                  {{keys::kLeader, value, lease}, {keys::kTerm, value, 0}},
-                  [this, campaign, record, lease, end](TxnResult t) {
-                    if (t.outcome == TxnOutcome::Committed) {
-                      mirror_.wrote_leader(record, t.revision);
-                      return take_office(campaign, record.term, end);
-                    }
-                    // Ended at once, so that a transaction that is still on its way can't win.
-                    store_.revoke(lease, [](HttpResult) {});
-                    mirror_.refresh([this, campaign](bool) { leadership_.elected(now(), campaign, false, 0); });
-                  });
+  store_.transact(
+      Urgency::Leadership, {{keys::kLeader, 0}, {keys::kTerm, mirror_.term().version}},
+      {{keys::kLeader, value, lease}, {keys::kTerm, value, 0}},
+      [this, campaign, record, lease, end](TxnResult t) {
+        if (t.outcome == TxnOutcome::Committed) {
+          mirror_.wrote_leader(record, t.revision);
+          return take_office(campaign, record.term, end);
+        }
+        // Ended at once, so that a transaction that is still on its way can't win.
+        store_.revoke(lease, [](HttpResult) {});
+        mirror_.refresh([this, campaign](bool) { leadership_.elected(now(), campaign, false, 0); });
+      });
 }
 
 /// Reads everything that earlier leaders wrote before it acts on the records.
@@ -173,7 +176,8 @@
     if (fresh) return leadership_.elected(now(), campaign, true, term);
     if (now() > end) return leadership_.elected(now(), campaign, false, 0);
     auto timer = std::make_shared<asio::steady_timer>(io_, as_us(settings_.lease_s * 0.005));
-    timer->async_wait([this, timer, campaign, term, end](auto) { take_office(campaign, term, end); });
+    timer->async_wait(
+        [this, timer, campaign, term, end](auto) { take_office(campaign, term, end); });
   });
 }
 
@@ -200,6 +204,7 @@
   core_->set_types(types_);
   for (const auto& [id, host] : mirror_.hosts()) core_->host_stored(host.value, now());
   for (const auto& [id, job] : mirror_.live()) core_->job_stored(job.value, job.version, now());
+  for (const auto& held : peers_.images()) core_->image_held(held.machine, held.image, held.gb);
   spdlog::info("takes over {} jobs and {} machines", mirror_.live().size(), mirror_.hosts().size());
   if (settings_.peers.empty()) core_->fenced(now());
   peers_.pulse_now();
@@ -224,7 +229,8 @@
     for (const auto& [known, job] : core_->jobs())
       if (!mirror_.live(known)) over.push_back(known);
     for (const auto& gone : over) core_->job_over(gone);
-    for (const auto& [known, job] : mirror_.live()) core_->job_stored(job.value, job.version, now());
+    for (const auto& [known, job] : mirror_.live())
+      core_->job_stored(job.value, job.version, now());
   } else if (const auto* record = mirror_.live(id)) {
     core_->job_stored(record->value, record->version, now());
   } else {
@@ -244,6 +250,10 @@
   for (const auto& [id, job] : core_->jobs())
     if (const uint32_t running = core_->running(job); running > 0 && p.counts.size() < kMostCounts)
       p.counts.push_back({id, job.done.count(), running});
+  constexpr size_t kMostImages = 600;
+  for (const auto& [id, m] : core_->machines())
+    for (const auto& [image, gb] : m.images.kept())
+      if (p.images.size() < kMostImages) p.images.push_back({id, image, gb});
   return p;
 }
 
@@ -277,17 +287,17 @@
     }
   }
   const double deadline = std::min(settings_.report_s * 1.5, settings_.lease_s * 0.2);
-  client->request("POST", wire::path::kOrders,
-                  wire::orders_body(order.token, order.session, order.commands), deadline,
-                  [this, client, machine = order.machine, generation = core_generation_](HttpResult r) {
-                    if (generation != core_generation_ || !core_) return;
-                    std::optional<WorkerReport> report;
-                    if (r.answered && (r.status == 200 || r.status == 409))
-                      report = wire::parse_report(r.body);
-                    if (report) leadership_.saw_term(now(), report->token >> 20);
-                    if (!core_) return;
-                    core_->orders_done(machine, report, r.ok() && report, now());
-                  });
+  client->request(
+      "POST", wire::path::kOrders, wire::orders_body(order.token, order.session, order.commands),
+      deadline,
+      [this, client, machine = order.machine, generation = core_generation_](HttpResult r) {
+        if (generation != core_generation_ || !core_) return;
+        std::optional<WorkerReport> report;
+        if (r.answered && (r.status == 200 || r.status == 409)) report = wire::parse_report(r.body);
+        if (report) leadership_.saw_term(now(), report->token >> 20);
+        if (!core_) return;
+        core_->orders_done(machine, report, r.ok() && report, now());
+      });
 }
 
 void Node::perform(const Rent& rent) {
@@ -336,8 +346,8 @@
     guards.push_back({live, w.version});
     if (w.over) {
       changes.push_back({live, "", 0});
-      changes.push_back({keys::kOver + w.job,
-                         wire::encode_over(w.record->state, w.record->done.count()), 0});
+      changes.push_back(
+          {keys::kOver + w.job, wire::encode_over(w.record->state, w.record->done.count()), 0});
     } else {
       changes.push_back({live, wire::encode_job(*w.record), 0});
     }
@@ -407,7 +417,8 @@
       if (core_) core_->set_types(types_);
     }
     // Prices move; a node that has no types yet can't take submissions.
-    const double pause = types_.empty() ? settings_.report_s * (0.3 + 0.4 * random()) : 6 * settings_.lease_s;
+    const double pause =
+        types_.empty() ? settings_.report_s * (0.3 + 0.4 * random()) : 6 * settings_.lease_s;
     types_timer_.expires_after(as_us(pause));
     types_timer_.async_wait([this](auto error) {
       if (!error) load_types();
--- a/src/peer/peers.cpp
+++ b/src/peer/peers.cpp
@@ -17,13 +17,14 @@
   limits.connections = 4 * settings_.peers.size() + 8;
   server_ = std::make_unique<HttpServer>(
       io_, settings_.peer_listen, limits, [this](const HttpRequest& request, Respond respond) {
-        const auto pulse = request.path == wire::path::kPulse ? wire::decode_pulse(request.body)
-                                                              : std::nullopt;
+        const auto pulse =
+            request.path == wire::path::kPulse ? wire::decode_pulse(request.body) : std::nullopt;
         if (!pulse) return respond({400, {}, 0});
         note(*pulse);
         hooks_.received(*pulse);
         wire::Pulse own = hooks_.own();
         own.counts.clear();
+        own.images.clear();
         respond({200, wire::encode_pulse(own), 0});
       });
   beat();
@@ -33,12 +34,13 @@
   const std::string body = wire::encode_pulse(hooks_.own());
   for (auto& [node, client] : clients_) {
     if (client->in_progress() > 1) continue;
-    client->request("POST", wire::path::kPulse, body, period_s_ * 2, [this, node = node](HttpResult r) {
-      const auto pulse = r.ok() ? wire::decode_pulse(r.body) : std::nullopt;
-      if (!pulse) return;
-      note(*pulse);
-      hooks_.answered(node, *pulse);
-    });
+    client->request("POST", wire::path::kPulse, body, period_s_ * 2,
+                    [this, node = node](HttpResult r) {
+                      const auto pulse = r.ok() ? wire::decode_pulse(r.body) : std::nullopt;
+                      if (!pulse) return;
+                      note(*pulse);
+                      hooks_.answered(node, *pulse);
+                    });
   }
 }
 
@@ -56,6 +58,7 @@
   leader_ = pulse.node;
   leader_term_ = pulse.term;
   leader_heard_ = Clock::now();
+  if (!pulse.images.empty()) images_ = pulse.images;
   if (pulse.counts.empty()) return;
   counts_.clear();
   for (const auto& c : pulse.counts) counts_[c.job] = c;
--- a/src/peer/peers.h
+++ b/src/peer/peers.h
@@ -11,7 +11,8 @@
 namespace sumacquay {
 
 /// The channel among controllers: every node tells every other, at a steady pace, which term it
-/// knows; the leader adds the counts that users are shown. Nothing that safety needs rests on it,
+/// knows; the leader adds the counts that users are shown and the images that machines hold, which
+/// would help its successor place. Nothing that safety needs rests on it,
 /// but for one answer: a node that has answered a term never acts under an older one.
 class Peers {
  public:
@@ -28,6 +29,7 @@
   std::string leader() const;
   uint64_t leader_term() const { return leader_term_; }
   wire::RunningCount counts(const std::string& job) const;
+  const std::vector<wire::HeldImage>& images() const { return images_; }
   /// Another node was served by the state service lately.
   bool others_served() const;
 
@@ -46,6 +48,7 @@
   uint64_t leader_term_ = 0;
   std::chrono::steady_clock::time_point leader_heard_{}, served_heard_{};
   std::map<std::string, wire::RunningCount> counts_;
+  std::vector<wire::HeldImage> images_;
 };
 
 }  // namespace sumacquay
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -22,11 +22,11 @@
 /// What of a job is to be placed, and what of it is somewhere already.
 struct Demand {
   const JobSpec* spec = nullptr;
-  std::vector<uint32_t> tasks;                       ///< to be placed
-  std::unordered_map<std::string, uint32_t> zones;   ///< tasks of the job that are in a zone
-  bool image_first = false;  ///< a fetch costs more than packing gains
-  std::function<bool(const std::string&)> avoid;     ///< machines the job failed on
-  std::function<bool(const std::string&)> has_image; ///< machines that hold the image
+  std::vector<uint32_t> tasks;                        ///< to be placed
+  std::unordered_map<std::string, uint32_t> zones;    ///< tasks of the job that are in a zone
+  bool image_first = false;                           ///< a fetch costs more than packing gains
+  std::function<bool(const std::string&)> avoid;      ///< machines the job failed on
+  std::function<bool(const std::string&)> has_image;  ///< machines that hold the image
 };
 
 struct Placed {
--- a/src/provision/provision.cpp
+++ b/src/provision/provision.cpp
@@ -7,7 +7,9 @@
 namespace sumacquay {
 namespace {
 
-double part(double need, double room) { return room > 0 ? need / room : 0; }
+double part(double need, double room) {
+  return room > 0 ? need / room : 0;
+}
 
 /// The largest part of the machine that one task takes of any resource.
 double dominant(const Amounts& need, const Amounts& room) {
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -21,7 +21,9 @@
 Mirror::Mirror(asio::io_context& io, const Settings& s, StoreClient& store)
     : io_(io), store_(store), wait_s_(s.lease_s), barrier_gap_s_(8.0 / s.state_rps) {}
 
-void Mirror::start() { load(); }
+void Mirror::start() {
+  load();
+}
 
 void Mirror::enter(State next) {
   if (state_ != next) spdlog::info("records: {}", next == State::Loading ? "loading" : "following");
@@ -50,27 +52,27 @@
 
 void Mirror::load_page(size_t prefix, const std::string& after, uint64_t from) {
   const uint64_t generation = generation_;
-  store_.read(
-      Urgency::Record, wire::page_path(load_order()[prefix], after, kPage),
-      [this, prefix, after, from, generation](HttpResult r) {
-        if (generation != generation_) return;
-        const auto page = r.ok() ? wire::parse_page(r.body) : std::nullopt;
-        if (!page)
-          return later(wait_s_ * 0.03, [this, prefix, after, from, generation] {
-            if (generation == generation_) load_page(prefix, after, from);
-          });
-        // Changes are followed from the first page's revision on, so none between pages is missed.
-        const uint64_t first = from ? from : page->revision;
-        for (const auto& item : page->items) apply_item(item);
-        if (page->more && !page->items.empty())
-          return load_page(prefix, page->items.back().key, first);
-        if (prefix + 1 < load_order().size()) return load_page(prefix + 1, "", first);
-        revision_ = first;
-        enter(State::Following);
-        if (listener_.leader_changed) listener_.leader_changed();
-        if (listener_.job_changed) listener_.job_changed("");
-        follow();
-      });
+  store_.read(Urgency::Record, wire::page_path(load_order()[prefix], after, kPage),
+              [this, prefix, after, from, generation](HttpResult r) {
+                if (generation != generation_) return;
+                const auto page = r.ok() ? wire::parse_page(r.body) : std::nullopt;
+                if (!page)
+                  return later(wait_s_ * 0.03, [this, prefix, after, from, generation] {
+                    if (generation == generation_) load_page(prefix, after, from);
+                  });
+                // Changes are followed from the first page's revision on, so none between pages is
+                // missed.
+                const uint64_t first = from ? from : page->revision;
+                for (const auto& item : page->items) apply_item(item);
+                if (page->more && !page->items.empty())
+                  return load_page(prefix, page->items.back().key, first);
+                if (prefix + 1 < load_order().size()) return load_page(prefix + 1, "", first);
+                revision_ = first;
+                enter(State::Following);
+                if (listener_.leader_changed) listener_.leader_changed();
+                if (listener_.job_changed) listener_.job_changed("");
+                follow();
+              });
 }
 
 void Mirror::follow() {
@@ -105,8 +107,8 @@
   const uint64_t generation = generation_;
   store_.read(Urgency::Rest, wire::changes_path(keys::kRoot, revision_, 0),
               [this, served, generation](HttpResult r) {
-                const auto page =
-                    r.ok() && generation == generation_ ? wire::parse_changes(r.body) : std::nullopt;
+                const auto page = r.ok() && generation == generation_ ? wire::parse_changes(r.body)
+                                                                      : std::nullopt;
                 if (page) apply(*page, true);
                 if (r.answered && r.status == 410 && generation == generation_) load();
                 for (auto& done : *served) done(page.has_value());
@@ -152,8 +154,10 @@
     const auto dead = host_deleted_.find(id);
     if (dead != host_deleted_.end() && dead->second >= item.version) return;
     const auto record = gone ? std::nullopt : wire::decode_host(item.value);
-    if (record) hosts_[id] = {*record, item.version};
-    else hosts_.erase(id);
+    if (record)
+      hosts_[id] = {*record, item.version};
+    else
+      hosts_.erase(id);
   } else if (item.key == keys::kLeader) {
     if (item.version <= leader_seen_) return;
     leader_seen_ = item.version;
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -85,8 +85,10 @@
       writes_.take(writes);
       Op op = std::move(queue.front());
       queue.pop_front();
-      if (urgent) send(urgent_, std::move(op));
-      else send_again_if_refused(static_cast<Urgency>(u), std::move(op));
+      if (urgent)
+        send(urgent_, std::move(op));
+      else
+        send_again_if_refused(static_cast<Urgency>(u), std::move(op));
     }
   }
   if (!queues_[1].empty() || !queues_[2].empty()) arm();
@@ -103,8 +105,7 @@
 }
 
 void StoreClient::transact(Urgency urgency, std::vector<wire::Guard> guards,
-                           std::vector<wire::Change> changes,
-                           std::function<void(TxnResult)> done) {
+                           std::vector<wire::Change> changes, std::function<void(TxnResult)> done) {
   Op op{"POST", wire::path::kTransaction, wire::transaction_body(guards, changes),
         static_cast<double>(changes.size()), nullptr};
   op.done = [done = std::move(done)](HttpResult r) {
@@ -120,8 +121,11 @@
         out.outcome = TxnOutcome::Conflict;
         out.failed = wire::parse_failed(r.body);
         break;
-      case 400: out.outcome = TxnOutcome::NoLease; break;
-      default: out.outcome = TxnOutcome::Refused;
+      case 400:
+        out.outcome = TxnOutcome::NoLease;
+        break;
+      default:
+        out.outcome = TxnOutcome::Refused;
     }
     done(std::move(out));
   };
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -22,9 +22,15 @@
   p.pack_str(static_cast<uint32_t>(v.size()));
   p.pack_str_body(v.data(), static_cast<uint32_t>(v.size()));
 }
-void pair(Packer& p, std::string_view k, std::string_view v) { text(p, k), text(p, v); }
-void pair(Packer& p, std::string_view k, uint64_t v) { text(p, k), p.pack_uint64(v); }
-void pair(Packer& p, std::string_view k, double v) { text(p, k), p.pack_double(v); }
+void pair(Packer& p, std::string_view k, std::string_view v) {
+  text(p, k), text(p, v);
+}
+void pair(Packer& p, std::string_view k, uint64_t v) {
+  text(p, k), p.pack_uint64(v);
+}
+void pair(Packer& p, std::string_view k, double v) {
+  text(p, k), p.pack_double(v);
+}
 void pair(Packer& p, std::string_view k, bool v) {
   text(p, k);
   v ? p.pack_true() : p.pack_false();
@@ -33,9 +39,8 @@
 template <class E, size_t N>
 using Names = std::array<std::pair<E, std::string_view>, N>;
 
-constexpr Names<JobKind, 3> kKinds{{{JobKind::Array, "sweep"},
-                                    {JobKind::Gang, "ensemble"},
-                                    {JobKind::Service, "service"}}};
+constexpr Names<JobKind, 3> kKinds{
+    {{JobKind::Array, "sweep"}, {JobKind::Gang, "ensemble"}, {JobKind::Service, "service"}}};
 constexpr Names<Priority, 4> kPriorities{{{Priority::Production, "production"},
                                           {Priority::High, "high"},
                                           {Priority::Normal, "normal"},
@@ -58,9 +63,8 @@
 constexpr Names<ListedMachine::State, 3> kListed{{{ListedMachine::State::Booting, "starting"},
                                                   {ListedMachine::State::Running, "running"},
                                                   {ListedMachine::State::Failed, "failed"}}};
-constexpr Names<JobState, 3> kJobStates{{{JobState::Pending, "pending"},
-                                         {JobState::Cancelled, "cancelled"},
-                                         {JobState::Done, "done"}}};
+constexpr Names<JobState, 3> kJobStates{
+    {{JobState::Pending, "pending"}, {JobState::Cancelled, "cancelled"}, {JobState::Done, "done"}}};
 constexpr Names<ShownState, 4> kShown{{{ShownState::Pending, "pending"},
                                        {ShownState::Running, "running"},
                                        {ShownState::Done, "done"},
@@ -146,8 +150,10 @@
     s.types.emplace();
     for (size_t i = 0; i < types.size() && f.ok(); ++i) {
       auto t = types.at(i).text();
-      if (!t || t->size() > kName) f.note("frames");
-      else s.types->push_back(*t);
+      if (!t || t->size() > kName)
+        f.note("frames");
+      else
+        s.types->push_back(*t);
     }
   }
   if (!f["hall"].missing()) s.zone = f.text("hall", 0, kName);
@@ -161,8 +167,8 @@
 }
 
 void write_spec(Packer& p, const JobSpec& s) {
-  p.pack_map(static_cast<uint32_t>(17 + (s.types ? 1 : 0) + (s.zone ? 1 : 0) +
-                                   (s.deadline_s ? 1 : 0)));
+  p.pack_map(
+      static_cast<uint32_t>(17 + (s.types ? 1 : 0) + (s.zone ? 1 : 0) + (s.deadline_s ? 1 : 0)));
   pair(p, "id", s.id);
   pair(p, "pattern", s.job_class);
   pair(p, "guild", s.team);
@@ -340,8 +346,9 @@
       const auto attempt = t["try"].count();
       const auto state = value_of(kTaskStates, t["stage"]);
       if (!key || !attempt || !state) return std::nullopt;
-      const auto cause = value_of(kCauses, t["cause"]).value_or(
-          *state == TaskState::Exited ? ExitCause::Error : ExitCause::None);
+      const auto cause =
+          value_of(kCauses, t["cause"])
+              .value_or(*state == TaskState::Exited ? ExitCause::Error : ExitCause::None);
       r.tasks.push_back({*key, *attempt, *state, cause});
     }
     return r;
@@ -503,8 +510,12 @@
 std::string grant_path(uint64_t lease) {
   return std::string(path::kGrants) + "/" + std::to_string(lease);
 }
-std::string renew_path(uint64_t lease) { return grant_path(lease) + "/renew"; }
-std::string item_path(const std::string& key) { return std::string(path::kStore) + "/" + key; }
+std::string renew_path(uint64_t lease) {
+  return grant_path(lease) + "/renew";
+}
+std::string item_path(const std::string& key) {
+  return std::string(path::kStore) + "/" + key;
+}
 
 std::string page_path(const std::string& prefix, const std::string& after, int limit) {
   return std::string(path::kStore) + "?under=" + prefix + "&most=" + std::to_string(limit) +
@@ -633,7 +644,7 @@
 
 std::string encode_pulse(const Pulse& pulse) {
   return build([&](Packer& p) {
-    p.pack_map(5);
+    p.pack_map(6);
     pair(p, "node", pulse.node);
     pair(p, "term", pulse.term);
     pair(p, "leading", pulse.leading);
@@ -646,6 +657,14 @@
       p.pack_uint32(c.done);
       p.pack_uint32(c.running);
     }
+    text(p, "images");
+    p.pack_array(static_cast<uint32_t>(pulse.images.size()));
+    for (const auto& i : pulse.images) {
+      p.pack_array(3);
+      text(p, i.machine);
+      text(p, i.image);
+      p.pack_double(i.gb);
+    }
   });
 }
 
@@ -668,6 +687,13 @@
       pulse.counts.push_back({*c.at(0).text(), static_cast<uint32_t>(*c.at(1).count()),
                               static_cast<uint32_t>(*c.at(2).count())});
     }
+    const View images = root["images"];
+    for (size_t i = 0; i < images.size(); ++i) {
+      const View held = images.at(i);
+      if (held.size() != 3 || !held.at(0).text() || !held.at(1).text() || !held.at(2).number())
+        return std::nullopt;
+      pulse.images.push_back({*held.at(0).text(), *held.at(1).text(), *held.at(2).number()});
+    }
     return pulse;
   });
 }
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -120,12 +120,18 @@
   std::string job;
   uint32_t done = 0, running = 0;
 };
+/// An image that a machine holds, as far as the leader can tell.
+struct HeldImage {
+  std::string machine, image;
+  double gb = 0;
+};
 struct Pulse {
   std::string node;
   uint64_t term = 0;
   bool leading = false;
   bool served = false;  ///< by the state service, not long ago
   std::vector<RunningCount> counts;
+  std::vector<HeldImage> images;  ///< a machine's most recently used last
 };
 std::string encode_pulse(const Pulse& pulse);
 std::optional<Pulse> decode_pulse(std::string_view body);
--- a/src/wire/view.h
+++ b/src/wire/view.h
@@ -42,13 +42,16 @@
   std::optional<double> number() const {
     if (!object_) return std::nullopt;
     switch (object_->type) {
-      case msgpack::type::POSITIVE_INTEGER: return static_cast<double>(object_->via.u64);
-      case msgpack::type::NEGATIVE_INTEGER: return static_cast<double>(object_->via.i64);
+      case msgpack::type::POSITIVE_INTEGER:
+        return static_cast<double>(object_->via.u64);
+      case msgpack::type::NEGATIVE_INTEGER:
+        return static_cast<double>(object_->via.i64);
       case msgpack::type::FLOAT32:
       case msgpack::type::FLOAT64:
         if (!std::isfinite(object_->via.f64)) return std::nullopt;
         return object_->via.f64;
-      default: return std::nullopt;
+      default:
+        return std::nullopt;
     }
   }
 
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -23,44 +23,47 @@
 }
 
 TEST(Placement, KeepsEveryLimitAndPlacesGangsWholeOrNotAtAll) {
-  EXPECT_TRUE(holds("placement", [] {
-    JobSpec spec;
-    spec.kind = *rc::gen::element(JobKind::Array, JobKind::Gang, JobKind::Service);
-    spec.tasks = static_cast<uint32_t>(*rc::gen::inRange(1, 8));
-    spec.need = {*rc::gen::inRange(1, 5) * 1.0, *rc::gen::inRange(0, 3) * 1.0, 1};
-    spec.one_zone = *rc::gen::arbitrary<bool>();
-    spec.spread = !spec.one_zone && *rc::gen::arbitrary<bool>();
-    std::vector<Slot> slots;
-    const int n = *rc::gen::inRange(0, 6);
-    for (int i = 0; i < n; ++i) {
-      slots.push_back(slot("m" + std::to_string(i), *rc::gen::element<std::string>("e", "w"),
-                           {*rc::gen::inRange(0, 12) * 1.0, *rc::gen::inRange(0, 5) * 1.0, 8}));
-      slots.back().usable = *rc::gen::inRange(0, 5) > 0;
-      slots.back().spot = *rc::gen::inRange(0, 5) == 0;
-    }
-    const auto before = slots;
-    Demand d;
-    d.spec = &spec;
-    for (uint32_t t = 0; t < spec.tasks; ++t) d.tasks.push_back(t);
-    const auto placed = place(d, slots);
-    if (spec.kind == JobKind::Gang) RC_ASSERT(placed.empty() || placed.size() == spec.tasks);
-    std::map<std::string, uint32_t> zones;
-    std::vector<Amounts> taken(slots.size());
-    for (const auto& p : placed) {
-      RC_ASSERT(before[p.slot].usable && !before[p.slot].spot);
-      taken[p.slot] += spec.need;
-      ++zones[before[p.slot].zone];
-    }
-    for (size_t i = 0; i < slots.size(); ++i) {
-      RC_ASSERT(taken[i].fits_in(before[i].free));
-      Amounts left = before[i].free;
-      left -= taken[i];
-      RC_ASSERT(left == slots[i].free);
-    }
-    if (spec.one_zone) RC_ASSERT(zones.size() <= 1u);
-    if (spec.spread)
-      for (const auto& [zone, count] : zones) RC_ASSERT(count <= (spec.tasks + 1) / 2);
-  }, 1000));
+  EXPECT_TRUE(holds(
+      "placement",
+      [] {
+        JobSpec spec;
+        spec.kind = *rc::gen::element(JobKind::Array, JobKind::Gang, JobKind::Service);
+        spec.tasks = static_cast<uint32_t>(*rc::gen::inRange(1, 8));
+        spec.need = {*rc::gen::inRange(1, 5) * 1.0, *rc::gen::inRange(0, 3) * 1.0, 1};
+        spec.one_zone = *rc::gen::arbitrary<bool>();
+        spec.spread = !spec.one_zone && *rc::gen::arbitrary<bool>();
+        std::vector<Slot> slots;
+        const int n = *rc::gen::inRange(0, 6);
+        for (int i = 0; i < n; ++i) {
+          slots.push_back(slot("m" + std::to_string(i), *rc::gen::element<std::string>("e", "w"),
+                               {*rc::gen::inRange(0, 12) * 1.0, *rc::gen::inRange(0, 5) * 1.0, 8}));
+          slots.back().usable = *rc::gen::inRange(0, 5) > 0;
+          slots.back().spot = *rc::gen::inRange(0, 5) == 0;
+        }
+        const auto before = slots;
+        Demand d;
+        d.spec = &spec;
+        for (uint32_t t = 0; t < spec.tasks; ++t) d.tasks.push_back(t);
+        const auto placed = place(d, slots);
+        if (spec.kind == JobKind::Gang) RC_ASSERT(placed.empty() || placed.size() == spec.tasks);
+        std::map<std::string, uint32_t> zones;
+        std::vector<Amounts> taken(slots.size());
+        for (const auto& p : placed) {
+          RC_ASSERT(before[p.slot].usable && !before[p.slot].spot);
+          taken[p.slot] += spec.need;
+          ++zones[before[p.slot].zone];
+        }
+        for (size_t i = 0; i < slots.size(); ++i) {
+          RC_ASSERT(taken[i].fits_in(before[i].free));
+          Amounts left = before[i].free;
+          left -= taken[i];
+          RC_ASSERT(left == slots[i].free);
+        }
+        if (spec.one_zone) RC_ASSERT(zones.size() <= 1u);
+        if (spec.spread)
+          for (const auto& [zone, count] : zones) RC_ASSERT(count <= (spec.tasks + 1) / 2);
+      },
+      1000));
 }
 
 TEST(Placement, PacksOntoTheFullestMachineGpusFirst) {
@@ -128,7 +131,8 @@
   d.spec = &spec;
   d.tasks = {0, 1, 2, 3};
   std::vector<Slot> booting{slot("b", "e", g.room)};
-  std::vector<Offer> offers{{&g, "e", false, 10, true}, {&g, "w", false, 10, false}, {&g, "w", true, 1, false}};
+  std::vector<Offer> offers{
+      {&g, "e", false, 10, true}, {&g, "w", false, 10, false}, {&g, "w", true, 1, false}};
   const auto r = rentals({d}, booting, offers, 10);
   ASSERT_EQ(r.size(), 1u);
   EXPECT_EQ(r[0].zone, "w");
@@ -157,73 +161,80 @@
 };
 
 TEST(LeadershipMachine, NeverTwoThatMayActAndTermsRise) {
-  EXPECT_TRUE(holds("leadership", [] {
-    Nodes w;
-    // One generated seed a history: drawn one by one, small sizes would make every node stall.
-    std::mt19937_64 rng(*rc::gen::noShrink(rc::gen::arbitrary<uint64_t>()));
-    auto draw = [&rng](int least, int past) { return std::uniform_int_distribution<int>(least, past - 1)(rng); };
-    const double lease = 2;
-    auto delay = [&] { return draw(0, 100) < 90 ? draw(1, 30) * 0.001 : draw(1, 300) * 0.01; };
-    std::vector<uint64_t> terms;
-    for (int i = 0; i < 3; ++i) {
-      w.nodes.push_back({nullptr, 1 + 0.0005 * (i - 1)});
-      Leadership::Effects e;
-      auto self = [&w, i] { return w.nodes[i].l.get(); };
-      auto clock = [&w, i] { return w.now * w.nodes[i].skew; };
-      e.grant = [&, self, clock](uint64_t campaign, Seconds ttl) {
-        const double asked = clock();
-        w.later(delay(), [&, self, clock, asked, ttl, campaign] {
-          const uint64_t id = w.next_lease++;
-          w.leases[id] = w.now + ttl;
-          w.later(delay(), [self, clock, id, asked, campaign] { self()->granted(clock(), campaign, id, asked); });
-        });
-      };
-      e.elect = [&, self, clock](uint64_t campaign, uint64_t id) {
-        w.later(delay(), [&, self, clock, id, campaign] {
-          w.expire();
-          const bool won = w.holder_lease == 0 && w.leases.count(id);
-          if (won) {
-            w.holder_lease = id;
-            terms.push_back(++w.term);
+  EXPECT_TRUE(holds(
+      "leadership",
+      [] {
+        Nodes w;
+        // One generated seed a history: drawn one by one, small sizes would make every node stall.
+        std::mt19937_64 rng(*rc::gen::noShrink(rc::gen::arbitrary<uint64_t>()));
+        auto draw = [&rng](int least, int past) {
+          return std::uniform_int_distribution<int>(least, past - 1)(rng);
+        };
+        const double lease = 2;
+        auto delay = [&] { return draw(0, 100) < 90 ? draw(1, 30) * 0.001 : draw(1, 300) * 0.01; };
+        std::vector<uint64_t> terms;
+        for (int i = 0; i < 3; ++i) {
+          w.nodes.push_back({nullptr, 1 + 0.0005 * (i - 1)});
+          Leadership::Effects e;
+          auto self = [&w, i] { return w.nodes[i].l.get(); };
+          auto clock = [&w, i] { return w.now * w.nodes[i].skew; };
+          e.grant = [&, self, clock](uint64_t campaign, Seconds ttl) {
+            const double asked = clock();
+            w.later(delay(), [&, self, clock, asked, ttl, campaign] {
+              const uint64_t id = w.next_lease++;
+              w.leases[id] = w.now + ttl;
+              w.later(delay(), [self, clock, id, asked, campaign] {
+                self()->granted(clock(), campaign, id, asked);
+              });
+            });
+          };
+          e.elect = [&, self, clock](uint64_t campaign, uint64_t id) {
+            w.later(delay(), [&, self, clock, id, campaign] {
+              w.expire();
+              const bool won = w.holder_lease == 0 && w.leases.count(id);
+              if (won) {
+                w.holder_lease = id;
+                terms.push_back(++w.term);
+              }
+              w.later(delay(), [self, clock, won, campaign, t = w.term] {
+                self()->elected(clock(), campaign, won, t);
+              });
+            });
+          };
+          e.renew = [&, self, clock](uint64_t id) {
+            const double sent = clock();
+            const bool lost = draw(0, 10) == 0;
+            w.later(delay(), [&, self, clock, id, sent, lost] {
+              w.expire();
+              const bool known = w.leases.count(id) > 0;
+              if (known && !lost) w.leases[id] = w.now + 2;
+              w.later(delay(), [self, clock, id, sent, known, lost] {
+                self()->renewed(clock(), id, sent, !lost && known, !lost && !known);
+              });
+            });
+          };
+          e.changed = [](Leadership::State, Leadership::State) {};
+          w.nodes[i].l = std::make_unique<Leadership>(Leadership::Config{lease, 0.5, 10, 0.002}, e);
+        }
+        for (; w.now < 30; w.now += 0.01) {
+          while (!w.mail.empty() && w.mail.begin()->first <= w.now) {
+            auto f = std::move(w.mail.begin()->second);
+            w.mail.erase(w.mail.begin());
+            f();
           }
-          w.later(delay(), [self, clock, won, campaign, t = w.term] {
-            self()->elected(clock(), campaign, won, t);
-          });
-        });
-      };
-      e.renew = [&, self, clock](uint64_t id) {
-        const double sent = clock();
-        const bool lost = draw(0, 10) == 0;
-        w.later(delay(), [&, self, clock, id, sent, lost] {
           w.expire();
-          const bool known = w.leases.count(id) > 0;
-          if (known && !lost) w.leases[id] = w.now + 2;
-          w.later(delay(), [self, clock, id, sent, known, lost] {
-            self()->renewed(clock(), id, sent, !lost && known, !lost && !known);
-          });
-        });
-      };
-      e.changed = [](Leadership::State, Leadership::State) {};
-      w.nodes[i].l = std::make_unique<Leadership>(Leadership::Config{lease, 0.5, 10, 0.002}, e);
-    }
-    for (; w.now < 30; w.now += 0.01) {
-      while (!w.mail.empty() && w.mail.begin()->first <= w.now) {
-        auto f = std::move(w.mail.begin()->second);
-        w.mail.erase(w.mail.begin());
-        f();
-      }
-      w.expire();
-      int acting = 0;
-      for (auto& n : w.nodes) {
-        const bool stalls = draw(0, 20) == 0;
-        if (!stalls) n.l->tick(w.now * n.skew, true, w.holder_lease != 0, 0.5);
-        acting += n.l->may_act(w.now * n.skew);
-      }
-      RC_ASSERT(acting <= 1);
-    }
-    RC_ASSERT(!terms.empty());
-    RC_ASSERT(std::is_sorted(terms.begin(), terms.end()));
-  }, 100));
+          int acting = 0;
+          for (auto& n : w.nodes) {
+            const bool stalls = draw(0, 20) == 0;
+            if (!stalls) n.l->tick(w.now * n.skew, true, w.holder_lease != 0, 0.5);
+            acting += n.l->may_act(w.now * n.skew);
+          }
+          RC_ASSERT(acting <= 1);
+        }
+        RC_ASSERT(!terms.empty());
+        RC_ASSERT(std::is_sorted(terms.begin(), terms.end()));
+      },
+      100));
 }
 
 TEST(LeadershipMachine, AnswersPastItsLeaseForTheGraceOnlyAndStepsDownForAHigherTerm) {
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -71,8 +71,9 @@
 }
 
 TEST(Settings, AnErrorNamesTheField) {
-  EXPECT_NE(settings_error(kToml, "lease_s = 10.0", "lease_s = \"x\"").find("params.workers.lease_s"),
-            std::string::npos);
+  EXPECT_NE(
+      settings_error(kToml, "lease_s = 10.0", "lease_s = \"x\"").find("params.workers.lease_s"),
+      std::string::npos);
   EXPECT_NE(settings_error(kToml, "txn_ops = 24", "txn_ops = -1").find("params.state.txn_ops"),
             std::string::npos);
   EXPECT_NE(settings_error(kToml, "127.0.0.1:8081", "here").find("back"), std::string::npos);
@@ -128,15 +129,18 @@
 }
 
 TEST(Submissions, HostileBytesAreRefusedAndNothingElse) {
-  EXPECT_TRUE(holds("hostile bytes", [] {
-    const auto bytes = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
-    wire::parse_job(bytes);
-    wire::parse_report(bytes);
-    wire::parse_types(bytes);
-    wire::parse_machines(bytes);
-    wire::parse_changes(bytes);
-    wire::decode_pulse(bytes);
-  }, 2000));
+  EXPECT_TRUE(holds(
+      "hostile bytes",
+      [] {
+        const auto bytes = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
+        wire::parse_job(bytes);
+        wire::parse_report(bytes);
+        wire::parse_types(bytes);
+        wire::parse_machines(bytes);
+        wire::parse_changes(bytes);
+        wire::decode_pulse(bytes);
+      },
+      2000));
   EXPECT_TRUE(holds("a cut or changed record never passes for another shape", [] {
     JobRecord r;
     r.spec = *testing::job_spec();
@@ -165,8 +169,10 @@
     for (uint32_t i = 0; i < spec.via.map.size; ++i) {
       const auto& kv = spec.via.map.ptr[i];
       p.pack(kv.key);
-      if (kv.key.as<std::string>() == field) p.pack(value);
-      else p.pack(kv.val);
+      if (kv.key.as<std::string>() == field)
+        p.pack(value);
+      else
+        p.pack(kv.val);
     }
     return wire::parse_job({out.data(), out.size()});
   };
@@ -182,6 +188,24 @@
   EXPECT_NE(body("together", 1).error.find("together"), std::string::npos);
 }
 
+TEST(Peers, APulseComesBackAsItWas) {
+  EXPECT_TRUE(holds("pulse", [] {
+    wire::Pulse p;
+    p.node = *testing::name();
+    p.term = static_cast<uint64_t>(*rc::gen::inRange(0, 1 << 30));
+    p.leading = *rc::gen::arbitrary<bool>();
+    p.served = *rc::gen::arbitrary<bool>();
+    for (int i = *rc::gen::inRange(0, 5); i > 0; --i) {
+      p.counts.push_back({*testing::name(), 3, static_cast<uint32_t>(i)});
+      p.images.push_back({*testing::name(), *testing::name(), i * 0.5});
+    }
+    const auto back = wire::decode_pulse(wire::encode_pulse(p));
+    RC_ASSERT(back.has_value());
+    RC_ASSERT(wire::encode_pulse(*back) == wire::encode_pulse(p));
+    RC_ASSERT(back->term == p.term && back->leading == p.leading && back->served == p.served);
+  }));
+}
+
 TEST(Ranges, AgreeWithASetOfNumbers) {
   EXPECT_TRUE(holds("ranges", [] {
     Ranges ranges;
--- a/tests/generators.h
+++ b/tests/generators.h
@@ -33,13 +33,14 @@
     s.team = *name();
     s.image = *name();
     s.kind = *rc::gen::element(JobKind::Array, JobKind::Gang, JobKind::Service);
-    s.priority = *rc::gen::element(Priority::Low, Priority::Normal, Priority::High,
-                                   Priority::Production);
+    s.priority =
+        *rc::gen::element(Priority::Low, Priority::Normal, Priority::High, Priority::Production);
     s.tasks = static_cast<uint32_t>(*rc::gen::inRange(1, 100001));
     s.need = {*rc::gen::inRange(0, 96) * 0.5, *rc::gen::inRange(0, 9) * 1.0,
               *rc::gen::inRange(0, 300) * 1.0};
     s.image_gb = *rc::gen::inRange(0, 100) * 0.1;
-    if (*rc::gen::arbitrary<bool>()) s.types = *rc::gen::container<std::vector<std::string>>(name());
+    if (*rc::gen::arbitrary<bool>())
+      s.types = *rc::gen::container<std::vector<std::string>>(name());
     if (s.types && s.types->size() > 64) s.types->resize(64);
     if (*rc::gen::arbitrary<bool>()) s.zone = *name();
     s.one_zone = *rc::gen::arbitrary<bool>();
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -111,7 +111,8 @@
   core->orders_done("i-9", std::nullopt, false, now + 2);
   bool released = false;
   for (double t = 2; t < settings.lease_s * 0.6; t += 0.1)
-    for (const auto& a : core->tick(now + t)) released = released || std::holds_alternative<Release>(a);
+    for (const auto& a : core->tick(now + t))
+      released = released || std::holds_alternative<Release>(a);
   EXPECT_TRUE(released);
 }
 
@@ -132,7 +133,8 @@
   core->job_over("job-1");
   auto later_core = leader(2, 0);
   later_core->job_stored(record, 6, now);
-  EXPECT_GT(std::holds_alternative<Rent>(later_core->tick(now + 1).at(0)), 0) << "one came just now";
+  EXPECT_GT(std::holds_alternative<Rent>(later_core->tick(now + 1).at(0)), 0)
+      << "one came just now";
   auto much_later = leader(3, 0);
   much_later->job_stored(record, 6, now);
   EXPECT_TRUE(much_later->tick(now + 1000).empty());
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -51,8 +51,10 @@
       now_ += 0.05;
       deliver();
       const bool trouble = now_ < troubles;
-      if (trouble) make_trouble();
-      else if (!core_) elect();
+      if (trouble)
+        make_trouble();
+      else if (!core_)
+        elect();
       if (now_ < troubles * 0.7 && chance(0.02)) submit();
       for (auto& [id, w] : workers_) step_worker(id, w);
       if (core_ && now_ < acts_until_) step_leader();
@@ -209,15 +211,19 @@
     ++revision_;
     for (const auto& w : writes) {
       if (!w.host.empty()) {
-        if (w.host_record) hosts_[w.host] = *w.host_record;
-        else hosts_.erase(w.host);
+        if (w.host_record)
+          hosts_[w.host] = *w.host_record;
+        else
+          hosts_.erase(w.host);
         continue;
       }
       const auto& t = truth_[w.job];
       if (w.record->state == JobState::Done && t.done.size() < t.spec.tasks)
         broken_.push_back("not_done " + w.job);
-      if (w.over) store_.erase(w.job);
-      else store_[w.job] = {*w.record, revision_};
+      if (w.over)
+        store_.erase(w.job);
+      else
+        store_[w.job] = {*w.record, revision_};
     }
     return true;
   }
@@ -240,11 +246,12 @@
       }
       const bool answer_lost = chance(0.05) || it == workers_.end() || now_ < it->second.deaf_until;
       if (timed_out) return;
-      later(answer_lost ? 1.4 : between(0.001, 0.01), [this, o, report, executed, answer_lost, term] {
-        if (!core_ || term != term_) return;
-        core_->orders_done(o.machine, answer_lost ? std::nullopt : report,
-                           executed && !answer_lost, now_);
-      });
+      later(answer_lost ? 1.4 : between(0.001, 0.01),
+            [this, o, report, executed, answer_lost, term] {
+              if (!core_ || term != term_) return;
+              core_->orders_done(o.machine, answer_lost ? std::nullopt : report,
+                                 executed && !answer_lost, now_);
+            });
     });
     if (timed_out)
       later(1.4, [this, o, term = term_] {
@@ -258,8 +265,9 @@
       for (int i = 0; i < r.count && workers_.size() < 8; ++i)
         ids.push_back(add_machine(now_ + between(2, 6), r.zone, r.spot));
       if (!core_ || term != term_) return;
-      core_->rent_done(r, ids.empty() ? LeaderCore::RentOutcome::Refused : LeaderCore::RentOutcome::Rented,
-                       ids, now_);
+      core_->rent_done(
+          r, ids.empty() ? LeaderCore::RentOutcome::Refused : LeaderCore::RentOutcome::Rented, ids,
+          now_);
     });
   }
 
@@ -326,8 +334,10 @@
     bool may_act = core_ && now_ < acts_until_;
     // Some workers still talk to the leader before.
     if (zombie_ && now_ < zombie_until_ && chance(0.5)) {
-      if ((r.token >> 20) > zombie_->term()) zombie_.reset();
-      else to = zombie_.get(), may_act = false;
+      if ((r.token >> 20) > zombie_->term())
+        zombie_.reset();
+      else
+        to = zombie_.get(), may_act = false;
     }
     if (!to) return;
     const auto answer = to->report(r, may_act, now_);
@@ -414,7 +424,8 @@
       const Truth& j = truth_[key.job];
       gpus[j.spec.team] += j.spec.need.gpus;
       // A hung machine and a cut one have the time until their lease ends on top.
-      if (j.cancelled_at && now_ > *j.cancelled_at + settings_.cancel_s) note("ran_cancelled", key, id);
+      if (j.cancelled_at && now_ > *j.cancelled_at + settings_.cancel_s)
+        note("ran_cancelled", key, id);
     });
     if (gpus["limited"] > 6) note("quota", {"limited", 0}, "all");
   }
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -52,7 +52,8 @@
     EXPECT_TRUE(done());
   }
 
-  HttpResult ask(HttpClient& client, const std::string& path, const std::string& body, double deadline) {
+  HttpResult ask(HttpClient& client, const std::string& path, const std::string& body,
+                 double deadline) {
     std::optional<HttpResult> result;
     client.request("POST", path, body, deadline, [&](HttpResult r) { result = std::move(r); });
     EXPECT_FALSE(result.has_value()) << "never from inside the call";
@@ -80,9 +81,11 @@
   limits.header_bytes = 500;
   serve();
   EXPECT_NE(raw("this is not HTTP\r\n\r\n").find("400"), std::string::npos);
-  EXPECT_NE(raw("POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n" + std::string(1001, 'x')).find("413"),
+  EXPECT_NE(
+      raw("POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n" + std::string(1001, 'x')).find("413"),
+      std::string::npos);
+  EXPECT_NE(raw("GET /" + std::string(600, 'x') + " HTTP/1.1\r\n\r\n").find("413"),
             std::string::npos);
-  EXPECT_NE(raw("GET /" + std::string(600, 'x') + " HTTP/1.1\r\n\r\n").find("413"), std::string::npos);
   EXPECT_EQ(handled, 0);
 }
 
@@ -104,7 +107,8 @@
   for (int i = 0; i < 3; ++i)
     client.request("POST", "/a", "", 5, [&](HttpResult r) { answers.push_back(r.answered); });
   run_until([&] { return answers.size() == 3; });
-  EXPECT_EQ(std::count(answers.begin(), answers.end(), true), 2) << "one runs, one waits, one is refused";
+  EXPECT_EQ(std::count(answers.begin(), answers.end(), true), 2)
+      << "one runs, one waits, one is refused";
 }
 
 TEST_F(Loopback, AServerThatCameBackIsAskedOnANewConnection) {
@@ -112,7 +116,8 @@
   HttpClient client(io, {"127.0.0.1", server->port()}, 1, 1);
   EXPECT_TRUE(ask(client, "/a", "", 5).ok());
   server->close_all();
-  EXPECT_TRUE(ask(client, "/a", "", 5).ok()) << "a connection that the other side closed is not used";
+  EXPECT_TRUE(ask(client, "/a", "", 5).ok())
+      << "a connection that the other side closed is not used";
 }
 
 }  // namespace
