--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -117,7 +117,9 @@
     timer_.cancel();
     HttpRequest request;
     request.method = http_method_str(static_cast<http_method>(parser_.method));
-    request.path = target_.substr(0, target_.find('?'));
+    const auto mark = target_.find('?');
+    request.path = target_.substr(0, mark);
+    if (mark != std::string::npos) request.query = target_.substr(mark + 1);
     request.body = std::move(body_);
     std::weak_ptr<Connection> weak = shared_from_this();
     auto answered = std::make_shared<bool>(false);
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -15,7 +15,8 @@
 
 struct HttpRequest {
   std::string method;
-  std::string path;  ///< without the query
+  std::string path;   ///< without the query
+  std::string query;  ///< what follows the question mark
   std::string body;
 };
 
