--- a/src/dispatch/leader_core.cpp
+++ b/src/dispatch/leader_core.cpp
@@ -56,16 +56,12 @@
   return it == jobs_.end() ? nullptr : &it->second;
 }
 
-uint32_t LeaderCore::running(const Job& job) const {
-  uint32_t n = 0;
-  for (const auto& [task, places] : job.at)
-    for (const auto& [machine, attempt] : places) {
-      const auto m = machines_.find(machine);
-      if (m == machines_.end()) continue;
-      const auto run = m->second.runs.find({{job.spec().id, task}, attempt});
-      if (run != m->second.runs.end() && run->second.phase == Run::Phase::Running) ++n;
-    }
-  return n;
+std::unordered_map<std::string, uint32_t> LeaderCore::running_counts() const {
+  std::unordered_map<std::string, uint32_t> out;
+  for (const auto& [id, m] : machines_)
+    for (const auto& [key, run] : m.runs)
+      if (run.phase == Run::Phase::Running) ++out[key.task.job];
+  return out;
 }
 
 // ---------------------------------------------------------------- records
@@ -121,27 +117,37 @@
   if (!image.empty()) m.images.use(image, gb, t ? t->cache_gb * kSureCache : 0);
 }
 
-std::optional<RecordWrite> LeaderCore::write_for(Job& job, Seconds now) const {
-  if (job.writing || job.version == 0) return std::nullopt;
+/// Whether a job's record is to be written, and how urgently.
+LeaderCore::WriteUrgency LeaderCore::write_urgency(const Job& job, Seconds now) const {
+  if (job.writing || job.version == 0) return WriteUrgency::None;
+  if (job.want_started && !job.stored.started) return WriteUrgency::Start;
+  if (job.stored.state == JobState::Pending && job.complete()) return WriteUrgency::Done;
+  // It stays among the live records until nothing of it is left anywhere: the next leader must
+  // know what may still take room and count against a limit.
+  if (job.stored.state != JobState::Pending && nowhere(job)) return WriteUrgency::Over;
+  // Progress of an array is written in batches, as far as its record has room for it.
+  const bool due = now >= job.progress_since + settings_.report_s;
+  if (job.done.count() != job.stored.done.count() && due &&
+      !(recordable(job.done) == job.stored.done))
+    return WriteUrgency::Progress;
+  return WriteUrgency::None;
+}
+
+/// What finds no room in a record stays with the workers until earlier tasks close the gaps.
+Ranges LeaderCore::recordable(const Ranges& done) const {
+  return done.first_spans(static_cast<size_t>(settings_.state_value_kb * 1024 * kDoneShare) /
+                          kSpanBytes);
+}
+
+RecordWrite LeaderCore::write_for(const Job& job) const {
   RecordWrite w;
   w.job = job.spec().id;
   w.version = job.version;
   w.record = job.stored;
-  // What finds no room in a value stays with the workers until earlier tasks close the gaps.
-  w.record->done = job.done.first_spans(
-      static_cast<size_t>(settings_.state_value_kb * 1024 * kDoneShare) / kSpanBytes);
+  w.record->done = recordable(job.done);
   if (job.stored.state == JobState::Pending && job.complete()) w.record->state = JobState::Done;
   w.record->started = job.stored.started || job.want_started;
-  // It stays among the live records until nothing of it is left anywhere: the next leader must
-  // know what may still take room and count against a limit.
-  const bool nowhere = job.at.empty() && !missing_in_doubt(job);
-  w.over = w.record->state != JobState::Pending && nowhere;
-  if (w.over) return w;
-  if (*w.record == job.stored) return std::nullopt;
-  const bool urgent =
-      w.record->state != job.stored.state || w.record->started != job.stored.started;
-  // Progress of an array is written in batches.
-  if (!urgent && now < job.progress_since + settings_.report_s) return std::nullopt;
+  w.over = w.record->state != JobState::Pending && nowhere(job);
   return w;
 }
 
@@ -157,14 +163,20 @@
     out.push_back(std::move(w));
     ++changes;
   }
-  for (auto& [id, job] : jobs_) {
+  // Starts wait for some of them and users for others; what is merely tidied up comes last.
+  std::vector<std::pair<WriteUrgency, Job*>> order;
+  for (auto& [id, job] : jobs_)
+    if (const auto urgency = write_urgency(job, now); urgency != WriteUrgency::None)
+      order.emplace_back(urgency, &job);
+  std::stable_sort(order.begin(), order.end(),
+                   [](const auto& a, const auto& b) { return a.first < b.first; });
+  for (auto& [urgency, job] : order) {
     if (changes + 2 > most_changes || bytes > kMostBytes) return out;
-    auto w = write_for(job, now);
-    if (!w) continue;
-    job.writing = true;
-    changes += w->changes();
-    bytes += kRecordBytes + w->record->done.spans() * kSpanBytes;
-    out.push_back(std::move(*w));
+    RecordWrite w = write_for(*job);
+    job->writing = true;
+    changes += w.changes();
+    bytes += kRecordBytes + w.record->done.spans() * kSpanBytes;
+    out.push_back(std::move(w));
   }
   for (const auto& id : hosts_to_delete_) {
     if (changes >= most_changes) return out;
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -101,8 +101,9 @@
   /// Lapses, a placement round, provisioning and orders. Only while the leader may act.
   std::vector<Action> tick(Seconds now);
 
-  void hurry() { next_round_ = 0; }        ///< something has changed that a round should see
-  uint32_t running(const Job& job) const;  ///< tasks that run, for display
+  void hurry() { next_round_ = 0; }  ///< something has changed that a round should see
+  /// Tasks that run, by job; for display.
+  std::unordered_map<std::string, uint32_t> running_counts() const;
   bool all_accounted() const { return unaccounted_ == 0; }
   const std::unordered_map<std::string, Job>& jobs() const { return jobs_; }
   const std::map<std::string, Machine>& machines() const { return machines_; }
@@ -131,7 +132,11 @@
   bool startable(const Machine& m, const RunKey& key, const Run& run) const;
   const Job* find_job(const std::string& id) const;
   Job* find_job(const std::string& id);
-  std::optional<RecordWrite> write_for(Job& job, Seconds now) const;
+  enum class WriteUrgency { Start, Done, Progress, Over, None };  ///< the most urgent first
+  WriteUrgency write_urgency(const Job& job, Seconds now) const;
+  RecordWrite write_for(const Job& job) const;
+  Ranges recordable(const Ranges& done) const;
+  bool nowhere(const Job& job) const { return job.at.empty() && !missing_in_doubt(job); }
   // rounds.cpp: placement
   void round(Seconds now);
   std::vector<Slot> picture(Seconds now, bool booting) const;
@@ -160,8 +165,8 @@
   // moves.cpp: replicas moved together
   void move_replicas(Seconds now);
   bool finish_move(Seconds now);
-  bool movable(const Machine& m, std::vector<Slot>& others, Seconds now);
-  bool spare_without(std::vector<Slot> others, Seconds now) const;
+  bool movable(const Machine& m, Trial& elsewhere, Seconds now);
+  bool spare_room(Trial& trial, Seconds now) const;
   void drain(Machine& m, const char* why, Seconds now);
   void care_for_machines(Seconds now, std::vector<Action>& out);
   bool give_up_on(const Machine& m, Seconds now, bool many_silent) const;
@@ -188,8 +193,9 @@
     JobSpec spec;                                   ///< of the last one
     std::deque<std::pair<Seconds, uint32_t>> jobs;  ///< steady time and number of tasks
   };
-  std::map<std::string, Arrivals> arrivals_;  ///< by class
-  std::vector<Demand> unplaced_;              ///< of the last round; used in the same tick only
+  std::map<std::string, Arrivals> arrivals_;    ///< by class
+  std::optional<std::vector<Victim>> victims_;  ///< of this round, once anybody has asked
+  std::vector<Demand> unplaced_;                ///< of the last round; used in the same tick only
   Seconds next_round_ = 0, next_provision_ = 0, next_release_ = 0, next_move_ = 0;
   bool releasing_ = false;
 };
--- a/src/dispatch/machines.cpp
+++ b/src/dispatch/machines.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "dispatch/leader_core.h"
 
@@ -227,12 +228,12 @@
   return false;
 }
 
-/// Whether the room kept for arrivals is there on these machines alone.
-bool LeaderCore::spare_without(std::vector<Slot> others, Seconds now) const {
+/// Whether there is room for arrivals beside what the trial has placed.
+bool LeaderCore::spare_room(Trial& trial, Seconds now) const {
   std::vector<JobSpec> specs;
-  for (const auto& d : headroom(specs, now))
-    if (place(d, others).size() < d.tasks.size()) return false;
-  return true;
+  const auto expected = headroom(specs, now);
+  return std::all_of(expected.begin(), expected.end(),
+                     [&trial](const Demand& d) { return trial.fits(d); });
 }
 
 void LeaderCore::return_idle(Seconds now) {
@@ -244,14 +245,18 @@
     else if (m.idle_since < 0)
       m.idle_since = now;
   }
-  for (auto& [id, m] : machines_) {
+  auto others = picture(now, false);
+  for (auto& s : others) {
+    Machine& m = machines_.at(s.machine);
     const MachineType* t = type(m.info.type);
     if (m.idle_since < 0 || !t || now - m.idle_since < settings_.tuning.idle * t->boot_s) continue;
-    auto others = picture(now, false);
-    std::erase_if(others, [&id = id](const Slot& s) { return s.machine == id; });
-    if (!m.sick && !m.taken_at && !spare_without(std::move(others), now)) continue;
-    m.stage = Machine::Stage::Returning;
-    return;
+    const bool usable = std::exchange(s.usable, false);
+    Trial without(others);
+    if (m.sick || m.taken_at || spare_room(without, now)) {
+      m.stage = Machine::Stage::Returning;
+      return;
+    }
+    s.usable = usable;
   }
 }
 
--- a/src/dispatch/moves.cpp
+++ b/src/dispatch/moves.cpp
@@ -27,8 +27,8 @@
 }  // namespace
 
 /// Whether every task on the machine is a settled replica that fits on another machine with its
-/// image; takes the room there.
-bool LeaderCore::movable(const Machine& m, std::vector<Slot>& others, Seconds now) {
+/// image.
+bool LeaderCore::movable(const Machine& m, Trial& elsewhere, Seconds now) {
   for (const auto& [key, run] : m.runs) {
     if (!run.present()) continue;
     Job* job = find_job(key.task.job);
@@ -40,11 +40,10 @@
     for (const auto& [task, places] : job->at)
       for (const auto& [machine, attempt] : places)
         if (task != key.task.task) ++d.zones[machines_.at(machine).info.zone];
-    d.avoid = [this, job](const std::string& machine) {
-      return job->failed_on.count(machine) > 0 ||
-             !machines_.at(machine).images.has(job->spec().image);
+    d.avoid = [job](const Slot& s) {
+      return !s.of->images.has(job->spec().image) || job->failed_on.count(s.machine) > 0;
     };
-    if (place(d, others).empty()) return false;
+    if (!elsewhere.fits(d)) return false;
   }
   return true;
 }
@@ -84,22 +83,21 @@
   }
   std::sort(order.begin(), order.end(),
             [&](size_t a, size_t b) { return used_part(slots[a]) < used_part(slots[b]); });
+  // Nothing is moved to a machine that is empty: that would only go back and forth.
+  for (auto& s : slots) s.usable = s.usable && used_part(s) > 0;
+  next_move_ = now + kPause * settings_.report_s;
   for (size_t i : order) {
-    Slot whole = slots[i];
-    whole.free = whole.room;
     if (gang) {
-      std::vector<Slot> alone{whole};
+      std::vector<Slot> alone{slots[i]};
+      alone[0].free = alone[0].room;
       if (place(*gang, alone).empty()) continue;
     }
     Machine& m = machines_.at(slots[i].machine);
-    auto others = slots;
-    others.erase(others.begin() + static_cast<long>(i));
-    // Nothing is moved to a machine that is emptier: that would only go back and forth.
-    for (auto& s : others) s.usable = s.usable && used_part(s) > 0;
-    if (!movable(m, others, now)) continue;
-    if (!gang && !spare_without(others, now)) continue;
-    next_move_ = now + kPause * settings_.report_s;
-    return drain(m, gang ? "a gang needs the whole machine" : "it can be returned", now);
+    slots[i].usable = false;
+    Trial elsewhere(slots);
+    if (movable(m, elsewhere, now) && (gang || spare_room(elsewhere, now)))
+      return drain(m, gang ? "a gang needs the whole machine" : "it can be returned", now);
+    slots[i].usable = true;
   }
 }
 
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -31,6 +31,7 @@
     if (!booting && m.stage != Machine::Stage::Up) continue;
     Slot s;
     s.machine = id;
+    s.of = &m;
     s.type = m.info.type;
     s.zone = m.info.zone;
     s.spot = m.info.spot;
@@ -115,9 +116,7 @@
 /// the demand goes the ordinary way.
 void LeaderCore::place_warm(Job& job, Demand& d, std::vector<Slot>& slots, Seconds now) {
   Demand warm = d;
-  warm.avoid = [&d](const std::string& machine) {
-    return d.avoid(machine) || !d.has_image(machine);
-  };
+  warm.avoid = [&d](const Slot& s) { return d.avoid(s) || !d.has_image(s); };
   place_part(job, warm, slots, now);
   if (!warm.tasks.empty()) make_room(job, warm, slots, now);
   d.tasks = warm.tasks;
@@ -149,17 +148,15 @@
       if (m != machines_.end()) ++d.zones[m->second.info.zone];
     }
   d.image_first = fetch_hurts(job);
-  d.avoid = [&job](const std::string& machine) { return job.failed_on.count(machine) > 0; };
-  d.has_image = [this, &job](const std::string& machine) {
-    const auto m = machines_.find(machine);
-    return m != machines_.end() && m->second.images.has(job.spec().image);
-  };
+  d.avoid = [&job](const Slot& s) { return job.failed_on.count(s.machine) > 0; };
+  d.has_image = [&job](const Slot& s) { return s.of && s.of->images.has(job.spec().image); };
   return d;
 }
 
 void LeaderCore::round(Seconds now) {
   unplaced_.clear();
   count_usage();
+  victims_.reset();
   auto slots = picture(now, false);
   for (Job* job : waiting(now)) {
     const size_t left = quota_left(*job);
@@ -216,7 +213,8 @@
 void LeaderCore::make_room(Job& job, Demand& d, std::vector<Slot>& slots, Seconds now) {
   if (job.spec().priority == Priority::Low) return;
   if (job.spec().kind == JobKind::Gang && d.tasks.size() > 1) return;
-  const auto candidates = victims(slots, now);
+  if (!victims_) victims_ = victims(slots, now);
+  const auto& candidates = *victims_;
   while (!d.tasks.empty()) {
     const auto p = preempt(d, slots, candidates);
     if (!p) return;
@@ -238,8 +236,10 @@
     slot.free -= d.spec->need;
     ++d.zones[slot.zone];
     d.tasks.pop_back();
-    if (!p->victims.empty())
+    if (!p->victims.empty()) {
+      victims_.reset();
       return;  // the candidates have changed: the next round sees to the rest
+    }
   }
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -37,19 +37,12 @@
       leadership_(leadership_config(settings), leadership_effects()),
       cloud_(io, settings.cloud, 4, 32),
       peers_(io, settings, leadership_config(settings).renew,
-             {[this] { return own_pulse(); },
+             {[this](bool details) { return own_pulse(details); },
               [this](const wire::Pulse& p) { leadership_.saw_term(now(), p.term); },
               [this](const std::string& n, const wire::Pulse& p) { on_pulse_answer(n, p); }}),
       frontend_(settings, store_, mirror_,
                 {[this]() -> const std::vector<MachineType>& { return types_; },
-                 [this](const std::string& id) {
-                   if (!core_) return peers_.counts(id);
-                   const auto job = core_->jobs().find(id);
-                   wire::RunningCount c{id, 0, 0};
-                   if (job != core_->jobs().end()) c.running = core_->running(job->second);
-                   return c;
-                 },
-                 time_of_day_ms}),
+                 [this](const std::string& id) { return peers_.counts(id); }, time_of_day_ms}),
       tick_timer_(io),
       types_timer_(io),
       list_timer_(io) {}
@@ -207,7 +200,7 @@
   for (const auto& held : peers_.images()) core_->image_held(held.machine, held.image, held.gb);
   spdlog::info("takes over {} jobs and {} machines", mirror_.live().size(), mirror_.hosts().size());
   if (settings_.peers.empty()) core_->fenced(now());
-  peers_.pulse_now();
+  peers_.pulse_now(false);
   list_machines();
   asio::post(io_, [this] { tick_core(); });
 }
@@ -239,18 +232,20 @@
   core_->hurry();
 }
 
-wire::Pulse Node::own_pulse() {
+wire::Pulse Node::own_pulse(bool details) {
   wire::Pulse p;
   p.node = settings_.node;
   p.term = leadership_.highest_term();
   p.leading = core_ && leadership_.may_answer(now());
   p.served = served();
-  if (!p.leading) return p;
-  constexpr size_t kMostCounts = 1500;  // well under the limit of a request's body
-  for (const auto& [id, job] : core_->jobs())
-    if (const uint32_t running = core_->running(job); running > 0 && p.counts.size() < kMostCounts)
-      p.counts.push_back({id, job.done.count(), running});
-  constexpr size_t kMostImages = 600;
+  if (!p.leading || !details) return p;
+  // Both well under the limit of a request's body.
+  constexpr size_t kMostCounts = 1500, kMostImages = 6000;
+  for (const auto& [id, running] : core_->running_counts()) {
+    const auto job = core_->jobs().find(id);
+    if (job != core_->jobs().end() && p.counts.size() < kMostCounts)
+      p.counts.push_back({id, job->second.done.count(), running});
+  }
   for (const auto& [id, m] : core_->machines())
     for (const auto& [image, gb] : m.images.kept())
       if (p.images.size() < kMostImages) p.images.push_back({id, image, gb});
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -39,7 +39,7 @@
   void on_leader_record();
   void on_job_record(const std::string& id);
   void on_pulse_answer(const std::string& node, const wire::Pulse& pulse);
-  wire::Pulse own_pulse();
+  wire::Pulse own_pulse(bool details);
   // the leader's hands
   void perform(const Action& action);
   void perform(const SendOrders& order);
--- a/src/peer/peers.cpp
+++ b/src/peer/peers.cpp
@@ -1,13 +1,22 @@
 #include "peer/peers.h"
 
+#include <algorithm>
+
 namespace sumacquay {
 namespace {
 using Clock = std::chrono::steady_clock;
 constexpr double kRecent = 4;  ///< periods for which what was heard still counts
+/// Seconds between details: what users are shown may lag by 3 s.
+constexpr double kDetails = 2.4;
 }  // namespace
 
 Peers::Peers(asio::io_context& io, const Settings& settings, double period_s, Hooks hooks)
-    : io_(io), settings_(settings), period_s_(period_s), hooks_(std::move(hooks)), timer_(io) {
+    : io_(io),
+      settings_(settings),
+      period_s_(period_s),
+      hooks_(std::move(hooks)),
+      timer_(io),
+      beats_a_detail_(std::max(1, static_cast<int>(kDetails / period_s))) {
   for (const auto& p : settings.peers)
     clients_[p.node] = std::make_unique<HttpClient>(io, p.addr, 2, 4);
 }
@@ -22,16 +31,15 @@
         if (!pulse) return respond({400, {}, 0});
         note(*pulse);
         hooks_.received(*pulse);
-        wire::Pulse own = hooks_.own();
-        own.counts.clear();
-        own.images.clear();
-        respond({200, wire::encode_pulse(own), 0});
+        respond({200, wire::encode_pulse(hooks_.own(false)), 0});
       });
   beat();
 }
 
-void Peers::pulse_now() {
-  const std::string body = wire::encode_pulse(hooks_.own());
+void Peers::pulse_now(bool details) {
+  const wire::Pulse own = hooks_.own(details);
+  if (own.leading) keep_details(own);
+  const std::string body = wire::encode_pulse(own);
   for (auto& [node, client] : clients_) {
     if (client->in_progress() > 1) continue;
     client->request("POST", wire::path::kPulse, body, period_s_ * 2,
@@ -45,7 +53,7 @@
 }
 
 void Peers::beat() {
-  pulse_now();
+  pulse_now(beats_++ % beats_a_detail_ == 0);
   timer_.expires_after(std::chrono::microseconds(static_cast<long long>(period_s_ * 1e6)));
   timer_.async_wait([this](auto error) {
     if (!error) beat();
@@ -58,6 +66,10 @@
   leader_ = pulse.node;
   leader_term_ = pulse.term;
   leader_heard_ = Clock::now();
+  keep_details(pulse);
+}
+
+void Peers::keep_details(const wire::Pulse& pulse) {
   if (!pulse.images.empty()) images_ = pulse.images;
   if (pulse.counts.empty()) return;
   counts_.clear();
--- a/src/peer/peers.h
+++ b/src/peer/peers.h
@@ -17,17 +17,19 @@
 class Peers {
  public:
   struct Hooks {
-    std::function<wire::Pulse()> own;
+    /// What this node says; with `details`, also what users are shown and a successor would want.
+    std::function<wire::Pulse(bool details)> own;
     std::function<void(const wire::Pulse&)> received;
     std::function<void(const std::string& node, const wire::Pulse&)> answered;
   };
   Peers(asio::io_context& io, const Settings& settings, double period_s, Hooks hooks);
   void start();
-  void pulse_now();
+  void pulse_now(bool details);
 
   /// The leader that others speak of, empty if none was heard of lately.
   std::string leader() const;
   uint64_t leader_term() const { return leader_term_; }
+  /// As the leader said last, be it another node or this one.
   wire::RunningCount counts(const std::string& job) const;
   const std::vector<wire::HeldImage>& images() const { return images_; }
   /// Another node was served by the state service lately.
@@ -36,6 +38,7 @@
  private:
   void beat();
   void note(const wire::Pulse& pulse);
+  void keep_details(const wire::Pulse& pulse);
 
   asio::io_context& io_;
   const Settings& settings_;
@@ -44,6 +47,7 @@
   std::map<std::string, std::unique_ptr<HttpClient>> clients_;
   std::unique_ptr<HttpServer> server_;
   asio::steady_timer timer_;
+  int beats_ = 0, beats_a_detail_;
   std::string leader_;
   uint64_t leader_term_ = 0;
   std::chrono::steady_clock::time_point leader_heard_{}, served_heard_{};
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -23,35 +23,35 @@
 /// idle GPUs is what GPU tasks need.
 auto rank(const Slot& s, const Demand& d) {
   const bool wastes_gpus = d.spec->need.gpus == 0 && s.room.gpus > 0;
-  const bool image = d.has_image && d.has_image(s.machine);
+  const bool image = d.has_image && d.has_image(s);
   return std::make_tuple(wastes_gpus, d.image_first && !image, s.room.gpus, !image, s.free.gpus,
                          s.free.cpus, s.free.memory_gb);
 }
 
 bool usable(const Slot& s, const Demand& d, const Zones& zones) {
   return s.usable && allowed(*d.spec, s.type, s.zone, s.spot) &&
-         zone_allows(*d.spec, zones, s.zone) && !(d.avoid && d.avoid(s.machine));
-}
-
-std::optional<size_t> best_slot(const Demand& d, const std::vector<Slot>& slots,
-                                const Zones& zones) {
-  std::optional<size_t> best;
-  for (size_t i = 0; i < slots.size(); ++i) {
-    if (!usable(slots[i], d, zones) || !d.spec->need.fits_in(slots[i].free)) continue;
-    if (!best || rank(slots[i], d) < rank(slots[*best], d)) best = i;
-  }
-  return best;
+         zone_allows(*d.spec, zones, s.zone) && !(d.avoid && d.avoid(s));
 }
 
+/// The best slot stays the best while tasks of the same job are put on it, since each makes it
+/// fuller, and a slot that no longer fits or whose zone is full stays so. Sorting once is therefore
+/// the same as looking for the best slot again for each task, at a fraction of the cost.
 std::vector<Placed> greedy(const Demand& d, std::vector<Slot>& slots, Zones zones) {
+  using Ranked = std::pair<decltype(rank(slots[0], d)), size_t>;
+  std::vector<Ranked> order;
+  for (size_t i = 0; i < slots.size(); ++i)
+    if (d.spec->need.fits_in(slots[i].free) && usable(slots[i], d, zones))
+      order.emplace_back(rank(slots[i], d), i);
+  std::sort(order.begin(), order.end());
   std::vector<Placed> out;
-  for (uint32_t task : d.tasks) {
-    const auto slot = best_slot(d, slots, zones);
-    if (!slot) break;  // tasks of a job are alike: the next one fits no better
-    slots[*slot].free -= d.spec->need;
-    ++zones[slots[*slot].zone];
-    out.push_back({task, *slot});
-  }
+  auto task = d.tasks.begin();
+  for (const auto& [ignored, i] : order)
+    while (task != d.tasks.end() && d.spec->need.fits_in(slots[i].free) &&
+           zone_allows(*d.spec, zones, slots[i].zone)) {
+      slots[i].free -= d.spec->need;
+      ++zones[slots[i].zone];
+      out.push_back({*task++, i});
+    }
   return out;
 }
 
@@ -92,6 +92,16 @@
   return d.spec->one_zone ? gang_in_some_zone(d, slots) : std::vector<Placed>{};
 }
 
+Trial::~Trial() {
+  for (const auto& [slot, need] : taken_) slots_[slot].free += need;
+}
+
+bool Trial::fits(const Demand& d) {
+  const auto placed = place(d, slots_);
+  for (const auto& p : placed) taken_.emplace_back(p.slot, d.spec->need);
+  return placed.size() == d.tasks.size();
+}
+
 std::optional<Preemption> preempt(const Demand& d, const std::vector<Slot>& slots,
                                   const std::vector<Victim>& victims) {
   std::vector<std::vector<size_t>> by_slot(slots.size());
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -9,9 +9,12 @@
 
 namespace sumacquay {
 
+struct Machine;
+
 /// A machine as placement sees it.
 struct Slot {
   std::string machine, type, zone;
+  const Machine* of = nullptr;  ///< for whoever made the slot; placement does not look into it
   bool spot = false;
   Amounts room;        ///< the whole machine's
   Amounts free;        ///< of it, what nothing takes
@@ -22,11 +25,11 @@
 /// What of a job is to be placed, and what of it is somewhere already.
 struct Demand {
   const JobSpec* spec = nullptr;
-  std::vector<uint32_t> tasks;                        ///< to be placed
-  std::unordered_map<std::string, uint32_t> zones;    ///< tasks of the job that are in a zone
-  bool image_first = false;                           ///< a fetch costs more than packing gains
-  std::function<bool(const std::string&)> avoid;      ///< machines the job failed on
-  std::function<bool(const std::string&)> has_image;  ///< machines that hold the image
+  std::vector<uint32_t> tasks;                      ///< to be placed
+  std::unordered_map<std::string, uint32_t> zones;  ///< tasks of the job that are in a zone
+  bool image_first = false;                         ///< a fetch costs more than packing gains
+  std::function<bool(const Slot&)> avoid;           ///< machines the job failed on
+  std::function<bool(const Slot&)> has_image;       ///< machines that hold the image
 };
 
 struct Placed {
@@ -41,6 +44,20 @@
 /// whole or not at all; of arrays and services (gangs of one) as many tasks as fit.
 std::vector<Placed> place(const Demand& demand, std::vector<Slot>& slots);
 
+/// Finds out whether things would fit: what it places is given back when it ends.
+class Trial {
+ public:
+  explicit Trial(std::vector<Slot>& slots) : slots_(slots) {}
+  Trial(const Trial&) = delete;
+  ~Trial();
+  /// Whether all of it fits beside what this trial has placed already.
+  bool fits(const Demand& demand);
+
+ private:
+  std::vector<Slot>& slots_;
+  std::vector<std::pair<size_t, Amounts>> taken_;
+};
+
 /// A running task that a job may be given the place of.
 struct Victim {
   std::string job;
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <map>
 
 namespace sumacquay::wire {
 namespace {
@@ -644,7 +645,7 @@
 
 std::string encode_pulse(const Pulse& pulse) {
   return build([&](Packer& p) {
-    p.pack_map(6);
+    p.pack_map(7);
     pair(p, "node", pulse.node);
     pair(p, "term", pulse.term);
     pair(p, "leading", pulse.leading);
@@ -657,13 +658,28 @@
       p.pack_uint32(c.done);
       p.pack_uint32(c.running);
     }
+    // Each image is named once; a machine's line then holds numbers.
+    std::map<std::string_view, std::vector<const HeldImage*>> held;
+    for (const auto& i : pulse.images) held[i.machine].push_back(&i);
+    std::map<std::pair<std::string_view, double>, uint32_t> numbers;
+    std::vector<std::pair<std::string_view, double>> images;
+    for (const auto& [machine, list] : held)
+      for (const HeldImage* i : list)
+        if (numbers.try_emplace({i->image, i->gb}, images.size()).second)
+          images.emplace_back(i->image, i->gb);
     text(p, "images");
-    p.pack_array(static_cast<uint32_t>(pulse.images.size()));
-    for (const auto& i : pulse.images) {
-      p.pack_array(3);
-      text(p, i.machine);
-      text(p, i.image);
-      p.pack_double(i.gb);
+    p.pack_array(static_cast<uint32_t>(images.size()));
+    for (const auto& [image, gb] : images) {
+      p.pack_array(2);
+      text(p, image);
+      p.pack_double(gb);
+    }
+    text(p, "held");
+    p.pack_array(static_cast<uint32_t>(held.size()));
+    for (const auto& [machine, list] : held) {
+      p.pack_array(static_cast<uint32_t>(list.size() + 1));
+      text(p, machine);
+      for (const HeldImage* i : list) p.pack_uint32(numbers.at({i->image, i->gb}));
     }
   });
 }
@@ -687,12 +703,18 @@
       pulse.counts.push_back({*c.at(0).text(), static_cast<uint32_t>(*c.at(1).count()),
                               static_cast<uint32_t>(*c.at(2).count())});
     }
-    const View images = root["images"];
-    for (size_t i = 0; i < images.size(); ++i) {
-      const View held = images.at(i);
-      if (held.size() != 3 || !held.at(0).text() || !held.at(1).text() || !held.at(2).number())
-        return std::nullopt;
-      pulse.images.push_back({*held.at(0).text(), *held.at(1).text(), *held.at(2).number()});
+    const View images = root["images"], held = root["held"];
+    for (size_t i = 0; i < held.size(); ++i) {
+      const View line = held.at(i);
+      const auto machine = line.size() > 0 ? line.at(0).text() : std::nullopt;
+      if (!machine) return std::nullopt;
+      for (size_t k = 1; k < line.size(); ++k) {
+        const auto number = line.at(k).count();
+        if (!number || *number >= images.size()) return std::nullopt;
+        const View image = images.at(*number);
+        if (image.size() != 2 || !image.at(0).text() || !image.at(1).number()) return std::nullopt;
+        pulse.images.push_back({*machine, *image.at(0).text(), *image.at(1).number()});
+      }
     }
     return pulse;
   });
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -76,7 +76,7 @@
   slots[1].free.gpus = 2;
   EXPECT_EQ(place(d, slots).at(0).slot, 1u);
   std::vector<Slot> tie{slot("a", "e", {8, 8, 64}), slot("b", "e", {8, 8, 64})};
-  d.has_image = [](const std::string& m) { return m == "b"; };
+  d.has_image = [](const Slot& s) { return s.machine == "b"; };
   EXPECT_EQ(place(d, tie).at(0).slot, 1u) << "ties go to the one that has the image";
 }
 
@@ -91,7 +91,7 @@
   EXPECT_EQ(place(d, slots).at(0).slot, 1u) << "though the large one is fuller";
   std::vector<Slot> again{slot("large", "e", {8, 8, 64}), slot("small", "e", {4, 4, 32})};
   d.image_first = true;
-  d.has_image = [](const std::string& m) { return m == "large"; };
+  d.has_image = [](const Slot& s) { return s.machine == "large"; };
   EXPECT_EQ(place(d, again).at(0).slot, 0u) << "a replica that is down goes where its image is";
 }
 
