--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -150,6 +150,14 @@
   void start_placed(Job& job, const std::vector<Placed>& placed, const std::vector<Slot>& slots,
                     Seconds now);
   void make_room(Job& job, Demand& demand, std::vector<Slot>& slots, Seconds now);
+  void gather(Job& job, Demand& demand, std::vector<Slot>& slots, Seconds now);
+  void make_room(Job& job, Demand& demand, std::vector<Slot>& slots,
+                 const std::vector<Victim>& candidates, Seconds now);
+  std::optional<Seconds> soonest_rented(const JobSpec& spec, Seconds now) const;
+  Seconds arrival(const Job& job) const;
+  bool late(const Job& job, Seconds takes, Seconds now) const;
+  bool preemptible(Demand demand, std::vector<Slot> slots,
+                   const std::vector<Victim>& candidates) const;
   std::vector<Victim> victims(const std::vector<Slot>& slots, Seconds now) const;
   void count_usage();
   bool usable(const Machine& m, Seconds now) const;
@@ -162,6 +170,7 @@
   void forget_arrivals(Seconds now);
   std::vector<Demand> headroom(std::vector<JobSpec>& specs, Seconds now) const;
   void return_idle(Seconds now);
+  void log_fleet(Seconds now);
   // moves.cpp: replicas moved together
   void move_replicas(Seconds now);
   bool finish_move(Seconds now);
@@ -196,7 +205,8 @@
   std::map<std::string, Arrivals> arrivals_;    ///< by class
   std::optional<std::vector<Victim>> victims_;  ///< of this round, once anybody has asked
   std::vector<Demand> unplaced_;                ///< of the last round; used in the same tick only
-  Seconds next_round_ = 0, next_provision_ = 0, next_release_ = 0, next_move_ = 0;
+  Seconds next_round_ = 0, next_provision_ = 0, next_release_ = 0, next_move_ = 0,
+          next_summary_ = 0;
   bool releasing_ = false;
 };
 
--- a/src/dispatch/machines.cpp
+++ b/src/dispatch/machines.cpp
@@ -36,6 +36,7 @@
     round(now);
     move_replicas(now);
     provision(now, out);
+    log_fleet(now);
     unplaced_.clear();
   }
   care_for_machines(now, out);
@@ -43,6 +44,35 @@
   return out;
 }
 
+/// For operators: what the fleet is paid for, by type.
+void LeaderCore::log_fleet(Seconds now) {
+  if (now < next_summary_) return;
+  next_summary_ = now + settings_.lease_s;
+  for (const auto& t : types_) {
+    size_t booting = 0, up = 0, idle = 0, leaving = 0;
+    Amounts fetching, used, room;
+    for (const auto& [id, m] : machines_) {
+      if (m.info.type != t.name) continue;
+      if (m.stage == Machine::Stage::Booting) ++booting;
+      if (m.stage == Machine::Stage::Returning || m.stage == Machine::Stage::Lapsed) ++leaving;
+      if (m.stage != Machine::Stage::Up) continue;
+      ++up;
+      if (!m.has_presence()) ++idle;
+      room += t.room;
+      for (const auto& [key, run] : m.runs) {
+        if (!run.present()) continue;
+        (run.phase == Run::Phase::Running ? used : fetching) += run.need;
+      }
+    }
+    spdlog::info(
+        "{}: {} up, {} of them idle, {} booting, {} leaving; CPUs running {:.0f}, starting or "
+        "stopping {:.0f}, of {:.0f}; GPUs {:.0f}, {:.0f}, of {:.0f}",
+        t.name, up, idle, booting, leaving, used.cpus, fetching.cpus, room.cpus, used.gpus,
+        fetching.gpus, room.gpus);
+  }
+  spdlog::info("{} jobs known, {} without room", jobs_.size(), unplaced_.size());
+}
+
 /// When the worker's lease has ended for certain, counted from the last answer that anybody could
 /// have given it.
 Seconds LeaderCore::certain_end(const Machine& m) const {
--- a/src/dispatch/moves.cpp
+++ b/src/dispatch/moves.cpp
@@ -68,9 +68,10 @@
 
 void LeaderCore::move_replicas(Seconds now) {
   if (finish_move(now) || now < next_move_ || !all_accounted()) return;
-  const Demand* gang = nullptr;
+  std::optional<Demand> gang;  // a task of it
   for (const auto& d : unplaced_)
-    if (d.spec->kind == JobKind::Gang && d.tasks.size() == 1 && !gang) gang = &d;
+    if (d.spec->kind == JobKind::Gang && !gang) gang = d;
+  if (gang) gang->tasks.resize(1);
   if (!gang && !unplaced_.empty()) return;
   auto slots = picture(now, false);
   double dearest = 0;
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -13,6 +13,8 @@
 constexpr double kSilence = 2.5;
 /// Tasks of one array that a round looks at: more than any fleet of this kind starts at once.
 constexpr size_t kMostTasks = 500;
+/// What a task may lose to make room for a gang of several / the time a rented machine would take.
+constexpr double kBearable = 0.1;
 
 }  // namespace
 
@@ -165,7 +167,10 @@
     if (d->image_first) place_warm(*job, *d, slots, now);
     if (!d->tasks.empty()) place_part(*job, *d, slots, now);
     if (d->tasks.empty()) continue;
-    make_room(*job, *d, slots, now);
+    if (job->spec().kind == JobKind::Gang && d->tasks.size() > 1)
+      gather(*job, *d, slots, now);
+    else
+      make_room(*job, *d, slots, now);
     if (!d->tasks.empty()) unplaced_.push_back(std::move(*d));
   }
 }
@@ -208,13 +213,76 @@
   return out;
 }
 
+/// The soonest that the job can run on a machine rented now; none: nothing can be rented for it.
+std::optional<Seconds> LeaderCore::soonest_rented(const JobSpec& spec, Seconds now) const {
+  std::optional<Seconds> soonest;
+  for (const auto& o : offers(now)) {
+    if (o.blocked || !allowed(spec, o.type->name, o.zone, o.spot) ||
+        !spec.need.fits_in(o.type->room))
+      continue;
+    const Seconds takes = o.type->boot_s + spec.image_gb / std::max(o.type->fetch_gb_per_s, 1e-3);
+    if (!soonest || takes < *soonest) soonest = takes;
+  }
+  return soonest;
+}
+
+Seconds LeaderCore::arrival(const Job& job) const {
+  return static_cast<double>(job.stored.submitted_ms) / 1000 - wall_offset_;
+}
+
+/// Whether a boot from now on would make the job miss what users were promised for its class.
+bool LeaderCore::late(const Job& job, Seconds takes, Seconds now) const {
+  Seconds within = 2 * takes;
+  for (const auto& o : settings_.objectives)
+    if (o.kind == "wait" && o.job_class == job.spec().job_class) within = o.within_s;
+  return now - arrival(job) + takes > within;
+}
+
+/// Whether all tasks would find room if tasks of lower priority gave way.
+bool LeaderCore::preemptible(Demand d, std::vector<Slot> slots,
+                             const std::vector<Victim>& candidates) const {
+  for (; !d.tasks.empty(); d.tasks.pop_back()) {
+    const auto p = preempt(d, slots, candidates);
+    if (!p) return false;
+    slots[p->slot].usable = false;
+    ++d.zones[slots[p->slot].zone];
+  }
+  return true;
+}
+
+/// A gang of several that fits nowhere whole would starve behind jobs that take each machine as it
+/// comes free. In the round, room for part of it is held until there is room for the rest: on
+/// machines that have come since it arrived, for these were rented for it, and once it is late on
+/// any. Only then do lower priorities give way, and only where little is lost, since work that
+/// starts over costs its own users as much as the gang gains, unless no machine is to be had at
+/// all.
+void LeaderCore::gather(Job& job, Demand& d, std::vector<Slot>& slots, Seconds now) {
+  const auto takes = soonest_rented(job.spec(), now);
+  const bool hurry = !takes || late(job, *takes, now);
+  const auto avoid = d.avoid;
+  if (!hurry)
+    d.avoid = [&](const Slot& s) {
+      return avoid(s) || (s.of->stage == Machine::Stage::Up && s.of->up_since < arrival(job));
+    };
+  hold(d, slots, picture(now, true));
+  d.avoid = avoid;
+  if (d.tasks.empty() || !hurry) return;
+  auto candidates = victims(slots, now);
+  if (takes)
+    std::erase_if(candidates, [&](const Victim& v) { return v.loss_s > kBearable * *takes; });
+  if (preemptible(d, slots, candidates)) make_room(job, d, slots, candidates, now);
+}
+
 /// Stops tasks of lower priority for those that found no room. Their places are free once they are
 /// proven gone; until then the room is held for this job.
 void LeaderCore::make_room(Job& job, Demand& d, std::vector<Slot>& slots, Seconds now) {
   if (job.spec().priority == Priority::Low) return;
-  if (job.spec().kind == JobKind::Gang && d.tasks.size() > 1) return;
   if (!victims_) victims_ = victims(slots, now);
-  const auto& candidates = *victims_;
+  make_room(job, d, slots, *victims_, now);
+}
+
+void LeaderCore::make_room(Job& job, Demand& d, std::vector<Slot>& slots,
+                           const std::vector<Victim>& candidates, Seconds now) {
   while (!d.tasks.empty()) {
     const auto p = preempt(d, slots, candidates);
     if (!p) return;
--- a/src/fleet/machine.h
+++ b/src/fleet/machine.h
@@ -87,7 +87,7 @@
   Seconds next_order = 0;
 
   Seconds first_seen = 0;
-  double age_at_seen = 0;
+  Seconds up_since = -std::numeric_limits<Seconds>::infinity();  ///< if this leader saw it boot
   bool listed_failed = false;
   std::optional<Seconds> taken_at;  ///< spot notice: when the cloud takes it
   Seconds idle_since = -1;
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -28,6 +28,10 @@
                          s.free.cpus, s.free.memory_gb);
 }
 
+bool allowed_zone(const JobSpec& spec, const std::string& zone) {
+  return !spec.zone || *spec.zone == zone;
+}
+
 bool usable(const Slot& s, const Demand& d, const Zones& zones) {
   return s.usable && allowed(*d.spec, s.type, s.zone, s.spot) &&
          zone_allows(*d.spec, zones, s.zone) && !(d.avoid && d.avoid(s));
@@ -59,29 +63,43 @@
   for (const auto& p : placed) slots[p.slot].free += d.spec->need;
 }
 
-/// A gang in one zone may fit in another zone than the one the fullest machine is in.
-std::vector<Placed> gang_in_some_zone(const Demand& d, std::vector<Slot>& slots) {
+std::vector<std::string> zones_of(const std::vector<Slot>& slots) {
   std::vector<std::string> names;
   for (const auto& s : slots)
     if (std::find(names.begin(), names.end(), s.zone) == names.end()) names.push_back(s.zone);
-  for (const auto& zone : names) {
-    Zones zones = d.zones;
-    if (!zone_allows(*d.spec, zones, zone)) continue;
-    JobSpec pinned = *d.spec;
-    pinned.zone = zone;
-    Demand in_zone = d;
-    in_zone.spec = &pinned;
-    auto placed = greedy(in_zone, slots, zones);
+  return names;
+}
+
+std::vector<Placed> greedy_in(const std::string& zone, const Demand& d, std::vector<Slot>& slots) {
+  JobSpec pinned = *d.spec;
+  pinned.zone = zone;
+  Demand in_zone = d;
+  in_zone.spec = &pinned;
+  return greedy(in_zone, slots, d.zones);
+}
+
+/// A gang in one zone may fit in another zone than the one the fullest machine is in.
+std::vector<Placed> gang_in_some_zone(const Demand& d, std::vector<Slot>& slots) {
+  for (const auto& zone : zones_of(slots)) {
+    if (!allowed_zone(*d.spec, zone)) continue;
+    auto placed = greedy_in(zone, d, slots);
     if (placed.size() == d.tasks.size()) return placed;
-    give_back(in_zone, slots, placed);
+    give_back(d, slots, placed);
   }
   return {};
 }
 
+/// How many tasks there is room for in the zone; takes none of it.
+size_t room_in(const std::string& zone, const Demand& d, std::vector<Slot>& slots) {
+  const auto placed = greedy_in(zone, d, slots);
+  give_back(d, slots, placed);
+  return placed.size();
+}
+
 }  // namespace
 
 bool allowed(const JobSpec& spec, const std::string& type, const std::string& zone, bool spot) {
-  return spec.allows_type(type) && (!spec.zone || *spec.zone == zone) && (spec.spot || !spot);
+  return spec.allows_type(type) && allowed_zone(spec, zone) && (spec.spot || !spot);
 }
 
 std::vector<Placed> place(const Demand& d, std::vector<Slot>& slots) {
@@ -92,6 +110,32 @@
   return d.spec->one_zone ? gang_in_some_zone(d, slots) : std::vector<Placed>{};
 }
 
+void hold(Demand& d, std::vector<Slot>& slots, const std::vector<Slot>& soon) {
+  std::vector<Placed> held;
+  if (!d.spec->one_zone) {
+    held = greedy(d, slots, d.zones);
+  } else {
+    std::vector<Slot> later = soon;
+    auto names = zones_of(slots);
+    for (const auto& zone : zones_of(soon))
+      if (std::find(names.begin(), names.end(), zone) == names.end()) names.push_back(zone);
+    std::sort(names.begin(), names.end());
+    std::optional<std::string> best;
+    size_t most = 0;
+    for (const auto& zone : names) {
+      if (!allowed_zone(*d.spec, zone)) continue;
+      const size_t room = room_in(zone, d, slots) + room_in(zone, d, later);
+      if (best && room <= most) continue;
+      best = zone;
+      most = room;
+    }
+    if (!best || most == 0) return;
+    held = greedy_in(*best, d, slots);
+    d.zones[*best] += 1;  // binds the rest to it
+  }
+  for (const auto& p : held) std::erase(d.tasks, p.task);
+}
+
 Trial::~Trial() {
   for (const auto& [slot, need] : taken_) slots_[slot].free += need;
 }
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -44,6 +44,11 @@
 /// whole or not at all; of arrays and services (gangs of one) as many tasks as fit.
 std::vector<Placed> place(const Demand& demand, std::vector<Slot>& slots);
 
+/// For a gang that fits nowhere whole: takes room for as many of its tasks as there is, in the zone
+/// that has the most on `slots` and `soon` together, and leaves the rest of it in `demand`, bound
+/// to that zone if the gang must be in one.
+void hold(Demand& demand, std::vector<Slot>& slots, const std::vector<Slot>& soon);
+
 /// Finds out whether things would fit: what it places is given back when it ends.
 class Trial {
  public:
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -140,6 +140,40 @@
   EXPECT_TRUE(much_later->tick(now + 1000).empty());
 }
 
+// A gang of several fits nowhere whole while a job that takes each machine as it comes up is there:
+// without the room that is held for it, it would wait for ever.
+TEST_F(Fixture, AGangOfSeveralKeepsTheMachinesThatComeUpForIt) {
+  settings.teams[0].gpus_max = 0;
+  auto core = leader(1, 0);
+  record.spec.kind = JobKind::Gang;
+  record.spec.one_zone = true;
+  record.spec.priority = Priority::High;
+  record.spec.need = type.room;
+  record.submitted_ms = static_cast<uint64_t>(now * 1000);
+  core->job_stored(record, ++revision, now);
+  JobRecord array = record;
+  array.spec.id = "job-2";
+  array.spec.kind = JobKind::Array;
+  array.spec.priority = Priority::Low;
+  array.spec.tasks = 50;
+  array.submitted_ms -= 5000;
+  core->job_stored(array, ++revision, now);
+  auto comes_up = [&](const std::string& id) {
+    core->report(report(id, 1, 0), true, now);
+    core->report(report(id, 2, 1 << 20), true, now);
+    now += 1;
+    core->tick(now);
+    return core->machines().at(id).runs;
+  };
+  now += 1;
+  EXPECT_TRUE(comes_up("i-1").empty()) << "held for the gang, though one machine is not enough";
+  const auto runs = comes_up("i-2");
+  ASSERT_EQ(runs.size(), 1u);
+  EXPECT_EQ(runs.begin()->first.task.job, "job-1");
+  EXPECT_EQ(core->machines().at("i-1").runs.size(), 1u);
+  EXPECT_EQ(comes_up("i-3").begin()->first.task.job, "job-2") << "and nothing more than it needs";
+}
+
 TEST_F(Fixture, AnUnheardMachinesTasksWaitForTheFenceAndTheLease) {
   record.started = true;
   auto core = leader(2, 10);
