--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -158,6 +158,7 @@
   bool late(const Job& job, Seconds takes, Seconds now) const;
   bool preemptible(Demand demand, std::vector<Slot> slots,
                    const std::vector<Victim>& candidates) const;
+  Seconds loss_of(const Job& job, const Run& run, Seconds now) const;
   std::vector<Victim> victims(const std::vector<Slot>& slots, Seconds now) const;
   void count_usage();
   bool usable(const Machine& m, Seconds now) const;
--- a/src/dispatch/machines.cpp
+++ b/src/dispatch/machines.cpp
@@ -133,7 +133,7 @@
     if (a.spec.kind == JobKind::Service)
       expected = mean + std::sqrt(mean);
     else if (a.spec.kind == JobKind::Array && a.spec.spot && !a.jobs.empty())
-      expected = tasks / static_cast<double>(a.jobs.size());
+      expected = std::max(tasks / static_cast<double>(a.jobs.size()), mean);
     const auto n = static_cast<uint32_t>(std::ceil(settings_.tuning.headroom * expected - 1e-9));
     if (n == 0) continue;
     specs.push_back(a.spec);
@@ -282,11 +282,10 @@
     if (m.idle_since < 0 || !t || now - m.idle_since < settings_.tuning.idle * t->boot_s) continue;
     const bool usable = std::exchange(s.usable, false);
     Trial without(others);
-    if (m.sick || m.taken_at || spare_room(without, now)) {
+    if (m.sick || m.taken_at || spare_room(without, now))
       m.stage = Machine::Stage::Returning;
-      return;
-    }
-    s.usable = usable;
+    else
+      s.usable = usable;
   }
 }
 
--- a/src/dispatch/moves.cpp
+++ b/src/dispatch/moves.cpp
@@ -19,6 +19,9 @@
 /// Machines that cost less than this part of the dearest are not worth any replica's downtime.
 constexpr double kWorthMoving = 0.25;
 
+/// Less than this part of a machine in use is nothing but the error of sums.
+constexpr double kEmpty = 1e-9;
+
 double used_part(const Slot& s) {
   if (s.room.gpus > 0) return 1 - s.free.gpus / s.room.gpus;
   return s.room.cpus > 0 ? 1 - s.free.cpus / s.room.cpus : 1;
@@ -40,8 +43,10 @@
     for (const auto& [task, places] : job->at)
       for (const auto& [machine, attempt] : places)
         if (task != key.task.task) ++d.zones[machines_.at(machine).info.zone];
+    // Nothing is moved to an empty machine: that would only go back and forth.
     d.avoid = [job](const Slot& s) {
-      return !s.of->images.has(job->spec().image) || job->failed_on.count(s.machine) > 0;
+      return used_part(s) < kEmpty || !s.of->images.has(job->spec().image) ||
+             job->failed_on.count(s.machine) > 0;
     };
     if (!elsewhere.fits(d)) return false;
   }
@@ -80,12 +85,10 @@
   for (size_t i = 0; i < slots.size(); ++i) {
     const MachineType* t = type(slots[i].type);
     const bool dear = t && t->price >= kWorthMoving * dearest;
-    if (slots[i].usable && used_part(slots[i]) > 0 && dear) order.push_back(i);
+    if (slots[i].usable && used_part(slots[i]) > kEmpty && dear) order.push_back(i);
   }
   std::sort(order.begin(), order.end(),
             [&](size_t a, size_t b) { return used_part(slots[a]) < used_part(slots[b]); });
-  // Nothing is moved to a machine that is empty: that would only go back and forth.
-  for (auto& s : slots) s.usable = s.usable && used_part(s) > 0;
   next_move_ = now + kPause * settings_.report_s;
   for (size_t i : order) {
     if (gang) {
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -197,17 +197,25 @@
   }
 }
 
+/// What stopping a task throws away: progress that was not saved, or the time it has waited for its
+/// image. A gang loses that on all its machines.
+Seconds LeaderCore::loss_of(const Job& job, const Run& run, Seconds now) const {
+  const bool running = run.running_since >= 0;
+  const Seconds spent = now - (running ? run.running_since : run.placed_at);
+  const Seconds lost = running && job.spec().saves() ? std::min(spent, job.spec().save_s) : spent;
+  return job.spec().kind == JobKind::Gang ? lost * job.spec().tasks : lost;
+}
+
 std::vector<Victim> LeaderCore::victims(const std::vector<Slot>& slots, Seconds now) const {
   std::vector<Victim> out;
   for (size_t i = 0; i < slots.size(); ++i) {
-    const auto m = machines_.find(slots[i].machine);
-    if (m == machines_.end()) continue;
-    for (const auto& [key, run] : m->second.runs) {
+    if (!slots[i].of) continue;
+    for (const auto& [key, run] : slots[i].of->runs) {
       const Job* job = find_job(key.task.job);
       if (!job || !run.present() || !run.wanted) continue;
-      const double ran = run.running_since < 0 ? 0 : now - run.running_since;
-      const double loss = job->spec().saves() ? std::min(ran, job->spec().save_s) : ran;
-      out.push_back({key.task.job, key.task.task, i, run.need, job->spec().priority, loss});
+      const bool gang = job->spec().kind == JobKind::Gang && job->spec().tasks > 1;
+      out.push_back({key.task.job, key.task.task, i, run.need, job->spec().priority,
+                     loss_of(*job, run, now), gang});
     }
   }
   return out;
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -96,6 +96,17 @@
   return placed.size();
 }
 
+/// Lower priority gives way; but a gang, which stops on all its machines, only to a task that takes
+/// a good part of one of them.
+bool may_stop(const JobSpec& spec, const Victim& victim) {
+  constexpr double kGoodPart = 0.4;
+  if (victim.priority >= spec.priority) return false;
+  if (!victim.gang) return true;
+  const bool by_gpus = victim.need.gpus > 0;
+  return by_gpus ? spec.need.gpus >= kGoodPart * victim.need.gpus
+                 : spec.need.cpus >= kGoodPart * victim.need.cpus;
+}
+
 }  // namespace
 
 bool allowed(const JobSpec& spec, const std::string& type, const std::string& zone, bool spot) {
@@ -150,7 +161,7 @@
                                   const std::vector<Victim>& victims) {
   std::vector<std::vector<size_t>> by_slot(slots.size());
   for (size_t v = 0; v < victims.size(); ++v)
-    if (victims[v].priority < d.spec->priority) by_slot[victims[v].slot].push_back(v);
+    if (may_stop(*d.spec, victims[v])) by_slot[victims[v].slot].push_back(v);
   std::optional<Preemption> best;
   double best_loss = 0;
   for (size_t i = 0; i < slots.size(); ++i) {
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -71,6 +71,7 @@
   Amounts need;
   Priority priority = Priority::Low;
   double loss_s = 0;  ///< progress that stopping it throws away
+  bool gang = false;  ///< others on other machines stop with it
 };
 
 struct Preemption {
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -118,6 +118,22 @@
   EXPECT_TRUE(preempt(d, slots, victims)->on_its_way) << "room is coming: nothing more is stopped";
 }
 
+// Replicas of a few CPUs stopped gangs that held whole machines on four machines at once.
+TEST(Placement, AGangGivesWayOnlyToATaskThatTakesAGoodPartOfItsMachine) {
+  JobSpec spec;
+  spec.priority = Priority::Production;
+  spec.need = {2, 0, 6};
+  Demand d;
+  d.spec = &spec;
+  d.tasks = {0};
+  std::vector<Slot> slots{slot("a", "e", {96, 8, 384})};
+  slots[0].free = {};
+  std::vector<Victim> victims{{"gang", 0, 0, {86, 8, 310}, Priority::High, 0, true}};
+  EXPECT_FALSE(preempt(d, slots, victims).has_value());
+  spec.need = {33, 4, 100};
+  EXPECT_TRUE(preempt(d, slots, victims).has_value());
+}
+
 TEST(Provision, CountsBootingMachinesAndAvoidsWhatWasRefused) {
   MachineType g;
   g.name = "g";
