--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -162,7 +162,7 @@
                              {"suspect", &Tuning::suspect, 0.1, 1},
                              {"idle", &Tuning::idle, 0, 100},
                              {"headroom", &Tuning::headroom, 0, 100},
-                             {"sockets", &Tuning::sockets, 0.1, 0.9}};
+                             {"sockets", &Tuning::sockets, 0.1, 0.7}};
 constexpr const char* kStartTries = "start_tries";
 
 /// libconfuse hands its complaint to a callback without a place for data of ours.
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -45,7 +45,7 @@
   double suspect = 0.45;      ///< silence that makes a machine suspect / worker lease
   double idle = 0.4;          ///< idle time before a machine is returned / its boot time
   double headroom = 1.0;      ///< spare room / room that expected arrivals need
-  double sockets = 0.6;       ///< sockets open to users and workers / all sockets
+  double sockets = 0.7;       ///< sockets open to users and workers / all sockets
   int start_tries = 3;        ///< starts of a job before it backs off
 };
 
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <optional>
 
 namespace sumacquay {
 namespace {
@@ -74,11 +75,18 @@
 
   void forget_server() { server_ = nullptr; }
 
+  /// Since when nothing has been asked; none: a request is under way.
+  std::optional<std::chrono::steady_clock::time_point> idle_since() const {
+    if (state_ != State::Reading || started_) return std::nullopt;
+    return idle_since_;
+  }
+
  private:
   enum class State { Reading, Handling, Writing, Closed };
 
   void read() {
     state_ = State::Reading;
+    if (!started_) idle_since_ = std::chrono::steady_clock::now();
     arm(started_ ? server_->limits_.request_s : server_->limits_.idle_s);
     socket_.async_read_some(asio::buffer(chunk_),
                             [self = shared_from_this()](auto error, size_t n) {
@@ -209,7 +217,7 @@
   std::string target_, body_, out_;
   size_t header_bytes_ = 0;
   bool started_ = false, complete_ = false, oversized_ = false;
-  std::chrono::steady_clock::time_point deadline_{};
+  std::chrono::steady_clock::time_point deadline_{}, idle_since_{};
 };
 
 HttpServer::HttpServer(asio::io_context& io, const Endpoint& at, HttpLimits limits,
@@ -247,6 +255,7 @@
       });
       return;
     }
+    if (connections_.size() >= limits_.connections) close_idlest();
     if (connections_.size() < limits_.connections) {
       auto c = std::make_shared<Connection>(*this, std::move(socket));
       connections_.insert(c);
@@ -256,6 +265,15 @@
   });
 }
 
+/// Where more machines and users keep connections than there are sockets, the one that has been
+/// idle longest gives way: that of a user who has left rather than that of a worker that reports.
+void HttpServer::close_idlest() {
+  std::shared_ptr<Connection> idlest;
+  for (const auto& c : connections_)
+    if (c->idle_since() && (!idlest || *c->idle_since() < *idlest->idle_since())) idlest = c;
+  if (idlest) idlest->close();
+}
+
 struct HttpClient::Job {
   std::string head_and_body;
   std::chrono::steady_clock::time_point deadline;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -49,6 +49,7 @@
  private:
   class Connection;
   void accept();
+  void close_idlest();
   asio::io_context& io_;
   asio::ip::tcp::acceptor acceptor_;
   asio::steady_timer retry_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -7,6 +7,8 @@
 
 /// Changes of the term key and of nothing else go with a leader's transaction as its first guard.
 constexpr int kGuards = 1;
+/// The part of all sockets that orders to workers may keep.
+constexpr double kOrderSockets = 0.2;
 
 Leadership::Config leadership_config(const Settings& s) {
   Leadership::Config c;
@@ -267,20 +269,44 @@
   std::visit([this](const auto& a) { perform(a); }, action);
 }
 
-void Node::perform(const SendOrders& order) {
-  auto& client = workers_[order.addr];
-  if (!client) {
-    try {
-      const auto colon = order.addr.rfind(':');
-      const Endpoint to{order.addr.substr(0, colon),
-                        static_cast<unsigned short>(std::stoul(order.addr.substr(colon + 1)))};
-      asio::ip::make_address(to.host);
-      client = std::make_shared<HttpClient>(io_, to, 1, 4);
-    } catch (const std::exception&) {
-      workers_.erase(order.addr);
-      return spdlog::error("{} has no usable address: {}", order.machine, order.addr);
-    }
+/// The client for a worker, none if its address can't be used or too many are busy. The one that
+/// has been unused longest gives way, so that orders to a large fleet leave sockets for all else.
+std::shared_ptr<HttpClient> Node::worker_client(const std::string& addr) {
+  const auto known = workers_.find(addr);
+  if (known != workers_.end()) {
+    known->second.used = now();
+    return known->second.client;
+  }
+  if (workers_.size() >= static_cast<size_t>(settings_.max_sockets * kOrderSockets)) {
+    auto oldest = workers_.end();
+    for (auto w = workers_.begin(); w != workers_.end(); ++w)
+      if (w->second.client->in_progress() == 0 &&
+          (oldest == workers_.end() || w->second.used < oldest->second.used))
+        oldest = w;
+    if (oldest == workers_.end()) return nullptr;
+    workers_.erase(oldest);
+  }
+  try {
+    const auto colon = addr.rfind(':');
+    const Endpoint to{addr.substr(0, colon),
+                      static_cast<unsigned short>(std::stoul(addr.substr(colon + 1)))};
+    asio::ip::make_address(to.host);
+    auto client = std::make_shared<HttpClient>(io_, to, 1, 4);
+    workers_[addr] = {client, now()};
+    return client;
+  } catch (const std::exception&) {
+    spdlog::error("a worker has no usable address: {}", addr);
+    return nullptr;
   }
+}
+
+void Node::perform(const SendOrders& order) {
+  const auto client = worker_client(order.addr);
+  if (!client)
+    return asio::post(io_, [this, machine = order.machine, generation = core_generation_] {
+      if (generation == core_generation_ && core_)
+        core_->orders_done(machine, std::nullopt, false, now());
+    });
   const double deadline = std::min(settings_.report_s * 1.5, settings_.lease_s * 0.2);
   client->request(
       "POST", wire::path::kOrders, wire::orders_body(order.token, order.session, order.commands),
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -68,7 +68,12 @@
   std::vector<MachineType> types_;
   std::unique_ptr<LeaderCore> core_;
   uint64_t core_generation_ = 0;
-  std::map<std::string, std::shared_ptr<HttpClient>> workers_;  ///< by address
+  struct WorkerClient {
+    std::shared_ptr<HttpClient> client;
+    Seconds used = 0;
+  };
+  std::shared_ptr<HttpClient> worker_client(const std::string& addr);
+  std::map<std::string, WorkerClient> workers_;  ///< by address
   std::map<std::string, uint64_t> peer_terms_;
   bool writing_ = false, revoked_ = false;
 };
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -98,6 +98,26 @@
   EXPECT_EQ(handled, 0);
 }
 
+// More machines than the server's share of sockets: whoever came last found no socket while
+// connections that nobody used stayed open.
+TEST_F(Loopback, TheConnectionThatIsIdleLongestGivesWay) {
+  limits.connections = 2;
+  serve();
+  const Endpoint to{"127.0.0.1", server->port()};
+  HttpClient first(io, to, 1, 1), second(io, to, 1, 1), third(io, to, 1, 1);
+  EXPECT_TRUE(ask(first, "/a", "", 2).ok());
+  EXPECT_TRUE(ask(second, "/b", "", 2).ok());
+  EXPECT_TRUE(ask(first, "/a", "", 2).ok());
+  EXPECT_TRUE(ask(third, "/c", "", 2).ok());
+  EXPECT_EQ(handled, 4);
+  bool never = true;
+  first.request("POST", "/never", "", 5, [&](HttpResult) { never = false; });
+  third.request("POST", "/never", "", 5, [&](HttpResult) { never = false; });
+  run_until([&] { return handled == 6; });
+  EXPECT_FALSE(ask(second, "/b", "", 1).ok()) << "busy ones don't give way";
+  EXPECT_TRUE(never);
+}
+
 TEST_F(Loopback, ASilentServerCostsTheDeadlineOnly) {
   serve();
   HttpClient client(io, {"127.0.0.1", server->port()}, 1, 1);
