--- a/src/dispatch/leader_core.cpp
+++ b/src/dispatch/leader_core.cpp
@@ -281,7 +281,11 @@
   m.seq = r.seq;
   m.token_seen = std::max(m.token_seen, r.token);
   m.last_heard = now;
-  if (m.stage == Machine::Stage::Booting) m.up_since = now;
+  if (m.stage == Machine::Stage::Booting) {
+    m.up_since = now;
+    auto& newest = newest_up_[m.info.type];
+    newest = std::max(newest, m.first_seen);
+  }
   if (m.stage == Machine::Stage::Booting || m.stage == Machine::Stage::Lapsed)
     m.stage = Machine::Stage::Up;
   m.taken_at = r.notice_s ? std::optional<Seconds>(now + *r.notice_s) : std::nullopt;
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -193,6 +193,8 @@
   std::unordered_map<std::string, Job> jobs_;
   std::map<std::string, Machine> machines_;
   std::map<std::string, Seconds> returned_;  ///< machines the cloud took back: they are gone
+  /// By type: when the last rented of those that this leader saw boot was rented.
+  std::map<std::string, Seconds> newest_up_;
   std::set<std::string> hosts_to_delete_;
   std::set<std::string> writing_hosts_;
   std::vector<MachineType> types_;
--- a/src/dispatch/machines.cpp
+++ b/src/dispatch/machines.cpp
@@ -11,8 +11,10 @@
 
 /// Both clocks may drift; a little is added for what the arithmetic leaves out.
 constexpr double kDrift = 0.002;
-/// Boot times past which a machine counts as one that never comes up.
+/// Boot times past which a machine counts as one that never comes up: the first if one of its type
+/// that was rented later is up, the second if none is, for then it may be that all are slow.
 constexpr double kOverdue = 1.8;
+constexpr double kAllSlow = 3.5;
 /// Seconds for which the cloud is not asked again for what it refused, doubling each time.
 constexpr double kRefusal = 5;
 constexpr int kMostRented = 12;
@@ -237,8 +239,11 @@
   const MachineType* t = type(m.info.type);
   const double boot = t ? t->boot_s : 60;
   switch (m.stage) {
-    case Machine::Stage::Booting:
-      return m.listed_failed || now - m.first_seen > kOverdue * boot;
+    case Machine::Stage::Booting: {
+      const auto newest = newest_up_.find(m.info.type);
+      const bool passed = newest != newest_up_.end() && newest->second > m.first_seen;
+      return m.listed_failed || now - m.first_seen > (passed ? kOverdue : kAllSlow) * boot;
+    }
     case Machine::Stage::Lapsed:
       return now - m.last_heard > settings_.lease_s;
     case Machine::Stage::Up: {
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -140,6 +140,27 @@
   EXPECT_TRUE(much_later->tick(now + 1000).empty());
 }
 
+// On a day when all machines boot slowly, each was given up just before it came up, and another was
+// rented that came no sooner.
+TEST_F(Fixture, ABootIsGivenUpOnlyOnceALaterOneHasOvertakenIt) {
+  auto core = leader(1, 0);
+  auto given_up = [&] {
+    std::vector<std::string> out;
+    for (const auto& a : core->tick(now))
+      if (const auto* r = std::get_if<Release>(&a)) out = r->machines;
+    return out;
+  };
+  using State = ListedMachine::State;
+  core->listed({{"i-1", "", "g", "e", false, State::Booting, 10},
+                {"i-2", "", "g", "e", false, State::Booting, 5}},
+               now);
+  now += 2 * type.boot_s;
+  EXPECT_TRUE(given_up().empty());
+  core->report(report("i-2", 1, 0), true, now);
+  now += 1;
+  EXPECT_EQ(given_up(), std::vector<std::string>{"i-1"});
+}
+
 // A gang of several fits nowhere whole while a job that takes each machine as it comes up is there:
 // without the room that is held for it, it would wait for ever.
 TEST_F(Fixture, AGangOfSeveralKeepsTheMachinesThatComeUpForIt) {
