The next leader is told which machines are booting

The pulse now names them: a hint, since whatever may run something has a durable record, which is read first. Ruled out: lost rentals.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -200,6 +200,8 @@
   for (const auto& [id, host] : mirror_.hosts()) core_->host_stored(host.value, now());
   for (const auto& [id, job] : mirror_.live()) core_->job_stored(job.value, job.version, now());
   for (const auto& held : peers_.images()) core_->image_held(held.machine, held.image, held.gb);
+  // The cloud's list is late: without this, what the leader before rented is rented once more.
+  core_->listed(peers_.booting(), now());
   spdlog::info("takes over {} jobs and {} machines", mirror_.live().size(), mirror_.hosts().size());
   if (settings_.peers.empty()) core_->fenced(now());
   peers_.pulse_now(false);
@@ -241,8 +243,8 @@
   p.leading = core_ && leadership_.may_answer(now());
   p.served = served();
   if (!p.leading || !details) return p;
-  // Both well under the limit of a request's body.
-  constexpr size_t kMostCounts = 1500, kMostImages = 6000;
+  // Together well under the limit of a request's body.
+  constexpr size_t kMostCounts = 1200, kMostImages = 4000, kMostBooting = 200;
   for (const auto& [id, running] : core_->running_counts()) {
     const auto job = core_->jobs().find(id);
     if (job != core_->jobs().end() && p.counts.size() < kMostCounts)
@@ -251,6 +253,10 @@
   for (const auto& [id, m] : core_->machines())
     for (const auto& [image, gb] : m.images.kept())
       if (p.images.size() < kMostImages) p.images.push_back({id, image, gb});
+  for (const auto& [id, m] : core_->machines())
+    if (m.stage == Machine::Stage::Booting && p.booting.size() < kMostBooting)
+      p.booting.push_back({id, "", m.info.type, m.info.zone, m.info.spot,
+                           ListedMachine::State::Booting, now() - m.first_seen});
   return p;
 }
 
--- a/src/peer/peers.cpp
+++ b/src/peer/peers.cpp
@@ -72,6 +72,8 @@
 void Peers::keep_details(const wire::Pulse& pulse) {
   if (!pulse.images.empty()) images_ = pulse.images;
   if (pulse.counts.empty()) return;
+  booting_ = pulse.booting;
+  details_heard_ = Clock::now();
   counts_.clear();
   for (const auto& c : pulse.counts) counts_[c.job] = c;
 }
@@ -86,6 +88,13 @@
   return age.count() < kRecent * period_s_;
 }
 
+std::vector<ListedMachine> Peers::booting() const {
+  const std::chrono::duration<double> age = Clock::now() - details_heard_;
+  auto out = booting_;
+  for (auto& m : out) m.age_s += age.count();
+  return out;
+}
+
 wire::RunningCount Peers::counts(const std::string& job) const {
   const auto it = counts_.find(job);
   return it == counts_.end() ? wire::RunningCount{job, 0, 0} : it->second;
--- a/src/peer/peers.h
+++ b/src/peer/peers.h
@@ -32,6 +32,8 @@
   /// As the leader said last, be it another node or this one.
   wire::RunningCount counts(const std::string& job) const;
   const std::vector<wire::HeldImage>& images() const { return images_; }
+  /// Machines that were rented and not heard yet, their ages as of now.
+  std::vector<ListedMachine> booting() const;
   /// Another node was served by the state service lately.
   bool others_served() const;
 
@@ -53,6 +55,8 @@
   std::chrono::steady_clock::time_point leader_heard_{}, served_heard_{};
   std::map<std::string, wire::RunningCount> counts_;
   std::vector<wire::HeldImage> images_;
+  std::vector<ListedMachine> booting_;
+  std::chrono::steady_clock::time_point details_heard_{};
 };
 
 }  // namespace sumacquay
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -645,7 +645,7 @@
 
 std::string encode_pulse(const Pulse& pulse) {
   return build([&](Packer& p) {
-    p.pack_map(7);
+    p.pack_map(8);
     pair(p, "node", pulse.node);
     pair(p, "term", pulse.term);
     pair(p, "leading", pulse.leading);
@@ -681,6 +681,14 @@
       text(p, machine);
       for (const HeldImage* i : list) p.pack_uint32(numbers.at({i->image, i->gb}));
     }
+    text(p, "booting");
+    p.pack_array(static_cast<uint32_t>(pulse.booting.size()));
+    for (const auto& m : pulse.booting) {
+      p.pack_array(5);
+      text(p, m.id), text(p, m.type), text(p, m.zone);
+      m.spot ? p.pack_true() : p.pack_false();
+      p.pack_double(m.age_s);
+    }
   });
 }
 
@@ -716,6 +724,15 @@
         pulse.images.push_back({*machine, *image.at(0).text(), *image.at(1).number()});
       }
     }
+    const View booting = root["booting"];
+    for (size_t i = 0; i < booting.size(); ++i) {
+      const View m = booting.at(i);
+      if (m.size() != 5 || !m.at(0).text() || !m.at(1).text() || !m.at(2).text() ||
+          !m.at(3).flag() || !m.at(4).number())
+        return std::nullopt;
+      pulse.booting.push_back({*m.at(0).text(), "", *m.at(1).text(), *m.at(2).text(),
+                               *m.at(3).flag(), ListedMachine::State::Booting, *m.at(4).number()});
+    }
     return pulse;
   });
 }
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -131,7 +131,8 @@
   bool leading = false;
   bool served = false;  ///< by the state service, not long ago
   std::vector<RunningCount> counts;
-  std::vector<HeldImage> images;  ///< by machine, each one's most recently used last
+  std::vector<HeldImage> images;       ///< by machine, each one's most recently used last
+  std::vector<ListedMachine> booting;  ///< rented and not heard yet
 };
 std::string encode_pulse(const Pulse& pulse);
 std::optional<Pulse> decode_pulse(std::string_view body);
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -198,6 +198,8 @@
     for (int i = *rc::gen::inRange(0, 5); i > 0; --i) {
       p.counts.push_back({*testing::name(), 3, static_cast<uint32_t>(i)});
       p.images.push_back({*testing::name(), *testing::name(), i * 0.5});
+      p.booting.push_back({*testing::name(), "", *testing::name(), *testing::name(), i % 2 == 0,
+                           ListedMachine::State::Booting, i * 1.5});
     }
     const auto back = wire::decode_pulse(wire::encode_pulse(p));
     RC_ASSERT(back.has_value());
