A leader that no worker reaches leaves the lead to another node

It was cut off from the workers alone, which other nodes could have answered. Ruled out: the machines (all at once, each came back with a new session), an outage.

--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -101,6 +101,9 @@
   /// Lapses, a placement round, provisioning and orders. Only while the leader may act.
   std::vector<Action> tick(Seconds now);
 
+  /// No worker gets through to this node any more.
+  bool unheard(Seconds now) const;
+
   void hurry() { next_round_ = 0; }  ///< something has changed that a round should see
   /// Tasks that run, by job; for display.
   std::unordered_map<std::string, uint32_t> running_counts() const;
--- a/src/dispatch/machines.cpp
+++ b/src/dispatch/machines.cpp
@@ -18,6 +18,11 @@
 /// Seconds for which the cloud is not asked again for what it refused, doubling each time.
 constexpr double kRefusal = 5;
 constexpr int kMostRented = 12;
+/// Machines that are never silent together by chance, the silence of all that shows it / report
+/// period, and the time that workers need to find a new leader / their lease.
+constexpr size_t kSeveral = 3;
+constexpr double kAllSilent = 2.5;
+constexpr double kFindLeader = 0.3;
 constexpr size_t kMostReleased = 100;
 /// Arrivals of the last so many boot times tell what to expect.
 constexpr double kMemory = 5;
@@ -75,6 +80,20 @@
   spdlog::info("{} jobs known, {} without room", jobs_.size(), unplaced_.size());
 }
 
+/// One silent machine is its own trouble; when all of several are silent at once, it is this node
+/// that can't be reached, and each of them would lose its lease though other nodes could answer it.
+/// A new leader waits longer, since workers must find it first.
+bool LeaderCore::unheard(Seconds now) const {
+  size_t up = 0;
+  Seconds newest = began_ + kFindLeader * settings_.lease_s;
+  for (const auto& [id, m] : machines_) {
+    if (m.stage != Machine::Stage::Up) continue;
+    ++up;
+    newest = std::max(newest, m.last_heard);
+  }
+  return up >= kSeveral && now - newest > kAllSilent * settings_.report_s + 0.5;
+}
+
 /// When the worker's lease has ended for certain, counted from the last answer that anybody could
 /// have given it.
 Seconds LeaderCore::certain_end(const Machine& m) const {
--- a/src/leadership/leadership.cpp
+++ b/src/leadership/leadership.cpp
@@ -33,7 +33,7 @@
 void Leadership::tick(Seconds now, bool loaded, bool leader_known, double jitter) {
   switch (state_) {
     case State::Follower:
-      if (!loaded || leader_known) {
+      if (!loaded || leader_known || now < rest_until_) {
         campaign_at_ = -1;
       } else if (campaign_at_ < 0) {
         // Not all nodes at once; the spread is small beside the lease, which it prolongs.
@@ -94,6 +94,12 @@
   if (state_ == State::Lapsed && now < valid_until_) enter(State::Leading);
 }
 
+void Leadership::resign(Seconds now, Seconds rest) {
+  if (state_ != State::Leading && state_ != State::Lapsed) return;
+  rest_until_ = now + rest;
+  enter(State::Follower);
+}
+
 void Leadership::saw_term(Seconds, uint64_t term) {
   highest_ = std::max(highest_, term);
   if ((state_ == State::Leading || state_ == State::Lapsed) && term > term_) enter(State::Follower);
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -44,6 +44,8 @@
   void granted(Seconds now, Campaign campaign, std::optional<uint64_t> lease, Seconds asked_at);
   void elected(Seconds now, Campaign campaign, bool won, uint64_t term);
   void renewed(Seconds now, uint64_t lease, Seconds sent_at, bool answered, bool ended);
+  /// Gives the office up, and leaves it to others for a while: this node can't do its work.
+  void resign(Seconds now, Seconds rest);
   /// Somebody leads with this term: a peer, a worker or a record says so.
   void saw_term(Seconds now, uint64_t term);
 
@@ -66,7 +68,8 @@
   Effects effects_;
   State state_ = State::Follower;
   uint64_t term_ = 0, highest_ = 0, lease_ = 0;
-  Seconds valid_until_ = 0, lease_sent_ = 0, next_renew_ = 0, campaign_at_ = -1, campaign_end_ = 0;
+  Seconds valid_until_ = 0, lease_sent_ = 0, next_renew_ = 0, campaign_at_ = -1, campaign_end_ = 0,
+          rest_until_ = 0;
   bool renewing_ = false;
   Campaign campaign_ = 0;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -75,6 +75,7 @@
 
 void Node::tick() {
   leadership_.tick(now(), mirror_.loaded(), mirror_.leader().version != 0, random());
+  resign_if_unheard();
   tick_core();
   tick_timer_.expires_after(as_us(settings_.report_s * settings_.tuning.round * 0.25));
   tick_timer_.async_wait([this](auto error) {
@@ -82,6 +83,16 @@
   });
 }
 
+/// The state service still renews the lease of a leader that workers can't reach: it has to go by
+/// itself, or every worker's lease would end.
+void Node::resign_if_unheard() {
+  if (settings_.peers.empty() || !leads_now() || !core_->unheard(now())) return;
+  spdlog::info("no worker gets through: leaves the lead to another node");
+  const uint64_t lease = leadership_.lease();
+  leadership_.resign(now(), 2 * leadership_config(settings_).lease);
+  store_.revoke(lease, [](HttpResult) {});
+}
+
 void Node::tick_core() {
   if (!leads_now()) return;
   for (const auto& action : core_->tick(now())) perform(action);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -26,6 +26,7 @@
   double random();
   void tick();
   void tick_core();
+  void resign_if_unheard();
   // requests
   void on_request(const HttpRequest& request, Respond respond);
   void on_report(const HttpRequest& request, const Respond& respond);
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -253,6 +253,26 @@
       100));
 }
 
+TEST(LeadershipMachine, LeavesTheLeadToOthersForAWhileOnceItResigns) {
+  int campaigns = 0;
+  Leadership l({2, 0.5, 10, 0.002}, {[&](Leadership::Campaign, Seconds) { ++campaigns; },
+                                     [](Leadership::Campaign, uint64_t) {}, [](uint64_t) {},
+                                     [](Leadership::State, Leadership::State) {}});
+  l.tick(0, true, false, 0);
+  l.tick(0.1, true, false, 0);
+  l.granted(0.2, 1, 7, 0.1);
+  l.elected(0.3, 1, true, 1);
+  ASSERT_TRUE(l.may_act(0.4));
+  l.resign(0.5, 4);
+  EXPECT_FALSE(l.may_act(0.5) || l.may_answer(0.5));
+  l.tick(1, true, false, 0);
+  l.tick(4, true, false, 0);
+  EXPECT_EQ(campaigns, 1);
+  l.tick(4.6, true, false, 0);
+  l.tick(4.8, true, false, 0);
+  EXPECT_EQ(campaigns, 2) << "nobody else has taken it";
+}
+
 TEST(LeadershipMachine, AnswersPastItsLeaseForTheGraceOnlyAndStepsDownForAHigherTerm) {
   std::vector<Leadership::State> seen;
   Leadership::Effects e;
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -161,6 +161,21 @@
   EXPECT_EQ(given_up(), std::vector<std::string>{"i-1"});
 }
 
+// A leader that was cut off from all workers, but not from the state service, led on until the
+// lease of every worker had ended.
+TEST_F(Fixture, ALeaderThatNoWorkerReachesKnowsIt) {
+  auto core = leader(1, 0);
+  const double began = now;
+  for (const char* id : {"i-1", "i-2", "i-3"}) core->report(report(id, 1, 0), true, now);
+  now = began + 5;
+  core->report(report("i-2", 2, 0), true, now);
+  now += 2.5;
+  EXPECT_FALSE(core->unheard(now)) << "two are silent, one is not";
+  now += 1;
+  EXPECT_TRUE(core->unheard(now));
+  EXPECT_FALSE(leader(2, 0)->unheard(now)) << "a leader without machines has nothing to hear";
+}
+
 // A gang of several fits nowhere whole while a job that takes each machine as it comes up is there:
 // without the room that is held for it, it would wait for ever.
 TEST_F(Fixture, AGangOfSeveralKeepsTheMachinesThatComeUpForIt) {
