Workers are answered only as long as a cancellation leaves beside their lease

Now the time counts from the last look at the records and is cancel_s less the workers' lease at most.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -3,6 +3,7 @@
 #include <confuse.h>
 #include <toml++/toml.h>
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <cstdarg>
@@ -157,7 +158,7 @@
 
 constexpr Ratio kRatios[] = {{"leader_lease", &Tuning::leader_lease, 0.05, 0.5},
                              {"renew", &Tuning::renew, 0.05, 0.5},
-                             {"grace", &Tuning::grace, 0, 5},
+                             {"grace", &Tuning::grace, 0, 1},
                              {"round", &Tuning::round, 0.01, 2},
                              {"suspect", &Tuning::suspect, 0.1, 1},
                              {"idle", &Tuning::idle, 0, 100},
@@ -193,6 +194,14 @@
   return nullptr;
 }
 
+double Settings::answers_s() const {
+  // Both clocks may drift; a little is added for what the arithmetic leaves out.
+  constexpr double kDrift = 0.002, kSlack = 0.3;
+  // Where a cancellation leaves less than a leader's lease, nothing could hold its time anyway.
+  const double least = tuning.leader_lease * lease_s;
+  return std::max(least, tuning.grace * (cancel_s * (1 - kDrift) - lease_s * (1 + kDrift) - kSlack));
+}
+
 Settings parse_settings(const std::string& toml_text, const std::string& source) {
   toml::table parsed;
   try {
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -40,7 +40,7 @@
 struct Tuning {
   double leader_lease = 0.2;  ///< leader lease / worker lease
   double renew = 0.3;         ///< renewal period / leader lease
-  double grace = 1.0;         ///< answers past validity / worker lease
+  double grace = 1.0;         ///< answers past the last word / Settings::answers_s at its most
   double round = 0.1;         ///< placement round / report period
   double suspect = 0.45;      ///< silence that makes a machine suspect / worker lease
   double idle = 0.4;          ///< idle time before a machine is returned / its boot time
@@ -68,6 +68,10 @@
   Tuning tuning;
 
   const TeamSettings* team(const std::string& name) const;
+  /// For how long past the last word from the state service workers may be answered. A job may have
+  /// been cancelled since, and what an answer keeps alive lasts for a worker's lease more: both
+  /// together stay within the time that a cancellation has.
+  double answers_s() const;
 };
 
 /// Reads and checks the platform's TOML; unknown fields are ignored.
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -1,4 +1,5 @@
 #pragma once
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -22,7 +23,7 @@
   struct Config {
     Seconds lease = 2;  ///< of the leader's key
     Seconds renew = 0.5;
-    Seconds grace = 10;  ///< how long answers go on past the lease's certain end
+    Seconds grace = 10;  ///< how long answers go on past the last word from the state service
     double drift = 0.002;
   };
 
@@ -55,11 +56,14 @@
   uint64_t lease() const { return lease_; }
   /// May start tasks and write records.
   bool may_act(Seconds now) const { return state_ == State::Leading && now < valid_until_; }
-  /// May answer workers.
+  /// The records are known as they were at that time or later.
+  void records_known(Seconds at) { known_at_ = std::max(known_at_, at); }
+  /// May answer workers. Counts from the last look at the records: whoever was cut off since then
+  /// can't know what was cancelled, and would keep it running.
   bool may_answer(Seconds now) const {
-    return (state_ == State::Leading || state_ == State::Lapsed) &&
-           now < valid_until_ + config_.grace;
+    return (state_ == State::Leading || state_ == State::Lapsed) && now < answers_until();
   }
+  Seconds answers_until() const { return std::min(known_at_, valid_until_) + config_.grace; }
 
  private:
   void enter(State next);
@@ -69,7 +73,7 @@
   State state_ = State::Follower;
   uint64_t term_ = 0, highest_ = 0, lease_ = 0;
   Seconds valid_until_ = 0, lease_sent_ = 0, next_renew_ = 0, campaign_at_ = -1, campaign_end_ = 0,
-          rest_until_ = 0;
+          rest_until_ = 0, known_at_ = 0;
   bool renewing_ = false;
   Campaign campaign_ = 0;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -14,7 +14,7 @@
   Leadership::Config c;
   c.lease = s.lease_s * s.tuning.leader_lease;
   c.renew = c.lease * s.tuning.renew;
-  c.grace = s.lease_s * s.tuning.grace;
+  c.grace = s.answers_s();
   return c;
 }
 
@@ -74,6 +74,7 @@
 }
 
 void Node::tick() {
+  keep_records_known();
   leadership_.tick(now(), mirror_.loaded(), mirror_.leader().version != 0, random());
   resign_if_unheard();
   tick_core();
@@ -83,6 +84,16 @@
   });
 }
 
+/// Where little is written the watch says nothing for long, and nobody can tell silence from a cut.
+void Node::keep_records_known() {
+  const Seconds known_at =
+      std::chrono::duration<double>(mirror_.known_at().time_since_epoch()).count();
+  leadership_.records_known(known_at);
+  if (!core_ || reading_ || now() - known_at < leadership_config(settings_).renew) return;
+  reading_ = true;
+  mirror_.refresh([this](bool) { reading_ = false; });
+}
+
 /// The state service still renews the lease of a leader that workers can't reach: it has to go by
 /// itself, or every worker's lease would end.
 void Node::resign_if_unheard() {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -26,6 +26,7 @@
   double random();
   void tick();
   void tick_core();
+  void keep_records_known();
   void resign_if_unheard();
   // requests
   void on_request(const HttpRequest& request, Respond respond);
@@ -76,7 +77,7 @@
   std::shared_ptr<HttpClient> worker_client(const std::string& addr);
   std::map<std::string, WorkerClient> workers_;  ///< by address
   std::map<std::string, uint64_t> peer_terms_;
-  bool writing_ = false, revoked_ = false;
+  bool writing_ = false, revoked_ = false, reading_ = false;
 };
 
 }  // namespace sumacquay
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -47,6 +47,7 @@
   leader_ = {};
   term_ = {};
   leader_seen_ = 0;
+  loading_since_ = std::chrono::steady_clock::now();
   load_page(0, "", 0);
 }
 
@@ -68,6 +69,7 @@
                   return load_page(prefix, page->items.back().key, first);
                 if (prefix + 1 < load_order().size()) return load_page(prefix + 1, "", first);
                 revision_ = first;
+                known_at_ = loading_since_;
                 enter(State::Following);
                 if (listener_.leader_changed) listener_.leader_changed();
                 if (listener_.job_changed) listener_.job_changed("");
@@ -77,12 +79,13 @@
 
 void Mirror::follow() {
   const uint64_t generation = generation_;
+  const auto asked_at = std::chrono::steady_clock::now();
   store_.watch(wire::changes_path(keys::kRoot, revision_, static_cast<uint64_t>(wait_s_ * 1000)),
-               wait_s_, [this, generation](HttpResult r) {
+               wait_s_, [this, generation, asked_at](HttpResult r) {
                  if (generation != generation_) return;
                  if (r.answered && r.status == 410) return load();
                  const auto page = r.ok() ? wire::parse_changes(r.body) : std::nullopt;
-                 if (page) apply(*page, true);
+                 if (page) apply(*page, asked_at);
                  later(page ? 0.004 : wait_s_ * 0.03, [this, generation] {
                    if (generation == generation_) follow();
                  });
@@ -105,11 +108,12 @@
   waiting_.clear();
   barrier_running_ = true;
   const uint64_t generation = generation_;
+  const auto asked_at = std::chrono::steady_clock::now();
   store_.read(Urgency::Rest, wire::changes_path(keys::kRoot, revision_, 0),
-              [this, served, generation](HttpResult r) {
+              [this, served, generation, asked_at](HttpResult r) {
                 const auto page = r.ok() && generation == generation_ ? wire::parse_changes(r.body)
                                                                       : std::nullopt;
-                if (page) apply(*page, true);
+                if (page) apply(*page, asked_at);
                 if (r.answered && r.status == 410 && generation == generation_) load();
                 for (auto& done : *served) done(page.has_value());
                 later(barrier_gap_s_, [this] {
@@ -119,11 +123,13 @@
               });
 }
 
-void Mirror::apply(const wire::StorePage& page, bool whole) {
+void Mirror::apply(const wire::StorePage& page,
+                   std::chrono::steady_clock::time_point asked_at) {
   const uint64_t before = revision_;
   for (const auto& item : page.items)
     if (item.version > before) apply_item(item);
-  if (whole) revision_ = std::max(revision_, page.revision);
+  revision_ = std::max(revision_, page.revision);
+  known_at_ = std::max(known_at_, asked_at);
 }
 
 void Mirror::apply_item(const wire::StoreItem& item) {
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -1,4 +1,5 @@
 #pragma once
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <map>
@@ -40,6 +41,8 @@
   void set_listener(Listener listener) { listener_ = std::move(listener); }
 
   bool loaded() const { return state_ == State::Following; }
+  /// The copy holds everything that was written before this time.
+  std::chrono::steady_clock::time_point known_at() const { return known_at_; }
   /// Calls back with true once the copy holds everything written before this call.
   void refresh(std::function<void(bool)> done);
 
@@ -63,7 +66,7 @@
   void load();
   void load_page(size_t prefix, const std::string& after, uint64_t from);
   void follow();
-  void apply(const wire::StorePage& page, bool whole);
+  void apply(const wire::StorePage& page, std::chrono::steady_clock::time_point asked_at);
   void apply_item(const wire::StoreItem& item);
   void remember_over(const std::string& id, wire::OverRecord record);
   void run_barrier();
@@ -76,6 +79,7 @@
   State state_ = State::Loading;
   uint64_t generation_ = 0;  ///< counts loads: answers to earlier ones are dropped
   uint64_t revision_ = 0;
+  std::chrono::steady_clock::time_point known_at_{}, loading_since_{};
   std::unordered_map<std::string, Versioned<JobRecord>> live_;
   std::unordered_map<std::string, wire::OverRecord> over_;
   std::deque<std::string> over_order_;
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -289,6 +289,7 @@
     return l;
   };
   Leadership l = leading();
+  l.records_known(5);
   EXPECT_TRUE(l.may_act(1.9));
   EXPECT_FALSE(l.may_act(2.1));
   l.tick(2.1, true, true, 0);
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -15,7 +15,7 @@
   s.node = "n0";
   s.report_s = 1;
   s.lease_s = 10;
-  s.cancel_s = 40;
+  s.cancel_s = 22;  // hardly two leases: whoever answers for too long is found out
   s.list_lag_s = 2;
   s.state_txn_ops = 12;
   TeamSettings limited;
@@ -161,9 +161,9 @@
     ++term_;
     // The one before may answer workers for the grace, as long as nobody has told it better.
     zombie_ = std::move(core_);
-    zombie_until_ = zombie_ ? now_ + settings_.lease_s : 0;
+    zombie_until_ = zombie_ ? now_ + settings_.answers_s() : 0;
     if (chance(0.5)) zombie_.reset();
-    core_ = std::make_unique<LeaderCore>(settings_, term_, now_, now_ + settings_.lease_s);
+    core_ = std::make_unique<LeaderCore>(settings_, term_, now_, now_ + settings_.answers_s());
     core_->set_types({type_});
     for (const auto& [id, host] : hosts_) core_->host_stored(host, now_);
     for (const auto& [id, r] : store_) core_->job_stored(r.first, r.second, now_);
