Stand-ins: a node that is cut off with its zone answers its workers in the leader's place

Cause: only the leader answered workers, so every task of a zone that was cut off ended with its worker's lease (22 and 31 s). Ruled out: longer leases (the platform's), more time for cut-off leaders (cancellations).

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -198,7 +198,7 @@
   // Both clocks may drift; a little is added for what the arithmetic leaves out.
   constexpr double kDrift = 0.002, kSlack = 0.3;
   // Where a cancellation leaves less than a leader's lease, nothing could hold its time anyway.
-  const double least = tuning.leader_lease * lease_s;
+  const double least = leader_lease_s();
   return std::max(least, tuning.grace * (cancel_s * (1 - kDrift) - lease_s * (1 + kDrift) - kSlack));
 }
 
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -72,6 +72,12 @@
   /// been cancelled since, and what an answer keeps alive lasts for a worker's lease more: both
   /// together stay within the time that a cancellation has.
   double answers_s() const;
+  /// The leader's lease, and the pause between its renewals, which is also the one between the
+  /// controllers' words to one another.
+  double leader_lease_s() const { return tuning.leader_lease * lease_s; }
+  double renew_s() const { return tuning.renew * leader_lease_s(); }
+  /// How long a node waits for the leader's next word before it stands in for it.
+  double stand_in_after_s() const { return 2.5 * renew_s(); }
 };
 
 /// Reads and checks the platform's TOML; unknown fields are ignored.
--- a/src/dispatch/leader_core.cpp
+++ b/src/dispatch/leader_core.cpp
@@ -44,7 +44,12 @@
 
 LeaderCore::LeaderCore(const Settings& settings, uint64_t term, Seconds now, Seconds fence,
                        Seconds wall_offset)
-    : settings_(settings), term_(term), began_(now), fence_(fence), wall_offset_(wall_offset) {}
+    : settings_(settings),
+      term_(term),
+      began_(now),
+      fence_(fence),
+      wall_offset_(wall_offset),
+      stand_ins_(term, settings.stand_in_after_s()) {}
 
 const Job* LeaderCore::find_job(const std::string& id) const {
   const auto it = jobs_.find(id);
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -11,6 +11,7 @@
 #include "config/settings.h"
 #include "fleet/machine.h"
 #include "jobs/record.h"
+#include "leadership/stand_in.h"
 #include "placement/placement.h"
 #include "provision/provision.h"
 
@@ -89,6 +90,8 @@
                    bool executed, Seconds now);
   /// No earlier leader can answer a worker any more.
   void fenced(Seconds now);
+  /// Nodes that answer workers of their zone in this leader's place while they can't hear it.
+  StandIns& stand_ins() { return stand_ins_; }
 
   // Cloud.
   void set_types(std::vector<MachineType> types) { types_ = std::move(types); }
@@ -167,7 +170,7 @@
   bool usable(const Machine& m, Seconds now) const;
   // machines.cpp: lapses, renting, returning
   void lapse(Seconds now);
-  Seconds certain_end(const Machine& m) const;
+  Seconds certain_end(const Machine& m, Seconds now) const;
   void provision(Seconds now, std::vector<Action>& out);
   std::vector<Offer> offers(Seconds now) const;
   void note_arrival(const JobRecord& record);
@@ -191,6 +194,7 @@
   uint64_t term_;
   Seconds began_, fence_, wall_offset_;
   bool fenced_ = false;
+  StandIns stand_ins_;
   uint64_t next_attempt_ = 1, next_request_ = 1;
   size_t unaccounted_ = 0;
   std::unordered_map<std::string, Job> jobs_;
--- a/src/dispatch/machines.cpp
+++ b/src/dispatch/machines.cpp
@@ -96,14 +96,15 @@
 
 /// When the worker's lease has ended for certain, counted from the last answer that anybody could
 /// have given it.
-Seconds LeaderCore::certain_end(const Machine& m) const {
-  const Seconds last = m.old_answers ? std::max(m.answered, fence_) : m.answered;
+Seconds LeaderCore::certain_end(const Machine& m, Seconds now) const {
+  Seconds last = std::max(m.answered, stand_ins_.last_answer(m.info.zone, now));
+  if (m.old_answers) last = std::max(last, fence_);
   return last + settings_.lease_s * (1 + kDrift) + 0.1;
 }
 
 void LeaderCore::lapse(Seconds now) {
   for (auto& [id, m] : machines_) {
-    if (m.stage != Machine::Stage::Up || now <= certain_end(m)) continue;
+    if (m.stage != Machine::Stage::Up || now <= certain_end(m, now)) continue;
     spdlog::info("{} lapsed with {} tasks", id, m.runs.size());
     m.stage = Machine::Stage::Lapsed;
     m.proven = false;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -12,8 +12,8 @@
 
 Leadership::Config leadership_config(const Settings& s) {
   Leadership::Config c;
-  c.lease = s.lease_s * s.tuning.leader_lease;
-  c.renew = c.lease * s.tuning.renew;
+  c.lease = s.leader_lease_s();
+  c.renew = s.renew_s();
   c.grace = s.answers_s();
   return c;
 }
@@ -23,6 +23,10 @@
   return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(t).count());
 }
 
+Seconds seconds(std::chrono::steady_clock::time_point t) {
+  return std::chrono::duration<double>(t.time_since_epoch()).count();
+}
+
 std::chrono::microseconds as_us(double seconds) {
   return std::chrono::microseconds(static_cast<long long>(seconds * 1e6));
 }
@@ -38,10 +42,13 @@
       mirror_(io, settings, store_),
       leadership_(leadership_config(settings), leadership_effects()),
       cloud_(io, settings.cloud, 4, 32),
-      peers_(io, settings, leadership_config(settings).renew,
+      stand_in_(nonce_, settings.stand_in_after_s()),
+      peers_(io, settings, settings.renew_s(),
              {[this](bool details) { return own_pulse(details); },
-              [this](const wire::Pulse& p) { leadership_.saw_term(now(), p.term); },
-              [this](const std::string& n, const wire::Pulse& p) { on_pulse_answer(n, p); }}),
+              [this](const wire::Pulse& p) { return answer_pulse(p); },
+              [this](const std::string& n, const wire::Pulse& p, auto asked_at) {
+                on_pulse_answer(n, p, asked_at);
+              }}),
       frontend_(settings, store_, mirror_,
                 {[this]() -> const std::vector<MachineType>& { return types_; },
                  [this](const std::string& id) { return peers_.counts(id); }, time_of_day_ms}),
@@ -66,7 +73,7 @@
 }
 
 Seconds Node::now() const {
-  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+  return seconds(std::chrono::steady_clock::now());
 }
 
 double Node::random() {
@@ -86,10 +93,9 @@
 
 /// Where little is written the watch says nothing for long, and nobody can tell silence from a cut.
 void Node::keep_records_known() {
-  const Seconds known_at =
-      std::chrono::duration<double>(mirror_.known_at().time_since_epoch()).count();
+  const Seconds known_at = seconds(mirror_.known_at());
   leadership_.records_known(known_at);
-  if (!core_ || reading_ || now() - known_at < leadership_config(settings_).renew) return;
+  if (reading_ || now() - known_at < settings_.renew_s()) return;
   reading_ = true;
   mirror_.refresh([this](bool) { reading_ = false; });
 }
@@ -100,7 +106,7 @@
   if (settings_.peers.empty() || !leads_now() || !core_->unheard(now())) return;
   spdlog::info("no worker gets through: leaves the lead to another node");
   const uint64_t lease = leadership_.lease();
-  leadership_.resign(now(), 2 * leadership_config(settings_).lease);
+  leadership_.resign(now(), 2 * settings_.leader_lease_s());
   store_.revoke(lease, [](HttpResult) {});
 }
 
@@ -135,6 +141,10 @@
   if (!report) return respond({400, wire::error_body("not a report"), 0});
   leadership_.saw_term(now(), report->token >> 20);
   if (!core_ || !leadership_.may_answer(now())) {
+    if (stands_in_for(*report)) {
+      stand_in_.answered(now());
+      return respond({200, wire::report_answer(report->token, {}), 0});
+    }
     const bool record_newer = mirror_.leader().value.term > peers_.leader_term();
     std::string leader = record_newer ? mirror_.leader().value.node : peers_.leader();
     if (leader == settings_.node) leader.clear();
@@ -145,6 +155,15 @@
   respond({200, wire::report_answer(answer.token, answer.commands), 0});
 }
 
+/// A zone that is cut off loses the leader and the state service together. While this node still
+/// hears either, another leader may be found, and workers had better go on looking.
+bool Node::stands_in_for(const WorkerReport& report) const {
+  const Seconds served_at = seconds(store_.last_served());
+  return leadership_.state() == Leadership::State::Follower && report.token > 0 &&
+         report.zone == settings_.zone && now() - served_at > settings_.stand_in_after_s() &&
+         stand_in_.in_place(leadership_.highest_term(), now());
+}
+
 // ---------------------------------------------------------------- leadership
 
 Leadership::Effects Node::leadership_effects() {
@@ -158,7 +177,7 @@
   e.elect = [this](Leadership::Campaign campaign, uint64_t lease) { elect(campaign, lease); };
   e.renew = [this](uint64_t lease) {
     const Seconds sent = now();
-    store_.renew(lease, leadership_config(settings_).renew,
+    store_.renew(lease, settings_.renew_s(),
                  [this, lease, sent](StoreClient::Renewal r) {
                    leadership_.renewed(now(), lease, sent, r == StoreClient::Renewal::Renewed,
                                        r == StoreClient::Renewal::Ended);
@@ -172,7 +191,7 @@
   const uint64_t term = std::max(mirror_.term().value.term, leadership_.highest_term()) + 1;
   const wire::LeaderRecord record{settings_.node, nonce_, term, lease};
   const std::string value = wire::encode_leader(record);
-  const Seconds end = now() + leadership_config(settings_).lease;
+  const Seconds end = now() + settings_.leader_lease_s();
   store_.transact(
       Urgency::Leadership, {{keys::kLeader, 0}, {keys::kTerm, mirror_.term().version}},
       {{keys::kLeader, value, lease}, {keys::kTerm, value, 0}},
@@ -215,7 +234,7 @@
   ++core_generation_;
   writing_ = false;
   peer_terms_.clear();
-  const Seconds fence = now() + leadership_config(settings_).grace;
+  const Seconds fence = now() + settings_.answers_s();
   core_ = std::make_unique<LeaderCore>(settings_, leadership_.term(), now(), fence,
                                        static_cast<double>(time_of_day_ms()) / 1000 - now());
   core_->set_types(types_);
@@ -264,6 +283,7 @@
   p.term = leadership_.highest_term();
   p.leading = core_ && leadership_.may_answer(now());
   p.served = served();
+  p.word = stand_in_.word(now());
   if (!p.leading || !details) return p;
   // Together well under the limit of a request's body.
   constexpr size_t kMostCounts = 1200, kMostImages = 4000, kMostBooting = 200;
@@ -282,8 +302,33 @@
   return p;
 }
 
-void Node::on_pulse_answer(const std::string& node, const wire::Pulse& pulse) {
+const std::string* Node::zone_of(const std::string& node) const {
+  for (const auto& peer : settings_.peers)
+    if (peer.node == node) return &peer.zone;
+  return nullptr;
+}
+
+void Node::hear(const wire::Pulse& pulse) {
   leadership_.saw_term(now(), pulse.term);
+  const std::string* zone = zone_of(pulse.node);
+  if (core_ && zone) core_->stand_ins().heard(pulse.node, *zone, pulse.word, now());
+}
+
+/// Permissions go out with answers only: they count from when they were asked for.
+wire::Pulse Node::answer_pulse(const wire::Pulse& from) {
+  hear(from);
+  wire::Pulse p = own_pulse(false);
+  const std::string* zone = zone_of(from.node);
+  if (leads_now() && zone)
+    p.permission =
+        core_->stand_ins().permit(from.node, *zone, leadership_.answers_until(), now());
+  return p;
+}
+
+void Node::on_pulse_answer(const std::string& node, const wire::Pulse& pulse,
+                           std::chrono::steady_clock::time_point asked_at) {
+  hear(pulse);
+  if (pulse.permission) stand_in_.permitted(*pulse.permission, seconds(asked_at), now());
   if (!core_ || pulse.leading || pulse.term < leadership_.term()) return;
   // That node follows this term: it answers no worker under an older one. Once all do, nobody else
   // can renew a worker's lease.
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -8,6 +8,7 @@
 #include "dispatch/leader_core.h"
 #include "frontend/frontend.h"
 #include "leadership/leadership.h"
+#include "leadership/stand_in.h"
 #include "net/http.h"
 #include "peer/peers.h"
 #include "store/mirror.h"
@@ -40,7 +41,12 @@
   void on_leadership(Leadership::State from, Leadership::State to);
   void on_leader_record();
   void on_job_record(const std::string& id);
-  void on_pulse_answer(const std::string& node, const wire::Pulse& pulse);
+  bool stands_in_for(const WorkerReport& report) const;
+  const std::string* zone_of(const std::string& node) const;
+  void hear(const wire::Pulse& pulse);
+  wire::Pulse answer_pulse(const wire::Pulse& from);
+  void on_pulse_answer(const std::string& node, const wire::Pulse& pulse,
+                       std::chrono::steady_clock::time_point asked_at);
   wire::Pulse own_pulse(bool details);
   // the leader's hands
   void perform(const Action& action);
@@ -63,6 +69,7 @@
   Mirror mirror_;
   Leadership leadership_;
   HttpClient cloud_;
+  StandIn stand_in_;
   Peers peers_;
   Frontend frontend_;
   std::unique_ptr<HttpServer> server_;
--- a/src/peer/peers.cpp
+++ b/src/peer/peers.cpp
@@ -30,8 +30,7 @@
             request.path == wire::path::kPulse ? wire::decode_pulse(request.body) : std::nullopt;
         if (!pulse) return respond({400, {}, 0});
         note(*pulse);
-        hooks_.received(*pulse);
-        respond({200, wire::encode_pulse(hooks_.own(false)), 0});
+        respond({200, wire::encode_pulse(hooks_.answer(*pulse)), 0});
       });
   beat();
 }
@@ -43,11 +42,11 @@
   for (auto& [node, client] : clients_) {
     if (client->in_progress() > 1) continue;
     client->request("POST", wire::path::kPulse, body, period_s_ * 2,
-                    [this, node = node](HttpResult r) {
+                    [this, node = node, asked_at = Clock::now()](HttpResult r) {
                       const auto pulse = r.ok() ? wire::decode_pulse(r.body) : std::nullopt;
                       if (!pulse) return;
                       note(*pulse);
-                      hooks_.answered(node, *pulse);
+                      hooks_.answered(node, *pulse, asked_at);
                     });
   }
 }
--- a/src/peer/peers.h
+++ b/src/peer/peers.h
@@ -19,8 +19,10 @@
   struct Hooks {
     /// What this node says; with `details`, also what users are shown and a successor would want.
     std::function<wire::Pulse(bool details)> own;
-    std::function<void(const wire::Pulse&)> received;
-    std::function<void(const std::string& node, const wire::Pulse&)> answered;
+    std::function<wire::Pulse(const wire::Pulse&)> answer;
+    std::function<void(const std::string& node, const wire::Pulse&,
+                       std::chrono::steady_clock::time_point asked_at)>
+        answered;
   };
   Peers(asio::io_context& io, const Settings& settings, double period_s, Hooks hooks);
   void start();
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -645,11 +645,22 @@
 
 std::string encode_pulse(const Pulse& pulse) {
   return build([&](Packer& p) {
-    p.pack_map(8);
+    p.pack_map(pulse.permission ? 10 : 9);
     pair(p, "node", pulse.node);
     pair(p, "term", pulse.term);
     pair(p, "leading", pulse.leading);
     pair(p, "served", pulse.served);
+    const auto& word = pulse.word;
+    text(p, "word");
+    p.pack_array(word.ago ? 4 : 3);
+    p.pack_uint64(word.process), p.pack_uint64(word.term), p.pack_uint64(word.number);
+    if (word.ago) p.pack_double(*word.ago);
+    if (pulse.permission) {
+      text(p, "permission");
+      p.pack_array(3);
+      p.pack_uint64(pulse.permission->term), p.pack_uint64(pulse.permission->number);
+      p.pack_double(pulse.permission->for_s);
+    }
     text(p, "counts");
     p.pack_array(static_cast<uint32_t>(pulse.counts.size()));
     for (const auto& c : pulse.counts) {
@@ -692,6 +703,26 @@
   });
 }
 
+namespace {
+
+StandInWord decode_word(View v) {
+  StandInWord word;
+  if (v.size() < 3 || v.size() > 4) return word;
+  word.process = v.at(0).count().value_or(0);
+  word.term = v.at(1).count().value_or(0);
+  word.number = v.at(2).count().value_or(0);
+  if (v.size() == 4) word.ago = v.at(3).number();
+  return word;
+}
+
+std::optional<Permission> decode_permission(View v) {
+  if (v.size() != 3 || !v.at(0).count() || !v.at(1).count() || !v.at(2).number())
+    return std::nullopt;
+  return Permission{*v.at(0).count(), *v.at(1).count(), *v.at(2).number()};
+}
+
+}  // namespace
+
 std::optional<Pulse> decode_pulse(std::string_view body) {
   return read_root<Pulse>(body, [](View root) -> std::optional<Pulse> {
     Pulse pulse;
@@ -704,6 +735,8 @@
     pulse.term = *term;
     pulse.leading = *leading;
     pulse.served = root["served"].flag().value_or(false);
+    pulse.word = decode_word(root["word"]);
+    pulse.permission = decode_permission(root["permission"]);
     for (size_t i = 0; i < counts.size(); ++i) {
       const View c = counts.at(i);
       if (c.size() != 3 || !c.at(0).text() || !c.at(1).count() || !c.at(2).count())
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -6,6 +6,7 @@
 
 #include "fleet/report.h"
 #include "jobs/record.h"
+#include "leadership/stand_in.h"
 #include "wire/view.h"
 
 /// Protocol messages <-> types. The only place that knows the spellings of the wire.
@@ -130,6 +131,8 @@
   uint64_t term = 0;
   bool leading = false;
   bool served = false;  ///< by the state service, not long ago
+  StandInWord word;
+  std::optional<Permission> permission;  ///< for whom this answers
   std::vector<RunningCount> counts;
   std::vector<HeldImage> images;       ///< by machine, each one's most recently used last
   std::vector<ListedMachine> booting;  ///< rented and not heard yet
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -56,6 +56,7 @@
       else if (!core_)
         elect();
       if (now_ < troubles * 0.7 && chance(0.02)) submit();
+      for (auto& zone : type_.zones) talk_to_stand_in(zone);
       for (auto& [id, w] : workers_) step_worker(id, w);
       if (core_ && now_ < acts_until_) step_leader();
       check_standing_rules();
@@ -70,6 +71,7 @@
   }
   size_t submitted() const { return truth_.size(); }
   size_t starts() const { return starts_; }
+  size_t stood_in() const { return stood_in_; }
   const std::vector<std::string>& broken() const { return broken_; }
 
  private:
@@ -171,6 +173,46 @@
     writing_ = false;
   }
 
+  // ---- nodes that answer a zone's workers in the leader's place
+
+  struct Follower {
+    std::optional<StandIn> stand_in;
+    uint64_t process = 0, highest_term = 0;
+    Seconds next = 0, cut_until = -1;
+  };
+
+  void talk_to_stand_in(const std::string& zone) {
+    Follower& f = followers_[zone];
+    if (!f.stand_in || chance(0.0005))
+      f.stand_in.emplace(++f.process + (zone == "east" ? 0 : 1000), settings_.stand_in_after_s());
+    if (now_ < f.next) return;
+    f.next = now_ + settings_.renew_s();
+    // Held back for the time of the cut, or a little; what comes late must do no harm.
+    const double delay = now_ < f.cut_until ? f.cut_until - now_ : between(0.001, 0.1);
+    later(delay, [this, zone, asked_at = now_, process = f.process, word = f.stand_in->word(now_)] {
+      if (!core_ || now_ >= acts_until_) return;
+      core_->stand_ins().heard("node-" + zone, zone, word, now_);
+      const auto p = core_->stand_ins().permit("node-" + zone, zone, now_ + settings_.answers_s(),
+                                               now_);
+      later(between(0.001, chance(0.1) ? 2 : 0.1), [this, zone, asked_at, process, p] {
+        Follower& to = followers_[zone];
+        if (to.process != process || now_ < to.cut_until) return;
+        to.highest_term = std::max(to.highest_term, p.term);
+        to.stand_in->permitted(p, asked_at, now_);
+      });
+    });
+  }
+
+  /// The report of a worker that hears nobody but the node of its zone.
+  void ask_stand_in(Worker& w, const WorkerReport& r, Seconds sent) {
+    Follower& f = followers_[w.zone];
+    if (r.token == 0 || !f.stand_in || !f.stand_in->in_place(f.highest_term, now_)) return;
+    f.stand_in->answered(now_);
+    ++stood_in_;
+    w.waiting = false;
+    w.answered_sent = sent;
+  }
+
   void step_leader() {
     for (const auto& action : core_->tick(now_))
       std::visit([this](const auto& a) { perform(a); }, action);
@@ -229,7 +271,9 @@
   }
 
   void perform(const SendOrders& o) {
-    const double delay = chance(0.1) ? between(0.5, 40) : between(0.001, 0.01);
+    double delay = chance(0.1) ? between(0.5, 40) : between(0.001, 0.01);
+    const auto to = workers_.find(o.machine);
+    if (to != workers_.end()) delay += std::max(0.0, followers_[to->second.zone].cut_until - now_);
     const bool timed_out = delay > 1.4;
     later(delay, [this, o, timed_out, term = term_] {
       auto it = workers_.find(o.machine);
@@ -324,6 +368,7 @@
     w.report_sent = now_;
     w.next_report = now_ + between(0.75, 1.25);
     const WorkerReport r = report_of(id, w);
+    if (now_ < followers_[w.zone].cut_until) return ask_stand_in(w, r, now_);
     const double delay = now_ < w.cut_until ? between(3, 20) : between(0.001, 0.05);
     later(delay, [this, r, sent = now_] { receive(r, sent, true); });
     if (chance(0.02)) later(delay + between(0.1, 30), [this, r] { receive(r, 0, false); });
@@ -440,6 +485,7 @@
         if (!core_) elect();
       });
     }
+    if (chance(0.0005)) followers_[chance(0.5) ? "east" : "west"].cut_until = now_ + between(5, 40);
     if (workers_.empty()) return;
     auto w = std::next(workers_.begin(), static_cast<long>(rng_() % workers_.size()));
     if (chance(0.004)) w->second.hung_until = now_ + between(1, 25);
@@ -465,23 +511,26 @@
   std::map<std::string, Worker> workers_;
   std::map<std::string, Truth> truth_;
   std::vector<std::string> broken_;
-  size_t starts_ = 0;
+  std::map<std::string, Follower> followers_;  ///< by zone
+  size_t starts_ = 0, stood_in_ = 0;
 };
 
 TEST(Histories, KeepTheRulesAndFinishTheWorkOnceTroublesAreOver) {
-  size_t starts = 0, jobs = 0;
+  size_t starts = 0, jobs = 0, stood_in = 0;
   for (uint64_t seed = 1; seed <= 60; ++seed) {
     World world(seed);
     world.run(300, 250);
     EXPECT_EQ(world.broken(), std::vector<std::string>{}) << "seed " << seed;
     EXPECT_EQ(world.unfinished(), 0u) << "seed " << seed;
     starts += world.starts();
+    stood_in += world.stood_in();
     jobs += world.submitted();
     if (HasFailure()) break;
   }
   // A history in which little happens checks little.
   EXPECT_GT(jobs, 1000u);
   EXPECT_GT(starts, 3000u);
+  EXPECT_GT(stood_in, 1000u);
 }
 
 }  // namespace
--- /dev/null
+++ b/tests/stand_in_test.cpp
@@ -0,0 +1,123 @@
+// Permissions, words and answers of stand-ins, with late and lost messages, restarts and drift.
+#include "leadership/stand_in.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+#include "generators.h"
+#include "wire/messages.h"
+
+namespace sumacquay {
+namespace {
+
+using testing::holds;
+
+constexpr Seconds kAfter = 3, kBeat = 1, kFor = 20;
+
+TEST(StandIns, TheLeaderCountsEveryAnswerThatOneMayHaveGiven) {
+  size_t answers = 0;
+  EXPECT_TRUE(holds(
+      "stand-ins",
+      [&answers] {
+        std::mt19937_64 rng(*rc::gen::noShrink(rc::gen::arbitrary<uint64_t>()));
+        auto draw = [&rng](double a, double b) {
+          return std::uniform_real_distribution<double>(a, b)(rng);
+        };
+        const double skew = 1 + draw(-0.0005, 0.0005);
+        Seconds now = 100;
+        auto clock = [&] { return now * skew + 5; };
+        StandIns ledger(7, kAfter);
+        uint64_t process = 1;
+        StandIn node(process, kAfter);
+        std::multimap<Seconds, std::function<void()>> mail;
+        Seconds next = 0, cut_until = 0, last_answer = -1;
+        while (now < 400) {
+          now += 0.1;
+          while (!mail.empty() && mail.begin()->first <= now) {
+            const auto f = mail.begin()->second;
+            mail.erase(mail.begin());
+            f();
+          }
+          if (draw(0, 1) < 0.004) cut_until = now + draw(1, 60);
+          if (draw(0, 1) < 0.004) node = StandIn(++process, kAfter);
+          if (clock() >= next) {
+            next = clock() + kBeat;
+            const double there = now < cut_until ? draw(0, 60) : draw(0.001, 0.05);
+            mail.emplace(now + there, [&, word = node.word(clock()), asked = clock(), process] {
+              ledger.heard("n", "z", word, now);
+              const auto p = ledger.permit("n", "z", now + kFor, now);
+              const double back = draw(0, 1) < 0.1 ? draw(0, 30) : 0.01;
+              mail.emplace(now + back, [&, p, asked, from = process] {
+                if (from == process && now >= cut_until) node.permitted(p, asked, clock());
+              });
+            });
+          }
+          if (node.in_place(7, clock()) && draw(0, 1) < 0.3) {
+            node.answered(clock());
+            last_answer = now;
+            ++answers;
+          }
+          RC_ASSERT(ledger.last_answer("z", now) >= last_answer - 1e-6);
+          RC_ASSERT(ledger.last_answer("other", now) < 0);
+        }
+      },
+      60));
+  EXPECT_GT(answers, 1000u) << "a history without answers checks nothing";
+}
+
+TEST(StandIns, OneThatHearsTheLeaderDelaysNothing) {
+  StandIns ledger(7, kAfter);
+  StandIn node(1, kAfter);
+  for (Seconds now = 10; now < 50; now += kBeat) {
+    ledger.heard("n", "z", node.word(now), now);
+    node.permitted(ledger.permit("n", "z", now + kFor, now), now, now);
+    EXPECT_FALSE(node.in_place(7, now));
+    if (now > 12) {
+      EXPECT_LT(ledger.last_answer("z", now), 0);
+    }
+  }
+  EXPECT_TRUE(node.in_place(7, 49 + kAfter));
+  EXPECT_FALSE(node.in_place(8, 49 + kAfter)) << "somebody else leads";
+  EXPECT_FALSE(node.in_place(7, 49 + kFor));
+  EXPECT_NEAR(ledger.last_answer("z", 49 + kAfter), 49 + kAfter, 1e-9);
+  EXPECT_NEAR(ledger.last_answer("z", 200), 49 + kFor, 1e-9);
+  node.answered(60);
+  ledger.heard("n", "z", node.word(70), 70);
+  node.permitted(ledger.permit("n", "z", 70 + kFor, 70), 70, 70);
+  ledger.heard("n", "z", node.word(71), 71);
+  EXPECT_NEAR(ledger.last_answer("z", 71), 60, 0.1) << "it told of its last answer";
+}
+
+TEST(StandIns, WordsAndPermissionsComeThroughTheWire) {
+  EXPECT_TRUE(holds(
+      "pulses",
+      [] {
+        wire::Pulse p;
+        p.node = "n";
+        p.term = *rc::gen::arbitrary<uint64_t>();
+        p.word = {*rc::gen::arbitrary<uint64_t>(), *rc::gen::arbitrary<uint64_t>(),
+                  *rc::gen::arbitrary<uint64_t>(), std::nullopt};
+        if (*rc::gen::arbitrary<bool>()) p.word.ago = *rc::gen::inRange(0, 1000) / 7.0;
+        if (*rc::gen::arbitrary<bool>())
+          p.permission =
+              Permission{*rc::gen::arbitrary<uint64_t>(), *rc::gen::arbitrary<uint64_t>(),
+                         *rc::gen::inRange(0, 1000) / 7.0};
+        const auto q = wire::decode_pulse(wire::encode_pulse(p));
+        RC_ASSERT(q.has_value());
+        RC_ASSERT(q->word.process == p.word.process && q->word.term == p.word.term);
+        RC_ASSERT(q->word.number == p.word.number && q->word.ago == p.word.ago);
+        RC_ASSERT(q->permission.has_value() == p.permission.has_value());
+        if (p.permission) {
+          RC_ASSERT(q->permission->term == p.permission->term);
+          RC_ASSERT(q->permission->number == p.permission->number);
+          RC_ASSERT(q->permission->for_s == p.permission->for_s);
+        }
+      },
+      200));
+}
+
+}  // namespace
+}  // namespace sumacquay
