Records say on which machines a job may be: only those jobs wait for a missing machine

Cause: after a takeover one unaccounted machine held back every job that was ever started, all renting, returning and moves; at hundreds of machines some are always silent. A job's record now names its machines (up to a fifth of a value, else any), durable before a start there; a write without an answer that drops one blocks it until a newer version stands. The checker found that a finished gang's tasks on a hung machine were not counted against the quota: they are now.

--- a/src/dispatch/leader_core.cpp
+++ b/src/dispatch/leader_core.cpp
@@ -17,8 +17,11 @@
 constexpr double kSureCache = 0.8;
 
 /// The part of a record's value that its done numbers may take, and the most a span takes.
-constexpr double kDoneShare = 0.5;
+constexpr double kDoneShare = 0.4;
 constexpr size_t kSpanBytes = 10;
+/// The same for the names of its machines, and what a name takes beside its letters.
+constexpr double kHostsShare = 0.2;
+constexpr size_t kTextBytes = 2;
 /// What a record takes beside its done numbers, and the size of a transaction, well under the limit
 /// of 64 KiB.
 constexpr size_t kRecordBytes = 1200;
@@ -71,12 +74,37 @@
 
 // ---------------------------------------------------------------- records
 
+namespace {
+
+void narrow(Job& job, const std::optional<std::vector<std::string>>& hosts) {
+  if (!hosts) return;
+  if (!job.narrowed) {
+    job.narrowed = hosts;
+    return;
+  }
+  std::erase_if(*job.narrowed, [&](const std::string& id) {
+    return !std::binary_search(hosts->begin(), hosts->end(), id);
+  });
+}
+
+/// Whether the record tells the next leader every place where a task of the job may be.
+bool record_covers(const Job& job) {
+  for (const auto& [task, places] : job.at)
+    for (const auto& [machine, attempt] : places)
+      if (!job.covers(machine)) return false;
+  return true;
+}
+
+}  // namespace
+
 void LeaderCore::job_stored(const JobRecord& record, uint64_t version, Seconds now) {
   auto [it, added] = jobs_.try_emplace(record.spec.id);
   Job& job = it->second;
   if (!added && job.version >= version) return;
   job.stored = record;
   job.version = version;
+  job.narrowed.reset();
+  job.want_hosts = job.want_hosts && !record_covers(job);
   if (added) {
     job.done = record.done;
     note_arrival(record);
@@ -125,7 +153,7 @@
 /// Whether a job's record is to be written, and how urgently.
 LeaderCore::WriteUrgency LeaderCore::write_urgency(const Job& job, Seconds now) const {
   if (job.writing || job.version == 0) return WriteUrgency::None;
-  if (job.want_started && !job.stored.started) return WriteUrgency::Start;
+  if ((job.want_started && !job.stored.started) || job.want_hosts) return WriteUrgency::Start;
   if (job.stored.state == JobState::Pending && job.complete()) return WriteUrgency::Done;
   // It stays among the live records until nothing of it is left anywhere: the next leader must
   // know what may still take room and count against a limit.
@@ -144,6 +172,23 @@
                           kSpanBytes);
 }
 
+/// Where the job's tasks may be, for the next leader: what that one can't account for then holds
+/// back this job only if it is among them. None if that would take too much of a record.
+std::optional<std::vector<std::string>> LeaderCore::possible_hosts(const Job& job) const {
+  if (missing_in_doubt(job) && !job.stored.hosts) return std::nullopt;
+  std::set<std::string> hosts;
+  for (const auto& [task, places] : job.at)
+    for (const auto& [machine, attempt] : places) hosts.insert(machine);
+  for (const auto& id : job.stored.hosts.value_or(std::vector<std::string>{})) {
+    const auto m = machines_.find(id);
+    if (m != machines_.end() && !m->second.accounted) hosts.insert(id);
+  }
+  size_t bytes = 0;
+  for (const auto& id : hosts) bytes += id.size() + kTextBytes;
+  if (bytes > settings_.state_value_kb * 1024 * kHostsShare) return std::nullopt;
+  return std::vector<std::string>(hosts.begin(), hosts.end());
+}
+
 RecordWrite LeaderCore::write_for(const Job& job) const {
   RecordWrite w;
   w.job = job.spec().id;
@@ -152,6 +197,7 @@
   w.record->done = recordable(job.done);
   if (job.stored.state == JobState::Pending && job.complete()) w.record->state = JobState::Done;
   w.record->started = job.stored.started || job.want_started;
+  if (w.record->started) w.record->hosts = possible_hosts(job);
   w.over = w.record->state != JobState::Pending && nowhere(job);
   return w;
 }
@@ -179,8 +225,11 @@
     if (changes + 2 > most_changes || bytes > kMostBytes) return out;
     RecordWrite w = write_for(*job);
     job->writing = true;
+    narrow(*job, w.record->hosts);
     changes += w.changes();
     bytes += kRecordBytes + w.record->done.spans() * kSpanBytes;
+    for (const auto& id : w.record->hosts.value_or(std::vector<std::string>{}))
+      bytes += id.size() + kTextBytes;
     out.push_back(std::move(w));
   }
   for (const auto& id : hosts_to_delete_) {
@@ -477,7 +526,7 @@
 bool LeaderCore::startable(const Machine& m, const RunKey& key, const Run& run) const {
   if (!run.wanted || run.phase != Run::Phase::Ordered || !m.recorded) return false;
   const Job* job = find_job(key.task.job);
-  return job && job->runnable() && job->stored.started;
+  return job && job->runnable() && job->covers(m.info.id);
 }
 
 std::vector<Command> LeaderCore::commands_for(Machine& m, bool forget) {
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -23,6 +23,10 @@
   uint64_t version = 0;
   bool writing = false;
   bool want_started = false;
+  bool want_hosts = false;  ///< placed where its record does not say that it may be
+  /// What every write of this version of the record leaves of its hosts. One without an answer may
+  /// be applied minutes later, and what was started on a host that it drops would be forgotten.
+  std::optional<std::vector<std::string>> narrowed;
   Ranges done;                  ///< at least stored.done
   Seconds progress_since = -1;  ///< done numbers not yet stored since
   /// Where each task is or may be; doubt counts as presence.
@@ -33,6 +37,11 @@
   Seconds retry_at = 0;
 
   const JobSpec& spec() const { return stored.spec; }
+  /// Whether the next leader will know that a task may be on the machine.
+  bool covers(const std::string& machine) const {
+    return stored.may_be_on(machine) &&
+           (!narrowed || std::binary_search(narrowed->begin(), narrowed->end(), machine));
+  }
   bool complete() const { return done.count() == stored.spec.tasks; }
   bool runnable() const { return stored.state == JobState::Pending && !complete(); }
 };
@@ -142,12 +151,14 @@
   WriteUrgency write_urgency(const Job& job, Seconds now) const;
   RecordWrite write_for(const Job& job) const;
   Ranges recordable(const Ranges& done) const;
+  std::optional<std::vector<std::string>> possible_hosts(const Job& job) const;
   bool nowhere(const Job& job) const { return job.at.empty() && !missing_in_doubt(job); }
   // rounds.cpp: placement
   void round(Seconds now);
   std::vector<Slot> picture(Seconds now, bool booting) const;
   std::vector<Job*> waiting(Seconds now);
-  bool missing_in_doubt(const Job& job) const { return job.stored.started && !all_accounted(); }
+  bool missing_in_doubt(const Job& job) const;
+  bool picture_settled(Seconds now) const;
   std::optional<Demand> demand(Job& job, Seconds now, size_t most);
   bool fetch_hurts(const Job& job) const;
   void place_warm(Job& job, Demand& demand, std::vector<Slot>& slots, Seconds now);
--- a/src/dispatch/machines.cpp
+++ b/src/dispatch/machines.cpp
@@ -170,7 +170,7 @@
 }
 
 void LeaderCore::provision(Seconds now, std::vector<Action>& out) {
-  if (now < next_provision_ || types_.empty() || !all_accounted()) return;
+  if (now < next_provision_ || types_.empty() || !picture_settled(now)) return;
   next_provision_ = now + settings_.report_s * 0.5;
   forget_arrivals(now);
   for (auto& [name, open] : open_rents_) {
@@ -292,7 +292,7 @@
 }
 
 void LeaderCore::return_idle(Seconds now) {
-  if (!all_accounted() || !open_rents_.empty()) return;
+  if (!picture_settled(now) || !open_rents_.empty()) return;
   for (auto& [id, m] : machines_) {
     const bool idle = m.stage == Machine::Stage::Up && !m.has_presence();
     if (!idle)
--- a/src/dispatch/moves.cpp
+++ b/src/dispatch/moves.cpp
@@ -72,7 +72,7 @@
 }
 
 void LeaderCore::move_replicas(Seconds now) {
-  if (finish_move(now) || now < next_move_ || !all_accounted()) return;
+  if (finish_move(now) || now < next_move_ || !picture_settled(now)) return;
   std::optional<Demand> gang;  // a task of it
   for (const auto& d : unplaced_)
     if (d.spec->kind == JobKind::Gang && !gang) gang = d;
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -54,14 +54,32 @@
   for (const auto& [id, job] : jobs_) {
     size_t n = 0;
     for (const auto& [task, places] : job.at) n += places.size();
-    // What nobody has accounted for since the takeover may be running somewhere.
-    if (missing_in_doubt(job))
-      n = std::max<size_t>(n,
-                           job.spec().tasks - std::min(job.spec().tasks, job.stored.done.count()));
+    // What nobody has accounted for since the takeover may be running somewhere. Of a gang that is
+    // done some tasks may not have exited yet.
+    if (missing_in_doubt(job)) {
+      const uint32_t gone = job.spec().kind == JobKind::Array ? job.stored.done.count() : 0;
+      n = std::max<size_t>(n, job.spec().tasks - std::min(job.spec().tasks, gone));
+    }
     used_[job.spec().team] += job.spec().need.times(static_cast<double>(n));
   }
 }
 
+/// Whether tasks of the job may be on machines that nobody has accounted for since the takeover.
+bool LeaderCore::missing_in_doubt(const Job& job) const {
+  if (!job.stored.started || all_accounted()) return false;
+  if (!job.stored.hosts) return true;
+  return std::any_of(job.stored.hosts->begin(), job.stored.hosts->end(), [this](const auto& id) {
+    const auto m = machines_.find(id);
+    return m != machines_.end() && !m->second.accounted;
+  });
+}
+
+/// What is still silent some reports after the takeover may be so for long, and the fleet is rented
+/// and returned without it: in a large one some machine always is.
+bool LeaderCore::picture_settled(Seconds now) const {
+  return all_accounted() || now - began_ > kSilence * settings_.report_s + 0.5;
+}
+
 size_t LeaderCore::quota_left(const Job& job) const {
   const TeamSettings* team = settings_.team(job.spec().team);
   if (!team) return 0;
@@ -192,6 +210,7 @@
     run.image = job.spec().image;
     run.image_gb = job.spec().image_gb;
     m.recording = true;
+    if (!job.covers(m.info.id)) job.want_hosts = true;
     add_presence(m, key);
     used_[job.spec().team] += run.need;
   }
--- a/src/jobs/record.h
+++ b/src/jobs/record.h
@@ -1,5 +1,8 @@
 #pragma once
+#include <algorithm>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "jobs/ranges.h"
 #include "jobs/spec.h"
@@ -11,9 +14,14 @@
   JobSpec spec;
   JobState state = JobState::Pending;
   bool started = false;  ///< durable before the first start: without it no task can be anywhere
+  /// Once it is started: every machine that a task of it may be on, sorted. None: any machine.
+  std::optional<std::vector<std::string>> hosts;
   uint64_t submitted_ms = 0;  ///< time of day of the acceptance; orders jobs across nodes
   Ranges done;
   bool operator==(const JobRecord&) const = default;
+  bool may_be_on(const std::string& machine) const {
+    return started && (!hosts || std::binary_search(hosts->begin(), hosts->end(), machine));
+  }
 };
 
 /// A machine on which a start may have been ordered; durable before the first such order.
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -558,11 +558,16 @@
 
 std::string encode_job(const JobRecord& r) {
   return build([&](Packer& p) {
-    p.pack_map(5);
+    p.pack_map(r.hosts ? 6 : 5);
     text(p, "spec");
     write_spec(p, r.spec);
     pair(p, "state", name_of(kJobStates, r.state));
     pair(p, "started", r.started);
+    if (r.hosts) {
+      text(p, "hosts");
+      p.pack_array(static_cast<uint32_t>(r.hosts->size()));
+      for (const auto& host : *r.hosts) text(p, host);
+    }
     pair(p, "at_ms", r.submitted_ms);
     text(p, "done");
     const auto lengths = r.done.to_lengths();
@@ -585,6 +590,11 @@
   r.state = *state;
   r.started = *started;
   r.submitted_ms = *at;
+  if (const View hosts = v["hosts"]; hosts.is_list()) {
+    r.hosts.emplace();
+    for (size_t i = 0; i < hosts.size(); ++i) r.hosts->push_back(hosts.at(i).text_or(""));
+    if (!std::is_sorted(r.hosts->begin(), r.hosts->end())) return std::nullopt;
+  }
   std::vector<uint32_t> numbers;
   for (size_t i = 0; i < lengths.size(); ++i)
     numbers.push_back(static_cast<uint32_t>(lengths.at(i).count().value_or(UINT32_MAX)));
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -100,6 +100,64 @@
   EXPECT_EQ(orders(core->tick(now + 0.5)).size(), 1u);
 }
 
+TEST_F(Fixture, NothingIsStartedWhereAWriteUnderWayDropsTheMachineFromTheRecord) {
+  // Its answer may be lost and the write be applied minutes later: the next leader would look
+  // everywhere but there.
+  type.room = {16, 1, 64};
+  record.started = true;
+  record.hosts = {"i-8", "i-9"};
+  record.spec.kind = JobKind::Array;
+  record.spec.tasks = 3;
+  auto core = leader(1, 0);
+  for (const char* id : {"i-8", "i-9"}) core->host_stored({id, "10.0.0.2:9", "g", "e", false}, now);
+  core->job_stored(record, 5, now);
+  auto show = [&](const std::string& id, uint64_t seq, std::vector<TaskReport> tasks,
+                  std::optional<double> notice = std::nullopt) {
+    auto r = report(id, seq, uint64_t{1} << 20, std::move(tasks));
+    r.notice_s = notice;
+    return core->report(r, true, now);
+  };
+  const TaskReport runs{{"job-1", 0}, 7, TaskState::Running, ExitCause::None};
+  const TaskReport ended{{"job-1", 2}, 8, TaskState::Exited, ExitCause::Done};
+  show("i-8", 1, {runs, ended});
+  show("i-9", 1, {}, 60);
+  ASSERT_TRUE(core->all_accounted());
+  now += 2;
+  const auto progress = core->wanted_writes(now, 20);
+  ASSERT_EQ(progress.size(), 1u);
+  EXPECT_EQ(progress[0].record->hosts, std::vector<std::string>{"i-8"});
+  show("i-8", 2, {runs});
+  show("i-9", 2, {});
+  core->tick(now);
+  ASSERT_EQ(core->jobs().at("job-1").at.count(1), 1u) << "placed on i-9";
+  EXPECT_TRUE(show("i-9", 3, {}).commands.empty());
+  core->write_done(progress[0], false, 0, now);
+  EXPECT_TRUE(show("i-9", 4, {}).commands.empty()) << "it may still be applied";
+  write_all(*core);
+  EXPECT_EQ(show("i-9", 5, {}).commands.size(), 1u);
+}
+
+TEST_F(Fixture, OnlyJobsThatMayBeOnAMissingMachineWaitForIt) {
+  settings.teams[0].gpus_max = 8;
+  // Seen at hundreds of machines: some are always silent, and each takeover froze the whole fleet.
+  record.started = true;
+  record.hosts = std::vector<std::string>{"i-7"};
+  JobRecord other = record;
+  other.spec.id = "job-2";
+  other.hosts = std::vector<std::string>{"i-9"};
+  JobRecord anywhere = record;
+  anywhere.spec.id = "job-3";
+  anywhere.hosts.reset();
+  auto core = leader(1, 5);
+  for (const char* id : {"i-7", "i-9"}) core->host_stored({id, "10.0.0.2:9", "g", "e", false}, now);
+  for (const auto* r : {&record, &other, &anywhere}) core->job_stored(*r, 5, now);
+  core->report(report("i-9", 1, uint64_t{1} << 20), true, now);
+  core->tick(now);
+  EXPECT_TRUE(core->jobs().at("job-1").at.empty());
+  EXPECT_EQ(core->jobs().at("job-2").at.size(), 2u);
+  EXPECT_TRUE(core->jobs().at("job-3").at.empty());
+}
+
 TEST_F(Fixture, ASilentMachineIsGivenUpThoughAnOrderToItWentUnanswered) {
   record.started = true;
   auto core = leader(1, 0);
