Silent machines are given up unless most of their zone is silent

Cause: more than a sixth of all machines silent (70 hung of 440) was taken for a cut, and each waited for its lease (22 and 31 s) instead of being returned after 0.45 of it. Now a zone is taken for cut off when most of its machines are silent, and nothing is given up or rented there; any other silence counts machine by machine.

--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -196,7 +196,8 @@
   bool spare_room(Trial& trial, Seconds now) const;
   void drain(Machine& m, const char* why, Seconds now);
   void care_for_machines(Seconds now, std::vector<Action>& out);
-  bool give_up_on(const Machine& m, Seconds now, bool many_silent) const;
+  void find_cut_zones(Seconds now);
+  bool give_up_on(const Machine& m, Seconds now) const;
   void order_starts(Seconds now, std::vector<Action>& out);
   const MachineType* type(const std::string& name) const;
   std::string name_request();
@@ -214,6 +215,7 @@
   /// By type: when the last rented of those that this leader saw boot was rented.
   std::map<std::string, Seconds> newest_up_;
   std::set<std::string> hosts_to_delete_;
+  std::set<std::string> cut_zones_;  ///< as far as can be told
   std::set<std::string> writing_hosts_;
   std::vector<MachineType> types_;
   std::map<std::tuple<std::string, std::string, bool>, std::pair<Seconds, int>> refused_;
--- a/src/dispatch/machines.cpp
+++ b/src/dispatch/machines.cpp
@@ -21,6 +21,10 @@
 /// Machines that are never silent together by chance, the silence of all that shows it / report
 /// period, and the time that workers need to find a new leader / their lease.
 constexpr size_t kSeveral = 3;
+/// The part of a zone's machines whose silence shows that the zone is cut off, and how long they
+/// must have been silent / the silence after which a machine is given up.
+constexpr double kMostOfZone = 0.5;
+constexpr double kShortlySilent = 0.6;
 constexpr double kAllSilent = 2.5;
 constexpr double kFindLeader = 0.3;
 constexpr size_t kMostReleased = 100;
@@ -120,7 +124,8 @@
       for (bool spot : {false, true}) {
         const auto refused = refused_.find({t.name, zone, spot});
         out.push_back({&t, zone, spot, spot ? t.spot_price : t.price,
-                       refused != refused_.end() && now < refused->second.first});
+                       cut_zones_.count(zone) > 0 ||
+                           (refused != refused_.end() && now < refused->second.first)});
       }
   return out;
 }
@@ -255,14 +260,40 @@
   }
 }
 
-bool LeaderCore::give_up_on(const Machine& m, Seconds now, bool many_silent) const {
+/// Zones that are cut off, or seem so: most of a zone's machines don't fall silent together by
+/// themselves. What runs there goes on, so nothing of it is given up, and nothing rented there would
+/// be heard. Any number of machines that is silent without its zone is taken for dead.
+void LeaderCore::find_cut_zones(Seconds now) {
+  struct Count {
+    size_t up = 0, silent = 0;
+  };
+  std::map<std::string, Count> zones;
+  for (const auto& [id, m] : machines_) {
+    if (m.stage != Machine::Stage::Up) continue;
+    Count& c = zones[m.info.zone];
+    ++c.up;
+    const Seconds silence = now - std::max(m.last_heard, began_);
+    if (silence > settings_.tuning.suspect * settings_.lease_s * kShortlySilent) ++c.silent;
+  }
+  for (const auto& [zone, c] : zones) {
+    const bool cut = c.up >= kSeveral && static_cast<double>(c.silent) > kMostOfZone * c.up;
+    if (cut != (cut_zones_.count(zone) > 0))
+      spdlog::info("zone {}: {} of {} machines silent, {}", zone, c.silent, c.up,
+                   cut ? "taken for cut off" : "no longer taken for cut off");
+    cut ? (void)cut_zones_.insert(zone) : (void)cut_zones_.erase(zone);
+  }
+}
+
+bool LeaderCore::give_up_on(const Machine& m, Seconds now) const {
+  const bool zone_cut = cut_zones_.count(m.info.zone) > 0;
   const MachineType* t = type(m.info.type);
   const double boot = t ? t->boot_s : 60;
   switch (m.stage) {
     case Machine::Stage::Booting: {
       const auto newest = newest_up_.find(m.info.type);
       const bool passed = newest != newest_up_.end() && newest->second > m.first_seen;
-      return m.listed_failed || now - m.first_seen > (passed ? kOverdue : kAllSlow) * boot;
+      if (m.listed_failed) return true;
+      return !zone_cut && now - m.first_seen > (passed ? kOverdue : kAllSlow) * boot;
     }
     case Machine::Stage::Lapsed:
       return now - m.last_heard > settings_.lease_s;
@@ -270,11 +301,10 @@
       if (m.listed_failed) return true;
       if (m.sick && !m.has_presence()) return true;
       const double heard = std::max(m.last_heard, began_);
-      // A machine that has been silent for long is dead more often than cut off. Many that fall
-      // silent at once are cut off, or this node is.
+      // A machine that has been silent for long is dead more often than cut off.
       // An order that went unanswered is no reason to wait for the lease: nothing of the machine is
       // left once the cloud has taken it back.
-      return !many_silent && m.has_presence() &&
+      return !zone_cut && m.has_presence() &&
              now - heard > settings_.tuning.suspect * settings_.lease_s;
     }
     case Machine::Stage::Returning:
@@ -317,15 +347,9 @@
 void LeaderCore::care_for_machines(Seconds now, std::vector<Action>& out) {
   if (releasing_ || now < next_release_) return;
   next_release_ = now + settings_.report_s * 0.5;
-  size_t up = 0, silent = 0;
-  for (const auto& [id, m] : machines_) {
-    if (m.stage != Machine::Stage::Up) continue;
-    ++up;
-    if (now - m.last_heard > settings_.tuning.suspect * settings_.lease_s * 0.6) ++silent;
-  }
-  const bool many_silent = silent > 1 + up / 6;
+  find_cut_zones(now);
   for (auto& [id, m] : machines_)
-    if (give_up_on(m, now, many_silent)) {
+    if (give_up_on(m, now)) {
       spdlog::info("gives {} back: stage {}, silent {:.1f} s", id, static_cast<int>(m.stage),
                    now - m.last_heard);
       m.stage = Machine::Stage::Returning;
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -175,6 +175,59 @@
   EXPECT_TRUE(released);
 }
 
+/// A dozen machines in three zones, each with a replica.
+struct Zones : Fixture {
+  std::unique_ptr<LeaderCore> core;
+  uint64_t seq = 0;
+  std::set<std::string> released;
+
+  Zones() {
+    settings.teams[0].gpus_max = 0;
+    type.room = {16, 1, 64};
+    type.zones = {"e", "n", "w"};
+    record.started = true;
+    record.spec.tasks = 12;
+    core = leader(1, 0);
+    for (int i = 0; i < 12; ++i) core->host_stored({id(i), addr(i), "g", zone(i), false}, now);
+    core->job_stored(record, 5, now);
+  }
+  static std::string id(int i) { return "i-" + std::to_string(i); }
+  static std::string addr(int i) { return "10.0.0." + std::to_string(i) + ":9"; }
+  static std::string zone(int i) { return std::array{"e", "n", "w"}[i % 3]; }
+
+  /// Lets time pass while some machines say nothing.
+  void pass(Seconds time, const std::set<int>& silent) {
+    for (Seconds end = now + time; now < end; now += 0.1) {
+      if (++seq % 10 == 0)
+        for (int i = 0; i < 12; ++i) {
+          if (silent.count(i)) continue;
+          auto r = report(id(i), seq, uint64_t{1} << 20,
+                          {{{"job-1", static_cast<uint32_t>(i)}, 7, TaskState::Running, {}}});
+          r.zone = zone(i);
+          core->report(r, true, now);
+        }
+      for (const auto& a : core->tick(now))
+        if (const auto* r = std::get_if<Release>(&a)) {
+          released.insert(r->machines.begin(), r->machines.end());
+          core->release_done(*r, true, now);
+        }
+    }
+  }
+};
+
+TEST_F(Zones, AnyNumberOfSilentMachinesIsGivenUpButNotAZoneThatIsCutOff) {
+  pass(3, {});
+  pass(6, {0, 1, 2, 3});  // a third, from everywhere
+  EXPECT_EQ(released, (std::set<std::string>{"i-0", "i-1", "i-2", "i-3"}));
+  released.clear();
+  const auto booting = ListedMachine::State::Booting;
+  core->listed({{"i-new", "10.0.1.1:9", "g", "n", false, booting, 3.4 * type.boot_s}}, now);
+  pass(9, {0, 1, 2, 3, 4, 7, 10});
+  EXPECT_EQ(released, std::set<std::string>{}) << "what runs there goes on, what boots may be up";
+  pass(30, {0, 1, 2, 3, 4, 7, 10});
+  EXPECT_TRUE(released.count("i-4")) << "its lease is over";
+}
+
 TEST_F(Fixture, RoomForArrivalsIsGivenUpWhenNoneCome) {
   record.submitted_ms = static_cast<uint64_t>(now * 1000);
   record.spec.priority = Priority::Production;
