Late machines are asked whether they are there, and given up at once if they don't answer

Cause: a machine that died, hung or was taken without notice cost 0.45 of a lease (10 and 14 s) before its replicas were placed elsewhere. Now one that is late with its report gets a probe; without an answer it is given up if many others of its zone are heard.

--- a/src/dispatch/leader_core.cpp
+++ b/src/dispatch/leader_core.cpp
@@ -52,6 +52,8 @@
       began_(now),
       fence_(fence),
       wall_offset_(wall_offset),
+      awake_since_(now),
+      ticked_(now),
       stand_ins_(term, settings.stand_in_after_s()) {}
 
 const Job* LeaderCore::find_job(const std::string& id) const {
@@ -324,6 +326,17 @@
     take_in(m, *r, false, now);
 }
 
+void LeaderCore::probed(const std::string& id, const std::optional<WorkerReport>& r, Seconds now) {
+  const auto it = machines_.find(id);
+  if (it == machines_.end()) return;
+  Machine& m = it->second;
+  m.probing = false;
+  m.unanswered = !r || r->machine != id;
+  if (m.unanswered) return;
+  if (std::make_pair(r->session, r->seq) > std::make_pair(m.session, m.seq))
+    take_in(m, *r, false, now);
+}
+
 void LeaderCore::take_in(Machine& m, const WorkerReport& r, bool absence_counts, Seconds now) {
   if (r.session > m.session) {
     // A new session begins with nothing: the old one's tasks ended with its lease.
@@ -331,10 +344,14 @@
     m.error_jobs.clear();
     m.proven = false;
     m.session = r.session;
+    // Its lease counts from when it began. Learnt from an answer to an order or a probe, the last
+    // answer to a report would say that it is over while new tasks run.
+    m.answered = std::max(m.answered, now);
   }
   m.seq = r.seq;
   m.token_seen = std::max(m.token_seen, r.token);
   m.last_heard = now;
+  m.unanswered = false;
   if (m.stage == Machine::Stage::Booting) {
     m.up_since = now;
     auto& newest = newest_up_[m.info.type];
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -51,6 +51,10 @@
   uint64_t token = 0, session = 0;
   std::vector<Command> commands;
 };
+/// Asks a machine that is late with its report whether it is there.
+struct Probe {
+  std::string machine, addr;
+};
 struct Rent {
   std::string request, type, zone;
   bool spot = false;
@@ -59,7 +63,7 @@
 struct Release {
   std::vector<std::string> machines;
 };
-using Action = std::variant<SendOrders, Rent, Release>;
+using Action = std::variant<SendOrders, Probe, Rent, Release>;
 
 /// One change of a record that the leader wants.
 struct RecordWrite {
@@ -97,6 +101,7 @@
   ReportAnswer report(const WorkerReport& report, bool may_act, Seconds now);
   void orders_done(const std::string& machine, const std::optional<WorkerReport>& report,
                    bool executed, Seconds now);
+  void probed(const std::string& machine, const std::optional<WorkerReport>& report, Seconds now);
   /// No earlier leader can answer a worker any more.
   void fenced(Seconds now);
   /// Nodes that answer workers of their zone in this leader's place while they can't hear it.
@@ -199,12 +204,16 @@
   void find_cut_zones(Seconds now);
   bool give_up_on(const Machine& m, Seconds now) const;
   void order_starts(Seconds now, std::vector<Action>& out);
+  void probe_late(Seconds now, std::vector<Action>& out);
+  Seconds silence(const Machine& m, Seconds now) const;
+  bool late_with_report(const Machine& m, Seconds now) const;
   const MachineType* type(const std::string& name) const;
   std::string name_request();
 
   const Settings& settings_;
   uint64_t term_;
   Seconds began_, fence_, wall_offset_;
+  Seconds awake_since_, ticked_;
   bool fenced_ = false;
   StandIns stand_ins_;
   uint64_t next_attempt_ = 1, next_request_ = 1;
@@ -215,7 +224,7 @@
   /// By type: when the last rented of those that this leader saw boot was rented.
   std::map<std::string, Seconds> newest_up_;
   std::set<std::string> hosts_to_delete_;
-  std::set<std::string> cut_zones_;  ///< as far as can be told
+  std::set<std::string> cut_zones_, lively_zones_;  ///< as far as can be told
   std::set<std::string> writing_hosts_;
   std::vector<MachineType> types_;
   std::map<std::tuple<std::string, std::string, bool>, std::pair<Seconds, int>> refused_;
--- a/src/dispatch/machines.cpp
+++ b/src/dispatch/machines.cpp
@@ -21,6 +21,12 @@
 /// Machines that are never silent together by chance, the silence of all that shows it / report
 /// period, and the time that workers need to find a new leader / their lease.
 constexpr size_t kSeveral = 3;
+/// The pause between two ticks that shows this process to have stood still / workers' lease.
+constexpr double kStoodStill = 0.1;
+/// Where so many of a zone's machines were heard within so much of a report period, the zone is not
+/// cut off: in one that is, fewer were by the time the first machine is late and has not answered.
+constexpr double kLively = 0.25;
+constexpr double kLately = 0.5;
 /// The part of a zone's machines whose silence shows that the zone is cut off, and how long they
 /// must have been silent / the silence after which a machine is given up.
 constexpr double kMostOfZone = 0.5;
@@ -41,6 +47,9 @@
 
 std::vector<Action> LeaderCore::tick(Seconds now) {
   std::vector<Action> out;
+  // A process that stood still has heard nobody meanwhile, and must not take that for their silence.
+  if (now - ticked_ > settings_.lease_s * kStoodStill) awake_since_ = now;
+  ticked_ = now;
   lapse(now);
   if (now >= next_round_) {
     next_round_ = now + settings_.tuning.round * settings_.report_s;
@@ -52,6 +61,7 @@
   }
   care_for_machines(now, out);
   order_starts(now, out);
+  probe_late(now, out);
   return out;
 }
 
@@ -265,16 +275,21 @@
 /// be heard. Any number of machines that is silent without its zone is taken for dead.
 void LeaderCore::find_cut_zones(Seconds now) {
   struct Count {
-    size_t up = 0, silent = 0;
+    size_t up = 0, silent = 0, heard = 0;
   };
   std::map<std::string, Count> zones;
+  const Seconds suspect = settings_.tuning.suspect * settings_.lease_s;
   for (const auto& [id, m] : machines_) {
     if (m.stage != Machine::Stage::Up) continue;
     Count& c = zones[m.info.zone];
     ++c.up;
-    const Seconds silence = now - std::max(m.last_heard, began_);
-    if (silence > settings_.tuning.suspect * settings_.lease_s * kShortlySilent) ++c.silent;
+    if (silence(m, now) > suspect * kShortlySilent) ++c.silent;
+    if (silence(m, now) < kLately * settings_.report_s) ++c.heard;
   }
+  lively_zones_.clear();
+  for (const auto& [zone, c] : zones)
+    if (c.up >= kSeveral && static_cast<double>(c.heard) > kLively * c.up)
+      lively_zones_.insert(zone);
   for (const auto& [zone, c] : zones) {
     const bool cut = c.up >= kSeveral && static_cast<double>(c.silent) > kMostOfZone * c.up;
     if (cut != (cut_zones_.count(zone) > 0))
@@ -300,12 +315,13 @@
     case Machine::Stage::Up: {
       if (m.listed_failed) return true;
       if (m.sick && !m.has_presence()) return true;
-      const double heard = std::max(m.last_heard, began_);
-      // A machine that has been silent for long is dead more often than cut off.
+      // A machine that has been silent for long is dead more often than cut off; so is one that is
+      // late and does not answer while many others of its zone are heard.
       // An order that went unanswered is no reason to wait for the lease: nothing of the machine is
       // left once the cloud has taken it back.
-      return !zone_cut && m.has_presence() &&
-             now - heard > settings_.tuning.suspect * settings_.lease_s;
+      if (zone_cut || !m.has_presence()) return false;
+      return silence(m, now) > settings_.tuning.suspect * settings_.lease_s ||
+             (m.unanswered && late_with_report(m, now) && lively_zones_.count(m.info.zone) > 0);
     }
     case Machine::Stage::Returning:
       return false;
@@ -380,6 +396,24 @@
   }
 }
 
+Seconds LeaderCore::silence(const Machine& m, Seconds now) const {
+  return now - std::max(m.last_heard, awake_since_);
+}
+
+/// Reports come up to a quarter late.
+bool LeaderCore::late_with_report(const Machine& m, Seconds now) const {
+  return silence(m, now) > 1.25 * settings_.report_s + 0.5;
+}
+
+void LeaderCore::probe_late(Seconds now, std::vector<Action>& out) {
+  for (auto& [id, m] : machines_) {
+    if (m.stage != Machine::Stage::Up || m.probing || m.unanswered || m.info.addr.empty()) continue;
+    if (!late_with_report(m, now) || !m.has_presence()) continue;
+    m.probing = true;
+    out.push_back(Probe{id, m.info.addr});
+  }
+}
+
 void LeaderCore::order_starts(Seconds now, std::vector<Action>& out) {
   for (auto& [id, m] : machines_) {
     if (m.stage != Machine::Stage::Up || m.order_in_flight || now < m.next_order) continue;
--- a/src/fleet/machine.h
+++ b/src/fleet/machine.h
@@ -85,6 +85,8 @@
   bool old_answers = true;  ///< an earlier leader may have answered it until the fence
   bool order_in_flight = false;
   Seconds next_order = 0;
+  bool probing = false;     ///< asked whether it is there
+  bool unanswered = false;  ///< it has not answered that
 
   Seconds first_seen = 0;
   Seconds up_since = -std::numeric_limits<Seconds>::infinity();  ///< if this leader saw it boot
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -7,6 +7,8 @@
 
 /// Changes of the term key and of nothing else go with a leader's transaction as its first guard.
 constexpr int kGuards = 1;
+/// How long a machine has to say that it is there / the workers' lease.
+constexpr double kProbeDeadline = 0.05;
 /// The part of all sockets that orders to workers may keep.
 constexpr double kOrderSockets = 0.2;
 
@@ -394,6 +396,17 @@
       });
 }
 
+void Node::perform(const Probe& probe) {
+  auto done = [this, machine = probe.machine, generation = core_generation_](HttpResult r) {
+    if (generation != core_generation_ || !core_) return;
+    core_->probed(machine, r.ok() ? wire::parse_report(r.body) : std::nullopt, now());
+  };
+  const auto client = worker_client(probe.addr);
+  if (!client) return asio::post(io_, [done = std::move(done)] { done({}); });
+  client->request("GET", wire::path::kInspect, {}, settings_.lease_s * kProbeDeadline,
+                  [client, done = std::move(done)](HttpResult r) { done(std::move(r)); });
+}
+
 void Node::perform(const Rent& rent) {
   cloud_.request("POST", wire::path::kMachines,
                  wire::rent_body(rent.request, rent.type, rent.zone, rent.spot, rent.count),
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -51,6 +51,7 @@
   // the leader's hands
   void perform(const Action& action);
   void perform(const SendOrders& order);
+  void perform(const Probe& probe);
   void perform(const Rent& rent);
   void perform(const Release& release);
   void write_records();
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -303,6 +303,18 @@
       });
   }
 
+  void perform(const Probe& p) {
+    const auto it = workers_.find(p.machine);
+    const bool reached = it != workers_.end() && now_ >= it->second.up_at &&
+                         now_ >= it->second.hung_until && now_ >= it->second.deaf_until &&
+                         now_ >= followers_[it->second.zone].cut_until && !chance(0.05);
+    std::optional<WorkerReport> report;
+    if (reached) report = report_of(p.machine, it->second);
+    later(reached ? between(0.001, 0.01) : 0.5, [this, p, report, term = term_] {
+      if (core_ && term == term_) core_->probed(p.machine, report, now_);
+    });
+  }
+
   void perform(const Rent& r) {
     later(between(0.05, 0.3), [this, r, term = term_] {
       std::vector<std::string> ids;
