--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -196,7 +196,8 @@
   void log_fleet(Seconds now);
   // moves.cpp: replicas moved together
   void move_replicas(Seconds now);
-  bool finish_move(Seconds now);
+  size_t finish_moves(Seconds now);
+  std::vector<size_t> worth_emptying(const std::vector<Slot>& slots) const;
   bool movable(const Machine& m, Trial& elsewhere, Seconds now);
   bool spare_room(Trial& trial, Seconds now) const;
   void drain(Machine& m, const char* why, Seconds now);
--- a/src/dispatch/moves.cpp
+++ b/src/dispatch/moves.cpp
@@ -15,18 +15,22 @@
 constexpr Seconds kSettled = 4 * 30;
 /// Pause between moves / report period.
 constexpr double kPause = 2;
+/// The part of all machines that may be emptied at once: few enough that the replicas on their way
+/// don't show among all that run.
+constexpr double kAtOnce = 0.02;
 
 /// Machines that cost less than this part of the dearest are not worth any replica's downtime.
 constexpr double kWorthMoving = 0.25;
 
-/// Less than this part of a machine in use is nothing but the error of sums.
-constexpr double kEmpty = 1e-9;
-
 double used_part(const Slot& s) {
   if (s.room.gpus > 0) return 1 - s.free.gpus / s.room.gpus;
   return s.room.cpus > 0 ? 1 - s.free.cpus / s.room.cpus : 1;
 }
 
+bool empty(const Slot& s) {
+  return s.room.fits_in(s.free);
+}
+
 }  // namespace
 
 /// Whether every task on the machine is a settled replica that fits on another machine with its
@@ -45,7 +49,7 @@
         if (task != key.task.task) ++d.zones[machines_.at(machine).info.zone];
     // Nothing is moved to an empty machine: that would only go back and forth.
     d.avoid = [job](const Slot& s) {
-      return used_part(s) < kEmpty || !s.of->images.has(job->spec().image) ||
+      return empty(s) || !s.of->images.has(job->spec().image) ||
              job->failed_on.count(s.machine) > 0;
     };
     if (!elsewhere.fits(d)) return false;
@@ -60,37 +64,50 @@
     if (run.present()) unwant(run, false, now);
 }
 
-/// One machine at a time: true while a move is on its way.
-bool LeaderCore::finish_move(Seconds now) {
+/// How many machines are being emptied.
+size_t LeaderCore::finish_moves(Seconds now) {
+  size_t draining = 0;
   for (auto& [id, m] : machines_) {
     if (!m.draining || m.stage != Machine::Stage::Up) continue;
-    if (m.has_presence()) return true;
+    if (m.has_presence()) {
+      ++draining;
+      continue;
+    }
     m.draining = false;
     m.idle_since = now;
   }
-  return false;
+  return draining;
 }
 
-void LeaderCore::move_replicas(Seconds now) {
-  if (finish_move(now) || now < next_move_ || !picture_settled(now)) return;
-  std::optional<Demand> gang;  // a task of it
-  for (const auto& d : unplaced_)
-    if (d.spec->kind == JobKind::Gang && !gang) gang = d;
-  if (gang) gang->tasks.resize(1);
-  if (!gang && !unplaced_.empty()) return;
-  auto slots = picture(now, false);
+/// The machines that it may pay to empty, the emptiest first.
+std::vector<size_t> LeaderCore::worth_emptying(const std::vector<Slot>& slots) const {
   double dearest = 0;
   for (const auto& t : types_) dearest = std::max(dearest, t.price);
   std::vector<size_t> order;
   for (size_t i = 0; i < slots.size(); ++i) {
     const MachineType* t = type(slots[i].type);
     const bool dear = t && t->price >= kWorthMoving * dearest;
-    if (slots[i].usable && used_part(slots[i]) > kEmpty && dear) order.push_back(i);
+    if (slots[i].usable && !empty(slots[i]) && dear) order.push_back(i);
   }
   std::sort(order.begin(), order.end(),
             [&](size_t a, size_t b) { return used_part(slots[a]) < used_part(slots[b]); });
+  return order;
+}
+
+void LeaderCore::move_replicas(Seconds now) {
+  size_t draining = finish_moves(now);
+  if (now < next_move_ || !picture_settled(now)) return;
+  auto slots = picture(now, false);
+  const size_t most = 1 + static_cast<size_t>(kAtOnce * static_cast<double>(slots.size()));
+  if (draining >= most) return;
+  std::optional<Demand> gang;  // a task of it
+  for (const auto& d : unplaced_)
+    if (d.spec->kind == JobKind::Gang && !gang) gang = d;
+  if (gang) gang->tasks.resize(1);
   next_move_ = now + kPause * settings_.report_s;
-  for (size_t i : order) {
+  std::set<size_t> taken;  // machines that get replicas are not emptied in the same go
+  for (size_t i : worth_emptying(slots)) {
+    if (taken.count(i)) continue;
     if (gang) {
       std::vector<Slot> alone{slots[i]};
       alone[0].free = alone[0].room;
@@ -99,9 +116,13 @@
     Machine& m = machines_.at(slots[i].machine);
     slots[i].usable = false;
     Trial elsewhere(slots);
-    if (movable(m, elsewhere, now) && (gang || spare_room(elsewhere, now)))
-      return drain(m, gang ? "a gang needs the whole machine" : "it can be returned", now);
-    slots[i].usable = true;
+    if (movable(m, elsewhere, now) && (gang || spare_room(elsewhere, now))) {
+      for (size_t slot : elsewhere.keep()) taken.insert(slot);
+      drain(m, gang ? "a gang needs the whole machine" : "it can be returned", now);
+      if (++draining >= most) return;
+    } else {
+      slots[i].usable = true;
+    }
   }
 }
 
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <numeric>
 #include <tuple>
+#include <utility>
 
 namespace sumacquay {
 namespace {
@@ -151,6 +152,12 @@
   for (const auto& [slot, need] : taken_) slots_[slot].free += need;
 }
 
+std::vector<size_t> Trial::keep() {
+  std::vector<size_t> slots;
+  for (const auto& [slot, need] : std::exchange(taken_, {})) slots.push_back(slot);
+  return slots;
+}
+
 bool Trial::fits(const Demand& d) {
   const auto placed = place(d, slots_);
   for (const auto& p : placed) taken_.emplace_back(p.slot, d.spec->need);
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -57,6 +57,8 @@
   ~Trial();
   /// Whether all of it fits beside what this trial has placed already.
   bool fits(const Demand& demand);
+  /// Leaves in place what it has placed, and tells the slots.
+  std::vector<size_t> keep();
 
  private:
   std::vector<Slot>& slots_;
