Greetings are probes: short, and never hold a machine back

Cause: after a takeover a greeting to a machine that could not be reached counted as an order under way for a report period; when its zone came back, nothing was placed there until it had timed out.

--- a/src/dispatch/leader_core.cpp
+++ b/src/dispatch/leader_core.cpp
@@ -304,6 +304,8 @@
     take_in(m, r, no_orders_out, now);
     if (may_act && m.proven && no_orders_out) answer.commands = commands_for(m, true);
   }
+  // A greeting shows it the token faster than it would report again.
+  if (!m.proven) m.next_greeting = now;
   answer.token = token(m);
   return answer;
 }
@@ -331,8 +333,10 @@
   if (it == machines_.end()) return;
   Machine& m = it->second;
   m.probing = false;
-  m.unanswered = !r || r->machine != id;
-  if (m.unanswered) return;
+  if (!r || r->machine != id) {
+    m.unanswered = late_with_report(m, now);
+    return;
+  }
   if (std::make_pair(r->session, r->seq) > std::make_pair(m.session, m.seq))
     take_in(m, *r, false, now);
 }
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -51,9 +51,11 @@
   uint64_t token = 0, session = 0;
   std::vector<Command> commands;
 };
-/// Asks a machine that is late with its report whether it is there.
+/// An order without commands: shows the worker the token and brings its report. Whenever it is
+/// carried out, it does no harm.
 struct Probe {
   std::string machine, addr;
+  uint64_t token = 0, session = 0;
 };
 struct Rent {
   std::string request, type, zone;
@@ -205,7 +207,7 @@
   void find_cut_zones(Seconds now);
   bool give_up_on(const Machine& m, Seconds now) const;
   void order_starts(Seconds now, std::vector<Action>& out);
-  void probe_late(Seconds now, std::vector<Action>& out);
+  void probe(Seconds now, std::vector<Action>& out);
   Seconds silence(const Machine& m, Seconds now) const;
   bool late_with_report(const Machine& m, Seconds now) const;
   const MachineType* type(const std::string& name) const;
--- a/src/dispatch/machines.cpp
+++ b/src/dispatch/machines.cpp
@@ -61,7 +61,7 @@
   }
   care_for_machines(now, out);
   order_starts(now, out);
-  probe_late(now, out);
+  probe(now, out);
   return out;
 }
 
@@ -405,12 +405,16 @@
   return silence(m, now) > 1.25 * settings_.report_s + 0.5;
 }
 
-void LeaderCore::probe_late(Seconds now, std::vector<Action>& out) {
+/// Machines that this leader has not met yet, and those that are late with a report.
+void LeaderCore::probe(Seconds now, std::vector<Action>& out) {
   for (auto& [id, m] : machines_) {
-    if (m.stage != Machine::Stage::Up || m.probing || m.unanswered || m.info.addr.empty()) continue;
-    if (!late_with_report(m, now) || !m.has_presence()) continue;
+    if (m.stage != Machine::Stage::Up || m.probing || m.info.addr.empty()) continue;
+    const bool greet = !m.proven && m.old_answers && !m.accounted && now >= m.next_greeting;
+    const bool late = !m.unanswered && late_with_report(m, now) && m.has_presence();
+    if (!greet && !late) continue;
+    if (greet) m.next_greeting = now + settings_.report_s;
     m.probing = true;
-    out.push_back(Probe{id, m.info.addr});
+    out.push_back(Probe{id, m.info.addr, token(m), std::max<uint64_t>(m.session, 1)});
   }
 }
 
@@ -418,21 +422,18 @@
   for (auto& [id, m] : machines_) {
     if (m.stage != Machine::Stage::Up || m.order_in_flight || now < m.next_order) continue;
     if (m.info.addr.empty()) continue;
-    const bool greet = !m.proven && m.old_answers && !m.accounted;
-    bool news = greet;
-    if (m.proven) {
-      for (const auto& [key, run] : m.runs) {
-        news = news || (startable(m, key, run) && !run.sent) ||
-               (!run.wanted && run.present() && run.phase != Run::Phase::Ordered && !run.stop_sent);
-      }
-    }
+    if (!m.proven) continue;
+    const bool news = std::any_of(m.runs.begin(), m.runs.end(), [&](const auto& r) {
+      const auto& [key, run] = r;
+      return (startable(m, key, run) && !run.sent) ||
+             (!run.wanted && run.present() && run.phase != Run::Phase::Ordered && !run.stop_sent);
+    });
     if (!news) continue;
-    SendOrders order{id, m.info.addr, token(m), std::max<uint64_t>(m.session, 1), {}};
-    if (m.proven) order.commands = commands_for(m, false);
+    SendOrders order{id, m.info.addr, token(m), std::max<uint64_t>(m.session, 1),
+                     commands_for(m, false)};
     for (auto& [key, run] : m.runs)
       if (!run.wanted && run.present()) run.stop_sent = true;
     m.order_in_flight = true;
-    if (greet) m.next_order = now + settings_.report_s;
     out.push_back(std::move(order));
   }
 }
--- a/src/fleet/machine.h
+++ b/src/fleet/machine.h
@@ -84,7 +84,7 @@
   Seconds answered = -std::numeric_limits<Seconds>::infinity();  ///< last answer that may renew
   bool old_answers = true;  ///< an earlier leader may have answered it until the fence
   bool order_in_flight = false;
-  Seconds next_order = 0;
+  Seconds next_order = 0, next_greeting = 0;
   bool probing = false;     ///< asked whether it is there
   bool unanswered = false;  ///< it has not answered that
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -29,6 +29,12 @@
   return std::chrono::duration<double>(t.time_since_epoch()).count();
 }
 
+/// A worker answers orders with its report, whether it carries them out or not.
+std::optional<WorkerReport> report_in(const HttpResult& r) {
+  if (!r.answered || (r.status != 200 && r.status != 409)) return std::nullopt;
+  return wire::parse_report(r.body);
+}
+
 std::chrono::microseconds as_us(double seconds) {
   return std::chrono::microseconds(static_cast<long long>(seconds * 1e6));
 }
@@ -388,8 +394,7 @@
       deadline,
       [this, client, machine = order.machine, generation = core_generation_](HttpResult r) {
         if (generation != core_generation_ || !core_) return;
-        std::optional<WorkerReport> report;
-        if (r.answered && (r.status == 200 || r.status == 409)) report = wire::parse_report(r.body);
+        const auto report = report_in(r);
         if (report) leadership_.saw_term(now(), report->token >> 20);
         if (!core_) return;
         core_->orders_done(machine, report, r.ok() && report, now());
@@ -399,11 +404,14 @@
 void Node::perform(const Probe& probe) {
   auto done = [this, machine = probe.machine, generation = core_generation_](HttpResult r) {
     if (generation != core_generation_ || !core_) return;
-    core_->probed(machine, r.ok() ? wire::parse_report(r.body) : std::nullopt, now());
+    const auto report = report_in(r);
+    if (report) leadership_.saw_term(now(), report->token >> 20);
+    if (core_) core_->probed(machine, report, now());
   };
   const auto client = worker_client(probe.addr);
   if (!client) return asio::post(io_, [done = std::move(done)] { done({}); });
-  client->request("GET", wire::path::kInspect, {}, settings_.lease_s * kProbeDeadline,
+  client->request("POST", wire::path::kOrders, wire::orders_body(probe.token, probe.session, {}),
+                  settings_.lease_s * kProbeDeadline,
                   [client, done = std::move(done)](HttpResult r) { done(std::move(r)); });
 }
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -18,7 +18,6 @@
 inline constexpr const char* kReady = "/ready";
 inline constexpr const char* kReport = "/hello";
 inline constexpr const char* kOrders = "/orders";
-inline constexpr const char* kInspect = "/inspect";
 inline constexpr const char* kTypes = "/machine_types";
 inline constexpr const char* kMachines = "/hosts";
 inline constexpr const char* kRelease = "/hosts/release";
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -309,7 +309,16 @@
                          now_ >= it->second.hung_until && now_ >= it->second.deaf_until &&
                          now_ >= followers_[it->second.zone].cut_until && !chance(0.05);
     std::optional<WorkerReport> report;
-    if (reached) report = report_of(p.machine, it->second);
+    if (chance(0.1))  // carried out late
+      later(between(0.5, 40), [this, p] {
+        const auto w = workers_.find(p.machine);
+        if (w != workers_.end() && w->second.session == p.session)
+          w->second.token = std::max(w->second.token, p.token);
+      });
+    if (reached) {
+      if (p.session == it->second.session) it->second.token = std::max(it->second.token, p.token);
+      report = report_of(p.machine, it->second);
+    }
     later(reached ? between(0.001, 0.01) : 0.5, [this, p, report, term = term_] {
       if (core_ && term == term_) core_->probed(p.machine, report, now_);
     });
