Machines never heard after a takeover are given up like others; given-up ones lapse too

Cause: records of machines that the leader before had returned stay a moment longer; after a crash jobs that might be there waited for fence and lease, 51 s, since only machines with known tasks were given up. And a machine given up while the cloud was in trouble never lapsed.

--- a/src/dispatch/machines.cpp
+++ b/src/dispatch/machines.cpp
@@ -118,9 +118,12 @@
 
 void LeaderCore::lapse(Seconds now) {
   for (auto& [id, m] : machines_) {
-    if (m.stage != Machine::Stage::Up || now <= certain_end(m, now)) continue;
+    // One that was given up lapses as well: the cloud may be in trouble for longer than a lease.
+    const bool returning = m.stage == Machine::Stage::Returning && m.may_hold_tasks();
+    if (!returning && m.stage != Machine::Stage::Up) continue;
+    if (now <= certain_end(m, now)) continue;
     spdlog::info("{} lapsed with {} tasks", id, m.runs.size());
-    m.stage = Machine::Stage::Lapsed;
+    if (!returning) m.stage = Machine::Stage::Lapsed;
     m.proven = false;
     remove_all_runs(m);
     account(m);
@@ -319,7 +322,7 @@
       // late and does not answer while many others of its zone are heard.
       // An order that went unanswered is no reason to wait for the lease: nothing of the machine is
       // left once the cloud has taken it back.
-      if (zone_cut || !m.has_presence()) return false;
+      if (zone_cut || !m.may_hold_tasks()) return false;
       return silence(m, now) > settings_.tuning.suspect * settings_.lease_s ||
              (m.unanswered && late_with_report(m, now) && lively_zones_.count(m.info.zone) > 0);
     }
@@ -410,7 +413,7 @@
   for (auto& [id, m] : machines_) {
     if (m.stage != Machine::Stage::Up || m.probing || m.info.addr.empty()) continue;
     const bool greet = !m.proven && m.old_answers && !m.accounted && now >= m.next_greeting;
-    const bool late = !m.unanswered && late_with_report(m, now) && m.has_presence();
+    const bool late = !m.unanswered && late_with_report(m, now) && m.may_hold_tasks();
     if (!greet && !late) continue;
     if (greet) m.next_greeting = now + settings_.report_s;
     m.probing = true;
--- a/src/fleet/machine.h
+++ b/src/fleet/machine.h
@@ -100,6 +100,8 @@
 
   std::map<RunKey, Run> runs;
 
+  /// Since a takeover that may be so although none is known.
+  bool may_hold_tasks() const { return !accounted || has_presence(); }
   bool has_presence() const {
     for (const auto& [key, run] : runs)
       if (run.present()) return true;
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -193,6 +193,24 @@
   EXPECT_EQ(released, 1u);
 }
 
+TEST_F(Fixture, AMachineThatIsNeverHeardAfterATakeoverIsGivenUpForTheJobsThatMayBeThere) {
+  // The leader before had returned it and ended before the machine's record was gone: jobs that
+  // might be there waited for the end of its lease, 51 s.
+  record.started = true;
+  record.hosts = std::vector<std::string>{"i-7"};
+  auto core = leader(2, 20);
+  for (const char* id : {"i-7", "i-9"}) core->host_stored({id, "10.0.0.2:9", "g", "e", false}, now);
+  core->job_stored(record, 5, now);
+  uint64_t seq = 0;
+  for (const Seconds end = now + settings.lease_s * 0.7; now < end; now += 0.2) {
+    core->report(report("i-9", ++seq, uint64_t{2} << 20), true, now);
+    for (const auto& a : core->tick(now))
+      if (const auto* r = std::get_if<Release>(&a)) core->release_done(*r, true, now);
+  }
+  EXPECT_EQ(core->machines().count("i-7"), 0u);
+  EXPECT_EQ(core->jobs().at("job-1").at.size(), 2u) << "placed on i-9";
+}
+
 TEST_F(Fixture, OnlyJobsThatMayBeOnAMissingMachineWaitForIt) {
   settings.teams[0].gpus_max = 8;
   // Seen at hundreds of machines: some are always silent, and each takeover froze the whole fleet.
