--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -202,6 +202,14 @@
   return std::max(least, tuning.grace * (cancel_s * (1 - kDrift) - lease_s * (1 + kDrift) - kSlack));
 }
 
+bool Settings::finds_stand_in(const std::string& of_zone) const {
+  // The protocol's: a worker waits 4 s for an answer and turns to the next node 1 s later.
+  constexpr double kEachNode = 4 + 1;
+  size_t elsewhere = zone == of_zone ? 0 : 1;
+  for (const auto& p : peers) elsewhere += p.zone == of_zone ? 0 : 1;
+  return static_cast<double>(elsewhere) * kEachNode + 1.25 * report_s <= lease_s;
+}
+
 Settings parse_settings(const std::string& toml_text, const std::string& source) {
   toml::table parsed;
   try {
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -76,6 +76,10 @@
   /// controllers' words to one another.
   double leader_lease_s() const { return tuning.leader_lease * lease_s; }
   double renew_s() const { return tuning.renew * leader_lease_s(); }
+  /// Whether a worker of a zone that is cut off finds a node of its zone before its lease is over,
+  /// after it has waited for every node elsewhere. If not, stand-ins keep nothing alive, and the
+  /// leader would only wait for them.
+  bool finds_stand_in(const std::string& of_zone) const;
   /// How long a node waits for the leader's next word before it stands in for it.
   double stand_in_after_s() const { return 2.5 * renew_s(); }
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -327,7 +327,7 @@
   hear(from);
   wire::Pulse p = own_pulse(false);
   const std::string* zone = zone_of(from.node);
-  if (leads_now() && zone)
+  if (leads_now() && zone && settings_.finds_stand_in(*zone))
     p.permission =
         core_->stand_ins().permit(from.node, *zone, leadership_.answers_until(), now());
   return p;
--- a/tests/stand_in_test.cpp
+++ b/tests/stand_in_test.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <random>
 
+#include "config/settings.h"
 #include "generators.h"
 #include "wire/messages.h"
 
@@ -91,6 +92,20 @@
   EXPECT_NEAR(ledger.last_answer("z", 71), 60, 0.1) << "it told of its last answer";
 }
 
+TEST(StandIns, AreOnlyOfUseWhereWorkersFindThemWithinTheirLease) {
+  // Five controllers and a lease of 10 s: four nodes that don't answer take 20 s, and the leader
+  // waited for tasks that had long ended.
+  Settings s;
+  s.zone = "a";
+  for (const char* zone : {"b", "c", "a", "b"}) s.peers.push_back({"n", zone, {}});
+  s.report_s = 1;
+  s.lease_s = 10;
+  EXPECT_FALSE(s.finds_stand_in("b"));
+  s.lease_s = 22;
+  EXPECT_TRUE(s.finds_stand_in("b"));
+  EXPECT_TRUE(s.finds_stand_in("c"));
+}
+
 TEST(StandIns, WordsAndPermissionsComeThroughTheWire) {
   EXPECT_TRUE(holds(
       "pulses",
