--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -184,6 +184,8 @@
                    const std::vector<Victim>& candidates) const;
   Seconds loss_of(const Job& job, const Run& run, Seconds now) const;
   std::vector<Victim> victims(const std::vector<Slot>& slots, Seconds now) const;
+  const std::vector<Victim>& victims_of_round(const std::vector<Slot>& slots, Seconds now);
+  void forget_victim(const Victim& gone);
   void count_usage();
   bool usable(const Machine& m, Seconds now) const;
   // machines.cpp: lapses, renting, returning
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -240,6 +240,22 @@
   return out;
 }
 
+/// It is being stopped, with its gang if it has one: nobody else in this round gets its place.
+void LeaderCore::forget_victim(const Victim& gone) {
+  if (!victims_) return;
+  std::for_each(victims_->begin(), victims_->end(), [&gone](Victim& v) {
+    if (v.job == gone.job && (gone.gang || v.task == gone.task)) v.stopped = true;
+  });
+}
+
+/// Listed once a round: a list for each job that finds no room would take most of a controller's
+/// processor when hundreds wait.
+const std::vector<Victim>& LeaderCore::victims_of_round(const std::vector<Slot>& slots,
+                                                        Seconds now) {
+  if (!victims_) victims_ = victims(slots, now);
+  return *victims_;
+}
+
 /// The soonest that the job can run on a machine rented now; none: nothing can be rented for it.
 std::optional<Seconds> LeaderCore::soonest_rented(const JobSpec& spec, Seconds now) const {
   std::optional<Seconds> soonest;
@@ -294,7 +310,7 @@
   hold(d, slots, picture(now, true));
   d.avoid = avoid;
   if (d.tasks.empty() || !hurry) return;
-  auto candidates = victims(slots, now);
+  auto candidates = victims_of_round(slots, now);
   if (takes)
     std::erase_if(candidates, [&](const Victim& v) { return v.loss_s > kBearable * *takes; });
   if (preemptible(d, slots, candidates)) make_room(job, d, slots, candidates, now);
@@ -304,8 +320,7 @@
 /// proven gone; until then the room is held for this job.
 void LeaderCore::make_room(Job& job, Demand& d, std::vector<Slot>& slots, Seconds now) {
   if (job.spec().priority == Priority::Low) return;
-  if (!victims_) victims_ = victims(slots, now);
-  make_room(job, d, slots, *victims_, now);
+  make_room(job, d, slots, victims_of_round(slots, now), now);
 }
 
 void LeaderCore::make_room(Job& job, Demand& d, std::vector<Slot>& slots,
@@ -327,13 +342,13 @@
             unwant(run, true, now);
       }
       slot.coming += victim.need;
+      forget_victim(victim);
     }
     slot.free -= d.spec->need;
     ++d.zones[slot.zone];
     d.tasks.pop_back();
     if (!p->victims.empty()) {
-      victims_.reset();
-      return;  // the candidates have changed: the next round sees to the rest
+      return;  // the next round sees to the rest
     }
   }
 }
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -101,7 +101,7 @@
 /// a good part of one of them.
 bool may_stop(const JobSpec& spec, const Victim& victim) {
   constexpr double kGoodPart = 0.4;
-  if (victim.priority >= spec.priority) return false;
+  if (victim.stopped || victim.priority >= spec.priority) return false;
   if (!victim.gang) return true;
   const bool by_gpus = victim.need.gpus > 0;
   return by_gpus ? spec.need.gpus >= kGoodPart * victim.need.gpus
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -74,6 +74,7 @@
   Priority priority = Priority::Low;
   double loss_s = 0;  ///< progress that stopping it throws away
   bool gang = false;  ///< others on other machines stop with it
+  bool stopped = false;
 };
 
 struct Preemption {
