--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -7,6 +7,8 @@
 
 /// Changes of the term key and of nothing else go with a leader's transaction as its first guard.
 constexpr int kGuards = 1;
+/// What is left to renewals, reports and users between two looks at the fleet / what a look takes.
+constexpr double kBreath = 3;
 /// How long a machine has to say that it is there / the workers' lease.
 constexpr double kProbeDeadline = 0.05;
 /// The part of all sockets that orders to workers may keep.
@@ -119,9 +121,11 @@
 }
 
 void Node::tick_core() {
-  if (!leads_now()) return;
-  for (const auto& action : core_->tick(now())) perform(action);
+  const Seconds began = now();
+  if (!leads_now() || began < next_core_tick_) return;
+  for (const auto& action : core_->tick(began)) perform(action);
   write_records();
+  next_core_tick_ = now() + kBreath * (now() - began);
 }
 
 // ---------------------------------------------------------------- requests
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -78,6 +78,7 @@
   std::vector<MachineType> types_;
   std::unique_ptr<LeaderCore> core_;
   uint64_t core_generation_ = 0;
+  Seconds next_core_tick_ = 0;
   struct WorkerClient {
     std::shared_ptr<HttpClient> client;
     Seconds used = 0;
