A zone that comes back is not given up by halves; a test of 2,000 machines

Their silence now counts from when the zone was heard again. The test takes 2,000 machines through a takeover, a zone cut and a mass loss, and counts rounds and lists of victims.

--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -123,6 +123,12 @@
   /// No worker gets through to this node any more.
   bool unheard(Seconds now) const;
 
+  /// What rounds cost, in things done: grows with what happens, not with who waits.
+  struct Work {
+    size_t rounds = 0, victim_lists = 0;
+  };
+  const Work& work() const { return work_; }
+
   void hurry() { next_round_ = 0; }  ///< something has changed that a round should see
   /// Tasks that run, by job; for display.
   std::unordered_map<std::string, uint32_t> running_counts() const;
@@ -207,6 +213,7 @@
   void drain(Machine& m, const char* why, Seconds now);
   void care_for_machines(Seconds now, std::vector<Action>& out);
   void find_cut_zones(Seconds now);
+  void expect_back(const std::string& zone, Seconds now);
   bool give_up_on(const Machine& m, Seconds now) const;
   void order_starts(Seconds now, std::vector<Action>& out);
   void probe(Seconds now, std::vector<Action>& out);
@@ -245,6 +252,7 @@
   Seconds next_round_ = 0, next_provision_ = 0, next_release_ = 0, next_move_ = 0,
           next_summary_ = 0;
   bool releasing_ = false;
+  Work work_;
 };
 
 }  // namespace sumacquay
--- a/src/dispatch/machines.cpp
+++ b/src/dispatch/machines.cpp
@@ -92,7 +92,8 @@
         t.name, up, idle, booting, leaving, used.cpus, fetching.cpus, room.cpus, used.gpus,
         fetching.gpus, room.gpus);
   }
-  spdlog::info("{} jobs known, {} without room", jobs_.size(), unplaced_.size());
+  spdlog::info("{} jobs known, {} without room; {} rounds so far, {} lists of victims",
+               jobs_.size(), unplaced_.size(), work_.rounds, work_.victim_lists);
 }
 
 /// One silent machine is its own trouble; when all of several are silent at once, it is this node
@@ -274,6 +275,13 @@
   }
 }
 
+/// A zone that was cut off comes back within a report period or more, not at once: those that are
+/// still silent when most are heard again are as alive as the others.
+void LeaderCore::expect_back(const std::string& zone, Seconds now) {
+  for (auto& [id, m] : machines_)
+    if (m.info.zone == zone) m.zone_back = now;
+}
+
 /// Zones that are cut off, or seem so: most of a zone's machines don't fall silent together by
 /// themselves. What runs there goes on, so nothing of it is given up, and nothing rented there
 /// would be heard. Any number of machines that is silent without its zone is taken for dead.
@@ -299,7 +307,10 @@
     if (cut != (cut_zones_.count(zone) > 0))
       spdlog::info("zone {}: {} of {} machines silent, {}", zone, c.silent, c.up,
                    cut ? "taken for cut off" : "no longer taken for cut off");
-    cut ? (void)cut_zones_.insert(zone) : (void)cut_zones_.erase(zone);
+    if (cut)
+      cut_zones_.insert(zone);
+    else if (cut_zones_.erase(zone) > 0)
+      expect_back(zone, now);
   }
 }
 
@@ -401,7 +412,7 @@
 }
 
 Seconds LeaderCore::silence(const Machine& m, Seconds now) const {
-  return now - std::max(m.last_heard, awake_since_);
+  return now - std::max({m.last_heard, m.zone_back, awake_since_});
 }
 
 /// Reports come up to a quarter late.
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -174,6 +174,7 @@
 }
 
 void LeaderCore::round(Seconds now) {
+  ++work_.rounds;
   unplaced_.clear();
   count_usage();
   victims_.reset();
@@ -252,7 +253,10 @@
 /// processor when hundreds wait.
 const std::vector<Victim>& LeaderCore::victims_of_round(const std::vector<Slot>& slots,
                                                         Seconds now) {
-  if (!victims_) victims_ = victims(slots, now);
+  if (!victims_) {
+    victims_ = victims(slots, now);
+    ++work_.victim_lists;
+  }
   return *victims_;
 }
 
--- /dev/null
+++ b/tests/fleet_test.cpp
@@ -0,0 +1,140 @@
+// A fleet of the largest size that is foreseen, through a takeover with a zone cut off, its return
+// and the loss of a tenth of all machines. Work is counted in things done, never in time.
+#include <gtest/gtest.h>
+
+#include "dispatch/leader_core.h"
+
+namespace sumacquay {
+namespace {
+
+constexpr int kMachines = 2000;
+
+class Fleet : public ::testing::Test {
+ protected:
+  Fleet() {
+    settings_.report_s = 6;
+    settings_.lease_s = 31;
+    settings_.cancel_s = 51;
+    TeamSettings team;
+    team.name = "t";
+    settings_.teams = {team};
+    type_.name = "g";
+    type_.room = {16, 4, 64};
+    type_.zones = {"e", "w"};
+    core_ = std::make_unique<LeaderCore>(settings_, 2, now_, now_ + settings_.answers_s());
+    core_->set_types({type_});
+    for (int i = 0; i < kMachines; ++i)
+      core_->host_stored({id(i), "a:1", "g", zone(i), false}, now_);
+    for (int i = 0; i < kMachines; ++i) {
+      JobRecord r = record(job(i), JobKind::Service, 1, {4, 1, 16});
+      r.started = true;
+      r.hosts = std::vector<std::string>{id(i)};
+      core_->job_stored(r, ++revision_, now_);
+    }
+  }
+
+  static std::string id(int i) { return "i-" + std::to_string(100000 + i); }
+  static std::string job(int i) { return "job-" + std::to_string(100000 + i); }
+  static std::string zone(int i) { return i % 2 ? "w" : "e"; }
+
+  JobRecord record(const std::string& name, JobKind kind, uint32_t tasks, Amounts need) const {
+    JobRecord r;
+    r.spec.id = name;
+    r.spec.team = "t";
+    r.spec.kind = kind;
+    r.spec.priority = kind == JobKind::Service ? Priority::Production : Priority::High;
+    r.spec.tasks = tasks;
+    r.spec.need = need;
+    r.spec.one_zone = kind == JobKind::Gang;
+    r.submitted_ms = static_cast<uint64_t>(now_ * 1000);
+    return r;
+  }
+
+  /// Machines report in turn; those that are silent answer nothing either.
+  template <class Silent>
+  void pass(Seconds time, Silent silent) {
+    constexpr int kTurns = 40;
+    for (const Seconds end = now_ + time; now_ < end; now_ += settings_.report_s / kTurns) {
+      ++step_;
+      for (int i = step_ % kTurns; i < kMachines; i += kTurns) {
+        if (silent(i) || gone_.count(id(i))) continue;
+        WorkerReport r{id(i),
+                       "a:1",
+                       "g",
+                       zone(i),
+                       false,
+                       1,
+                       static_cast<uint64_t>(step_),
+                       uint64_t{2} << 20,
+                       std::nullopt,
+                       {}};
+        r.tasks.push_back({{job(i), 0}, 7, TaskState::Running, ExitCause::None});
+        core_->report(r, true, now_);
+      }
+      for (const auto& a : core_->tick(now_)) {
+        if (const auto* p = std::get_if<Probe>(&a)) core_->probed(p->machine, std::nullopt, now_);
+        if (const auto* o = std::get_if<SendOrders>(&a)) note(*o);
+        if (const auto* r = std::get_if<Rent>(&a))
+          core_->rent_done(*r, LeaderCore::RentOutcome::Refused, {}, now_);
+        if (const auto* r = std::get_if<Release>(&a)) {
+          gone_.insert(r->machines.begin(), r->machines.end());
+          core_->release_done(*r, true, now_);
+        }
+      }
+      for (const auto& w : core_->wanted_writes(now_, 12))
+        core_->write_done(w, true, ++revision_, now_);
+    }
+  }
+
+  void note(const SendOrders& o) {
+    for (const auto& c : o.commands) c.verb == Verb::Start ? ++starts_[c.key.job] : ++stops_;
+    core_->orders_done(o.machine, std::nullopt, true, now_);
+  }
+
+  Settings settings_;
+  MachineType type_;
+  Seconds now_ = 1000;
+  std::unique_ptr<LeaderCore> core_;
+  uint64_t revision_ = 10;
+  int step_ = 0;
+  std::set<std::string> gone_;
+  std::map<std::string, int> starts_;
+  int stops_ = 0;
+};
+
+TEST_F(Fleet, StandsATakeoverALostZoneAndAMassLoss) {
+  const auto in_west = [](int i) { return zone(i) == "w"; };
+  pass(3, in_west);
+  core_->job_stored(record("job-1", JobKind::Service, 3, {4, 1, 16}), ++revision_, now_);
+  pass(15, in_west);
+  EXPECT_FALSE(core_->all_accounted());
+  EXPECT_EQ(starts_, (std::map<std::string, int>{{"job-1", 3}}))
+      << "new work starts at once; what may run in the zone does not start again";
+  EXPECT_TRUE(gone_.empty());
+  pass(7, [](int) { return false; });
+  EXPECT_TRUE(core_->all_accounted());
+  EXPECT_EQ(starts_.size(), 1u);
+  EXPECT_EQ(stops_, 0);
+
+  for (int i = 0; i < 60; ++i)  // gangs that fit nowhere, and stop nobody of higher priority
+    core_->job_stored(record("job-2" + std::to_string(i), JobKind::Gang, 4, {16, 4, 64}),
+                      ++revision_, now_);
+  const auto before = core_->work();
+  const auto dies = [](int i) { return i % 10 == 0; };
+  pass(26, dies);
+  EXPECT_EQ(gone_.size(), 200u) << "all of them, and nobody else";
+  for (int i = 0; i < kMachines; ++i) {
+    const auto& at = core_->jobs().at(job(i)).at;
+    ASSERT_EQ(at.size(), 1u);
+    ASSERT_EQ(at.begin()->second.size(), 1u);
+    EXPECT_EQ(starts_[job(i)] > 0, dies(i));
+    EXPECT_EQ(gone_.count(at.begin()->second.begin()->first), 0u);
+  }
+  const auto& after = core_->work();
+  EXPECT_GT(after.rounds, before.rounds);
+  EXPECT_LE(after.victim_lists - before.victim_lists, after.rounds - before.rounds)
+      << "one list a round, however many wait";
+}
+
+}  // namespace
+}  // namespace sumacquay
