A machine that there was no socket to ask is not taken for one that does not answer

Orders have a fifth of all sockets, 420 of 2,102; where more machines than that are late at once, those without a socket counted as silent to a probe that nobody had sent.

--- a/src/dispatch/leader_core.cpp
+++ b/src/dispatch/leader_core.cpp
@@ -341,6 +341,11 @@
     take_in(m, *r, false, now);
 }
 
+void LeaderCore::not_probed(const std::string& id) {
+  const auto it = machines_.find(id);
+  if (it != machines_.end()) it->second.probing = false;
+}
+
 void LeaderCore::take_in(Machine& m, const WorkerReport& r, bool absence_counts, Seconds now) {
   if (r.session > m.session) {
     // A new session begins with nothing: the old one's tasks ended with its lease.
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -104,6 +104,8 @@
   void orders_done(const std::string& machine, const std::optional<WorkerReport>& report,
                    bool executed, Seconds now);
   void probed(const std::string& machine, const std::optional<WorkerReport>& report, Seconds now);
+  /// There was no socket for the probe: nothing is known of the machine, and it is asked again.
+  void not_probed(const std::string& machine);
   /// No earlier leader can answer a worker any more.
   void fenced(Seconds now);
   /// Nodes that answer workers of their zone in this leader's place while they can't hear it.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -409,17 +409,17 @@
 }
 
 void Node::perform(const Probe& probe) {
-  auto done = [this, machine = probe.machine, generation = core_generation_](HttpResult r) {
-    if (generation != core_generation_ || !core_) return;
-    const auto report = report_in(r);
-    if (report) leadership_.saw_term(now(), report->token >> 20);
-    if (core_) core_->probed(machine, report, now());
-  };
   const auto client = worker_client(probe.addr);
-  if (!client) return asio::post(io_, [done = std::move(done)] { done({}); });
-  client->request("POST", wire::path::kOrders, wire::orders_body(probe.token, probe.session, {}),
-                  settings_.lease_s * kProbeDeadline,
-                  [client, done = std::move(done)](HttpResult r) { done(std::move(r)); });
+  if (!client) return core_->not_probed(probe.machine);
+  client->request(
+      "POST", wire::path::kOrders, wire::orders_body(probe.token, probe.session, {}),
+      settings_.lease_s * kProbeDeadline,
+      [this, client, machine = probe.machine, generation = core_generation_](HttpResult r) {
+        if (generation != core_generation_ || !core_) return;
+        const auto report = report_in(r);
+        if (report) leadership_.saw_term(now(), report->token >> 20);
+        if (core_) core_->probed(machine, report, now());
+      });
 }
 
 void Node::perform(const Rent& rent) {
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -163,6 +163,7 @@
   core->job_stored(record, 5, now);
   const TaskReport runs{{"job-1", 0}, 7, TaskState::Running, ExitCause::None};
   size_t probes = 0, released = 0;
+  bool sockets = true;
   std::optional<WorkerReport> answer;
   auto pass = [&](Seconds time, bool others) {
     for (const Seconds end = now + time; now < end; now += 0.1) {
@@ -174,7 +175,7 @@
         if (const auto* p = std::get_if<Probe>(&a)) {
           ++probes;
           if (answer) answer->seq = static_cast<uint64_t>(now * 10);
-          core->probed(p->machine, answer, now);
+          sockets ? core->probed(p->machine, answer, now) : core->not_probed(p->machine);
         }
         if (std::holds_alternative<Release>(a)) ++released;
       }
@@ -187,6 +188,10 @@
   EXPECT_GE(probes, 2u);
   EXPECT_EQ(released, 0u) << "it answers";
   answer.reset();
+  sockets = false;
+  pass(3, true);
+  EXPECT_EQ(released, 0u) << "nobody has asked it";
+  sockets = true;
   pass(3, false);
   EXPECT_EQ(released, 0u) << "nobody is heard: it may be this node's own trouble";
   pass(1, true);
