--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -203,7 +203,7 @@
                   tuning.grace * (cancel_s * (1 - kDrift) - lease_s * (1 + kDrift) - kSlack));
 }
 
-bool Settings::finds_stand_in(const std::string& of_zone) const {
+bool Settings::finds_delegate(const std::string& of_zone) const {
   // The protocol's: a worker waits 4 s for an answer and turns to the next node 1 s later.
   constexpr double kEachNode = 4 + 1;
   size_t elsewhere = zone == of_zone ? 0 : 1;
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -77,11 +77,11 @@
   double leader_lease_s() const { return tuning.leader_lease * lease_s; }
   double renew_s() const { return tuning.renew * leader_lease_s(); }
   /// Whether a worker of a zone that is cut off finds a node of its zone before its lease is over,
-  /// after it has waited for every node elsewhere. If not, stand-ins keep nothing alive, and the
+  /// after it has waited for every node elsewhere. If not, delegates keep nothing alive, and the
   /// leader would only wait for them.
-  bool finds_stand_in(const std::string& of_zone) const;
-  /// How long a node waits for the leader's next word before it stands in for it.
-  double stand_in_after_s() const { return 2.5 * renew_s(); }
+  bool finds_delegate(const std::string& of_zone) const;
+  /// How long a node waits for the leader's next word before it answers in the leader's place.
+  double delegation_after_s() const { return 2.5 * renew_s(); }
 };
 
 /// Reads and checks the platform's TOML; unknown fields are ignored.
--- a/src/dispatch/leader_core.cpp
+++ b/src/dispatch/leader_core.cpp
@@ -54,7 +54,7 @@
       wall_offset_(wall_offset),
       awake_since_(now),
       ticked_(now),
-      stand_ins_(term, settings.stand_in_after_s()) {}
+      delegations_(term, settings.delegation_after_s()) {}
 
 const Job* LeaderCore::find_job(const std::string& id) const {
   const auto it = jobs_.find(id);
@@ -120,7 +120,7 @@
   if (record.state != JobState::Pending) stop_job(job, false, now);
 }
 
-void LeaderCore::job_over(const std::string& id) {
+void LeaderCore::job_finished(const std::string& id) {
   const auto it = jobs_.find(id);
   if (it == jobs_.end()) return;
   for (auto& [task, places] : it->second.at)
@@ -159,7 +159,7 @@
   if (job.stored.state == JobState::Pending && job.complete()) return WriteUrgency::Done;
   // It stays among the live records until nothing of it is left anywhere: the next leader must
   // know what may still take room and count against a limit.
-  if (job.stored.state != JobState::Pending && nowhere(job)) return WriteUrgency::Over;
+  if (job.stored.state != JobState::Pending && nowhere(job)) return WriteUrgency::Finished;
   // Progress of an array is written in batches, as far as its record has room for it.
   const bool due = now >= job.progress_since + settings_.report_s;
   if (job.done.count() != job.stored.done.count() && due &&
@@ -200,7 +200,7 @@
   if (job.stored.state == JobState::Pending && job.complete()) w.record->state = JobState::Done;
   w.record->started = job.stored.started || job.want_started;
   if (w.record->started) w.record->hosts = possible_hosts(job);
-  w.over = w.record->state != JobState::Pending && nowhere(job);
+  w.finished = w.record->state != JobState::Pending && nowhere(job);
   return w;
 }
 
@@ -259,7 +259,7 @@
   Job& job = it->second;
   job.writing = false;
   if (!committed) return;
-  if (w.over) return job_over(w.job);
+  if (w.finished) return job_finished(w.job);
   job_stored(*w.record, version, now);
   if (job.done == job.stored.done) job.progress_since = -1;
 }
@@ -366,7 +366,7 @@
     auto& newest = newest_up_[m.info.type];
     newest = std::max(newest, m.first_seen);
   }
-  if (m.stage == Machine::Stage::Booting || m.stage == Machine::Stage::Lapsed)
+  if (m.stage == Machine::Stage::Booting || m.stage == Machine::Stage::Expired)
     m.stage = Machine::Stage::Up;
   m.taken_at = r.notice_s ? std::optional<Seconds>(now + *r.notice_s) : std::nullopt;
   const bool ours = r.token >= token(m);
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -11,7 +11,7 @@
 #include "config/settings.h"
 #include "fleet/machine.h"
 #include "jobs/record.h"
-#include "leadership/stand_in.h"
+#include "leadership/delegation.h"
 #include "placement/placement.h"
 #include "provision/provision.h"
 
@@ -72,9 +72,9 @@
   std::string job, host;  ///< which of the two it is
   uint64_t version = 0;   ///< guard
   std::optional<JobRecord> record;
-  bool over = false;                      ///< the job leaves the live records
+  bool finished = false;                  ///< the job leaves the live records
   std::optional<HostRecord> host_record;  ///< none: delete
-  size_t changes() const { return over ? 2 : 1; }
+  size_t changes() const { return finished ? 2 : 1; }
 };
 
 /// All that a leader decides, without I/O: events and the time go in, actions and writes come out.
@@ -87,7 +87,7 @@
 
   // Records.
   void job_stored(const JobRecord& record, uint64_t version, Seconds now);
-  void job_over(const std::string& id);
+  void job_finished(const std::string& id);
   void host_stored(const HostRecord& host, Seconds now);  ///< at the takeover
   /// What the leader before knew of a machine's images. A hint: placement alone looks at it.
   void image_held(const std::string& machine, const std::string& image, double gb);
@@ -109,7 +109,7 @@
   /// No earlier leader can answer a worker any more.
   void fenced(Seconds now);
   /// Nodes that answer workers of their zone in this leader's place while they can't hear it.
-  StandIns& stand_ins() { return stand_ins_; }
+  Delegations& delegations() { return delegations_; }
 
   // Cloud.
   void set_types(std::vector<MachineType> types) { types_ = std::move(types); }
@@ -162,7 +162,7 @@
   bool startable(const Machine& m, const RunKey& key, const Run& run) const;
   const Job* find_job(const std::string& id) const;
   Job* find_job(const std::string& id);
-  enum class WriteUrgency { Start, Done, Progress, Over, None };  ///< the most urgent first
+  enum class WriteUrgency { Start, Done, Progress, Finished, None };  ///< the most urgent first
   WriteUrgency write_urgency(const Job& job, Seconds now) const;
   RecordWrite write_for(const Job& job) const;
   Ranges recordable(const Ranges& done) const;
@@ -196,8 +196,8 @@
   void forget_victim(const Victim& gone);
   void count_usage();
   bool usable(const Machine& m, Seconds now) const;
-  // machines.cpp: lapses, renting, returning
-  void lapse(Seconds now);
+  // machines.cpp: expires, renting, returning
+  void expire(Seconds now);
   Seconds certain_end(const Machine& m, Seconds now) const;
   void provision(Seconds now, std::vector<Action>& out);
   std::vector<Offer> offers(Seconds now) const;
@@ -229,7 +229,7 @@
   Seconds began_, fence_, wall_offset_;
   Seconds awake_since_, ticked_;
   bool fenced_ = false;
-  StandIns stand_ins_;
+  Delegations delegations_;
   uint64_t next_attempt_ = 1, next_request_ = 1;
   size_t unaccounted_ = 0;
   std::unordered_map<std::string, Job> jobs_;
--- a/src/dispatch/machines.cpp
+++ b/src/dispatch/machines.cpp
@@ -51,7 +51,7 @@
   // silence.
   if (now - ticked_ > settings_.lease_s * kStoodStill) awake_since_ = now;
   ticked_ = now;
-  lapse(now);
+  expire(now);
   if (now >= next_round_) {
     next_round_ = now + settings_.tuning.round * settings_.report_s;
     round(now);
@@ -76,7 +76,7 @@
     for (const auto& [id, m] : machines_) {
       if (m.info.type != t.name) continue;
       if (m.stage == Machine::Stage::Booting) ++booting;
-      if (m.stage == Machine::Stage::Returning || m.stage == Machine::Stage::Lapsed) ++leaving;
+      if (m.stage == Machine::Stage::Returning || m.stage == Machine::Stage::Expired) ++leaving;
       if (m.stage != Machine::Stage::Up) continue;
       ++up;
       if (!m.has_presence()) ++idle;
@@ -113,19 +113,19 @@
 /// When the worker's lease has ended for certain, counted from the last answer that anybody could
 /// have given it.
 Seconds LeaderCore::certain_end(const Machine& m, Seconds now) const {
-  Seconds last = std::max(m.answered, stand_ins_.last_answer(m.info.zone, now));
+  Seconds last = std::max(m.answered, delegations_.last_answer(m.info.zone, now));
   if (m.old_answers) last = std::max(last, fence_);
   return last + settings_.lease_s * (1 + kDrift) + 0.1;
 }
 
-void LeaderCore::lapse(Seconds now) {
+void LeaderCore::expire(Seconds now) {
   for (auto& [id, m] : machines_) {
-    // One that was given up lapses as well: the cloud may be in trouble for longer than a lease.
+    // One that was given up expires as well: the cloud may be in trouble for longer than a lease.
     const bool returning = m.stage == Machine::Stage::Returning && m.may_hold_tasks();
     if (!returning && m.stage != Machine::Stage::Up) continue;
     if (now <= certain_end(m, now)) continue;
-    spdlog::info("{} lapsed with {} tasks", id, m.runs.size());
-    if (!returning) m.stage = Machine::Stage::Lapsed;
+    spdlog::info("{} expired with {} tasks", id, m.runs.size());
+    if (!returning) m.stage = Machine::Stage::Expired;
     m.proven = false;
     remove_all_runs(m);
     account(m);
@@ -325,7 +325,7 @@
       if (m.listed_failed) return true;
       return !zone_cut && now - m.first_seen > (passed ? kOverdue : kAllSlow) * boot;
     }
-    case Machine::Stage::Lapsed:
+    case Machine::Stage::Expired:
       return now - m.last_heard > settings_.lease_s;
     case Machine::Stage::Up: {
       if (m.listed_failed) return true;
--- a/src/fleet/machine.h
+++ b/src/fleet/machine.h
@@ -69,7 +69,7 @@
   enum class Stage {
     Booting,    ///< rented, not heard yet
     Up,         ///< reports
-    Lapsed,     ///< its worker's lease has certainly ended: nothing runs there
+    Expired,    ///< its worker's lease has certainly ended: nothing runs there
     Returning,  ///< the cloud was asked to take it back
   };
   HostRecord info;
@@ -82,7 +82,7 @@
   bool accounted = false;  ///< since the takeover: told what it has, or certainly has nothing
   Seconds last_heard = -std::numeric_limits<Seconds>::infinity();
   Seconds zone_back = -std::numeric_limits<Seconds>::infinity();  ///< when its zone was heard again
-  Seconds answered = -std::numeric_limits<Seconds>::infinity();  ///< last answer that may renew
+  Seconds answered = -std::numeric_limits<Seconds>::infinity();   ///< last answer that may renew
   bool old_answers = true;  ///< an earlier leader may have answered it until the fence
   bool order_in_flight = false;
   Seconds next_order = 0, next_greeting = 0;
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -75,23 +75,23 @@
 
 void Frontend::look_up(const std::string& id, const Respond& respond,
                        std::function<void(const Versioned<JobRecord>&)> live,
-                       std::function<void(const wire::OverRecord&)> over,
+                       std::function<void(const wire::FinishedRecord&)> finished,
                        std::function<void()> unknown) {
   // Over is final: no read can find it changed.
-  if (const auto* known = mirror_.over(id)) return over(*known);
+  if (const auto* known = mirror_.finished(id)) return finished(*known);
   mirror_.refresh([=, this](bool fresh) {
     if (!fresh) return later_please(respond);
     if (const auto* record = mirror_.live(id)) return live(*record);
-    if (const auto* known = mirror_.over(id)) return over(*known);
+    if (const auto* known = mirror_.finished(id)) return finished(*known);
     // Jobs leave the live records only for those that are over, so reading these last finds a job
     // that moves in between.
-    store_.read(Urgency::Rest, wire::item_path(keys::kOver + id), [=, this](HttpResult r) {
+    store_.read(Urgency::Rest, wire::item_path(keys::kFinished + id), [=, this](HttpResult r) {
       if (r.answered && r.status == 404) return unknown();
       const auto page = r.ok() ? wire::parse_item(r.body) : std::nullopt;
-      const auto record = page ? wire::decode_over(page->items[0].value) : std::nullopt;
+      const auto record = page ? wire::decode_finished(page->items[0].value) : std::nullopt;
       if (!record) return later_please(respond);
-      mirror_.learned_over(id, *record);
-      over(*record);
+      mirror_.learned_finished(id, *record);
+      finished(*record);
     });
   });
 }
@@ -107,7 +107,7 @@
         const bool pending = r.value.state == JobState::Pending;
         answer(r.value.state, r.value.done.count(), pending ? counts.running : 0);
       },
-      [=](const wire::OverRecord& r) { answer(r.state, r.done, 0); },
+      [=](const wire::FinishedRecord& r) { answer(r.state, r.done, 0); },
       [=] {
         respond({404, wire::error_body("no such job"), 0});
       });
@@ -135,7 +135,7 @@
                           later_please(respond);
                         });
       },
-      [=](const wire::OverRecord& r) { answer(r.state); },
+      [=](const wire::FinishedRecord& r) { answer(r.state); },
       [=] {
         respond({404, wire::error_body("no such job"), 0});
       });
@@ -147,7 +147,7 @@
   const JobSpec& spec = *parsed.spec;
   if (!mirror_.loaded() || sources_.types().empty()) return later_please(respond);
   // A job that was accepted stays so, whatever would be said of it now.
-  if (!mirror_.live(spec.id) && !mirror_.over(spec.id)) {
+  if (!mirror_.live(spec.id) && !mirror_.finished(spec.id)) {
     const auto never = never_runs(spec, sources_.types(), settings_.team(spec.team));
     if (!never.empty()) return respond({422, wire::error_body(never), 0});
     return accept(spec, respond);
@@ -164,7 +164,7 @@
       [=, this](const Versioned<JobRecord>& r) {
         answer(r.value.state, sources_.counts(id).running);
       },
-      [=](const wire::OverRecord& r) { answer(r.state, 0); }, [=] { later_please(respond); });
+      [=](const wire::FinishedRecord& r) { answer(r.state, 0); }, [=] { later_please(respond); });
 }
 
 void Frontend::accept(const JobSpec& spec, const Respond& respond) {
@@ -174,9 +174,9 @@
   const std::string value = wire::encode_job(record);
   if (value.size() > settings_.state_value_kb * 1024 * 0.5)
     return respond({400, wire::error_body("the job's description is too large"), 0});
-  const std::string live = keys::kLive + spec.id, over = keys::kOver + spec.id;
+  const std::string live = keys::kLive + spec.id, finished = keys::kFinished + spec.id;
   store_.transact(
-      Urgency::Record, {{live, 0}, {over, 0}}, {{live, value, 0}}, [=, this](TxnResult t) {
+      Urgency::Record, {{live, 0}, {finished, 0}}, {{live, value, 0}}, [=, this](TxnResult t) {
         if (t.outcome == TxnOutcome::Committed) {
           mirror_.wrote_job(record, t.revision);
           return respond({201, wire::job_answer(record.spec.id, ShownState::Pending), 0});
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -33,7 +33,8 @@
   /// The job's state as of now or later; `unknown` is called only if no such job was ever accepted.
   void look_up(const std::string& id, const Respond& respond,
                std::function<void(const Versioned<JobRecord>&)> live,
-               std::function<void(const wire::OverRecord&)> over, std::function<void()> unknown);
+               std::function<void(const wire::FinishedRecord&)> finished,
+               std::function<void()> unknown);
   Respond limited(Respond respond);
 
   const Settings& settings_;
--- a/src/leadership/stand_in.cpp
+++ b/src/leadership/delegation.cpp
@@ -1,4 +1,4 @@
-#include "leadership/stand_in.h"
+#include "leadership/delegation.h"
 
 #include <algorithm>
 #include <cmath>
@@ -12,53 +12,53 @@
 
 }  // namespace
 
-void StandIn::permitted(const Permission& p, Seconds asked_at, Seconds now) {
+void Delegate::delegated(const Delegation& p, Seconds asked_at, Seconds now) {
   if (p.term < newest_.term || (p.term == newest_.term && p.number <= newest_.number)) return;
   newest_ = p;
   until_ = asked_at + p.for_s * (1 - kDrift);
   heard_ = now;
 }
 
-bool StandIn::in_place(uint64_t highest_term, Seconds now) const {
+bool Delegate::in_place(uint64_t highest_term, Seconds now) const {
   return newest_.term > 0 && newest_.term == highest_term && now >= heard_ + after_ && now < until_;
 }
 
-StandInWord StandIn::word(Seconds now) const {
-  StandInWord w{process_, newest_.term, newest_.number, std::nullopt};
+DelegateStatus Delegate::status(Seconds now) const {
+  DelegateStatus w{process_, newest_.term, newest_.number, std::nullopt};
   if (answered_) w.ago = now - *answered_;
   return w;
 }
 
-StandIns::Node& StandIns::node(const std::string& name, const std::string& zone) {
+Delegations::Node& Delegations::node(const std::string& name, const std::string& zone) {
   Node& n = nodes_[name];
   n.zone = zone;
   return n;
 }
 
-Permission StandIns::permit(const std::string& name, const std::string& zone, Seconds until,
-                            Seconds now) {
+Delegation Delegations::delegate(const std::string& name, const std::string& zone, Seconds until,
+                                 Seconds now) {
   Node& n = node(name, zone);
   n.until = std::max(n.until, until);
   return {term_, static_cast<uint64_t>(now * kMs), until - now};
 }
 
-void StandIns::heard(const std::string& name, const std::string& zone, const StandInWord& word,
-                     Seconds now) {
+void Delegations::heard(const std::string& name, const std::string& zone,
+                        const DelegateStatus& status, Seconds now) {
   Node& n = node(name, zone);
-  if (n.process != word.process) {
+  if (n.process != status.process) {
     // What an earlier process answered is forgotten, but it ended before this one spoke.
     if (n.process != 0) n.last = std::max(n.last, now);
-    n.process = word.process;
+    n.process = status.process;
     n.quiet_until = -1;
   }
-  if (word.ago) n.last = std::max(n.last, now - *word.ago * (1 - kDrift));
-  // It waits from when it heard the permission, which is no earlier than this leader said it.
-  if (word.term == term_)
+  if (status.ago) n.last = std::max(n.last, now - *status.ago * (1 - kDrift));
+  // It waits from when it heard the delegation, which is no earlier than this leader said it.
+  if (status.term == term_)
     n.quiet_until =
-        std::max(n.quiet_until, static_cast<double>(word.number) / kMs + after_ * (1 - kDrift));
+        std::max(n.quiet_until, static_cast<double>(status.number) / kMs + after_ * (1 - kDrift));
 }
 
-Seconds StandIns::last_answer(const std::string& zone, Seconds now) const {
+Seconds Delegations::last_answer(const std::string& zone, Seconds now) const {
   Seconds last = -1;
   for (const auto& [name, n] : nodes_) {
     if (n.zone != zone) continue;
--- a/src/leadership/stand_in.h
+++ b/src/leadership/delegation.h
@@ -7,59 +7,59 @@
 #include "jobs/spec.h"
 
 // A zone that is cut off keeps what runs there if a controller in it answers its workers in the
-// leader's place. The leader permits that ahead of time, counts every permission as an answer that
-// may have been given, and so never takes for gone what a stand-in keeps alive.
+// leader's place. The leader delegates that ahead of time, counts every delegation as an answer
+// that may have been given, and so never takes for gone what a delegate keeps alive.
 namespace sumacquay {
 
 /// From the leader to a node of a zone: it may answer that zone's workers once it can't hear the
 /// leader any more.
-struct Permission {
+struct Delegation {
   uint64_t term = 0;
   uint64_t number = 0;  ///< the leader's own time in ms: rises, and tells it when this was said
   Seconds for_s = 0;    ///< from when the node asked
 };
 
-/// What a node says of its permission with every message.
-struct StandInWord {
+/// What a node says of its delegation with every message.
+struct DelegateStatus {
   uint64_t process = 0;           ///< tells one process of a node from the next
-  uint64_t term = 0, number = 0;  ///< of the newest permission it has
+  uint64_t term = 0, number = 0;  ///< of the newest delegation it has
   std::optional<Seconds> ago;     ///< since it last answered a worker in the leader's place
 };
 
 /// The node's side.
-class StandIn {
+class Delegate {
  public:
-  StandIn(uint64_t process, Seconds after) : process_(process), after_(after) {}
-  void permitted(const Permission& p, Seconds asked_at, Seconds now);
+  Delegate(uint64_t process, Seconds after) : process_(process), after_(after) {}
+  void delegated(const Delegation& p, Seconds asked_at, Seconds now);
   /// Whether the leader has been silent for so long that this node is in its place. It isn't when
   /// somebody leads with a higher term.
   bool in_place(uint64_t highest_term, Seconds now) const;
   void answered(Seconds now) { answered_ = now; }
-  StandInWord word(Seconds now) const;
+  DelegateStatus status(Seconds now) const;
 
  private:
   uint64_t process_;
   Seconds after_;
-  Permission newest_;
+  Delegation newest_;
   Seconds until_ = -1, heard_ = -1;
   std::optional<Seconds> answered_;
 };
 
-/// The leader's side: until when stand-ins may have answered a zone's workers.
-class StandIns {
+/// The leader's side: until when delegates may have answered a zone's workers.
+class Delegations {
  public:
-  StandIns(uint64_t term, Seconds after) : term_(term), after_(after) {}
-  Permission permit(const std::string& node, const std::string& zone, Seconds until, Seconds now);
-  void heard(const std::string& node, const std::string& zone, const StandInWord& word,
+  Delegations(uint64_t term, Seconds after) : term_(term), after_(after) {}
+  Delegation delegate(const std::string& node, const std::string& zone, Seconds until, Seconds now);
+  void heard(const std::string& node, const std::string& zone, const DelegateStatus& status,
              Seconds now);
-  /// The last answer that a stand-in may have given to a worker of this zone.
+  /// The last answer that a delegate may have given to a worker of this zone.
   Seconds last_answer(const std::string& zone, Seconds now) const;
 
  private:
   struct Node {
     std::string zone;
     uint64_t process = 0;
-    Seconds until = -1;        ///< end of all permissions it was given
+    Seconds until = -1;        ///< end of all delegations it was given
     Seconds quiet_until = -1;  ///< it has heard this leader too lately to stand in before
     Seconds last = -1;         ///< its last answer that it told of, or may have given unheard
   };
--- a/src/leadership/leadership.cpp
+++ b/src/leadership/leadership.cpp
@@ -12,8 +12,8 @@
       return "campaigning";
     case Leadership::State::Leading:
       return "leading";
-    case Leadership::State::Lapsed:
-      return "lapsed";
+    case Leadership::State::Expired:
+      return "expired";
   }
   return "?";
 }
@@ -48,9 +48,9 @@
       if (now >= campaign_end_) enter(State::Follower);
       return;
     case State::Leading:
-      if (now >= valid_until_) enter(State::Lapsed);
+      if (now >= valid_until_) enter(State::Expired);
       break;
-    case State::Lapsed:
+    case State::Expired:
       if (now >= valid_until_ + config_.grace) return enter(State::Follower);
       break;
   }
@@ -84,25 +84,26 @@
 void Leadership::renewed(Seconds now, uint64_t lease, Seconds sent_at, bool answered, bool ended) {
   if (lease != lease_) return;
   renewing_ = false;
-  if (state_ != State::Leading && state_ != State::Lapsed) return;
+  if (state_ != State::Leading && state_ != State::Expired) return;
   if (ended) return enter(State::Follower);
   if (!answered) {
     next_renew_ = std::min(next_renew_, now + config_.renew * 0.3);
     return;
   }
   valid_until_ = std::max(valid_until_, sent_at + config_.lease * (1 - config_.drift));
-  if (state_ == State::Lapsed && now < valid_until_) enter(State::Leading);
+  if (state_ == State::Expired && now < valid_until_) enter(State::Leading);
 }
 
 void Leadership::resign(Seconds now, Seconds rest) {
-  if (state_ != State::Leading && state_ != State::Lapsed) return;
+  if (state_ != State::Leading && state_ != State::Expired) return;
   rest_until_ = now + rest;
   enter(State::Follower);
 }
 
 void Leadership::saw_term(Seconds, uint64_t term) {
   highest_ = std::max(highest_, term);
-  if ((state_ == State::Leading || state_ == State::Lapsed) && term > term_) enter(State::Follower);
+  if ((state_ == State::Leading || state_ == State::Expired) && term > term_)
+    enter(State::Follower);
 }
 
 }  // namespace sumacquay
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -17,7 +17,7 @@
     Follower,     ///< somebody else leads, or nobody is known to
     Campaigning,  ///< nobody leads: this node tries to
     Leading,      ///< holds the lease
-    Lapsed,       ///< the lease may have ended: answers only, until the grace is over
+    Expired,      ///< the lease may have ended: answers only, until the grace is over
   };
 
   struct Config {
@@ -61,7 +61,7 @@
   /// May answer workers. Counts from the last look at the records: whoever was cut off since then
   /// can't know what was cancelled, and would keep it running.
   bool may_answer(Seconds now) const {
-    return (state_ == State::Leading || state_ == State::Lapsed) && now < answers_until();
+    return (state_ == State::Leading || state_ == State::Expired) && now < answers_until();
   }
   Seconds answers_until() const { return std::min(known_at_, valid_until_) + config_.grace; }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -52,12 +52,12 @@
       mirror_(io, settings, store_),
       leadership_(leadership_config(settings), leadership_effects()),
       cloud_(io, settings.cloud, 4, 32),
-      stand_in_(nonce_, settings.stand_in_after_s()),
+      delegate_(nonce_, settings.delegation_after_s()),
       peers_(io, settings, settings.renew_s(),
-             {[this](wire::PulsePart part) { return own_pulse(part); },
-              [this](const wire::Pulse& p) { return answer_pulse(p); },
-              [this](const std::string& n, const wire::Pulse& p, auto asked_at) {
-                on_pulse_answer(n, p, asked_at);
+             {[this](wire::HeartbeatPart part) { return own_heartbeat(part); },
+              [this](const wire::Heartbeat& p) { return answer_heartbeat(p); },
+              [this](const std::string& n, const wire::Heartbeat& p, auto asked_at) {
+                on_heartbeat_answer(n, p, asked_at);
               }}),
       frontend_(settings, store_, mirror_,
                 {[this]() -> const std::vector<MachineType>& { return types_; },
@@ -153,8 +153,8 @@
   if (!report) return respond({400, wire::error_body("not a report"), 0});
   leadership_.saw_term(now(), report->token >> 20);
   if (!core_ || !leadership_.may_answer(now())) {
-    if (stands_in_for(*report)) {
-      stand_in_.answered(now());
+    if (answers_as_delegate(*report)) {
+      delegate_.answered(now());
       return respond({200, wire::report_answer(report->token, {}), 0});
     }
     const bool record_newer = mirror_.leader().value.term > peers_.leader_term();
@@ -169,11 +169,11 @@
 
 /// A zone that is cut off loses the leader and the state service together. While this node still
 /// hears either, another leader may be found, and workers had better go on looking.
-bool Node::stands_in_for(const WorkerReport& report) const {
+bool Node::answers_as_delegate(const WorkerReport& report) const {
   const Seconds served_at = seconds(store_.last_served());
   return leadership_.state() == Leadership::State::Follower && report.token > 0 &&
-         report.zone == settings_.zone && now() - served_at > settings_.stand_in_after_s() &&
-         stand_in_.in_place(leadership_.highest_term(), now());
+         report.zone == settings_.zone && now() - served_at > settings_.delegation_after_s() &&
+         delegate_.in_place(leadership_.highest_term(), now());
 }
 
 // ---------------------------------------------------------------- leadership
@@ -241,7 +241,7 @@
     workers_.clear();
     return;
   }
-  if (to != Leadership::State::Leading || from == Leadership::State::Lapsed) return;
+  if (to != Leadership::State::Leading || from == Leadership::State::Expired) return;
   ++core_generation_;
   writing_ = false;
   peer_terms_.clear();
@@ -256,7 +256,7 @@
   core_->listed(peers_.booting(), now());
   spdlog::info("takes over {} jobs and {} machines", mirror_.live().size(), mirror_.hosts().size());
   if (settings_.peers.empty()) core_->fenced(now());
-  peers_.pulse_now(wire::PulsePart::Word);
+  peers_.beat_now(wire::HeartbeatPart::Beat);
   list_machines();
   asio::post(io_, [this] { tick_core(); });
 }
@@ -274,42 +274,42 @@
 void Node::on_job_record(const std::string& id) {
   if (!core_) return;
   if (id.empty()) {
-    std::vector<std::string> over;
+    std::vector<std::string> finished;
     for (const auto& [known, job] : core_->jobs())
-      if (!mirror_.live(known)) over.push_back(known);
-    for (const auto& gone : over) core_->job_over(gone);
+      if (!mirror_.live(known)) finished.push_back(known);
+    for (const auto& gone : finished) core_->job_finished(gone);
     for (const auto& [known, job] : mirror_.live())
       core_->job_stored(job.value, job.version, now());
   } else if (const auto* record = mirror_.live(id)) {
     core_->job_stored(record->value, record->version, now());
   } else {
-    core_->job_over(id);
+    core_->job_finished(id);
   }
   core_->hurry();
 }
 
-wire::Pulse Node::own_pulse(wire::PulsePart part) {
-  wire::Pulse p;
+wire::Heartbeat Node::own_heartbeat(wire::HeartbeatPart part) {
+  wire::Heartbeat p;
   p.node = settings_.node;
   p.term = leadership_.highest_term();
   p.leading = core_ && leadership_.may_answer(now());
   p.served = served();
-  p.word = stand_in_.word(now());
+  p.status = delegate_.status(now());
   if (!p.leading) return p;
   p.part = part;
-  if (part == wire::PulsePart::Counts) add_counts(p);
-  if (part == wire::PulsePart::Hints) add_hints(p);
+  if (part == wire::HeartbeatPart::Counts) add_counts(p);
+  if (part == wire::HeartbeatPart::Hints) add_hints(p);
   return p;
 }
 
-void Node::add_counts(wire::Pulse& p) const {
+void Node::add_counts(wire::Heartbeat& p) const {
   for (const auto& [id, running] : core_->running_counts()) {
     const auto job = core_->jobs().find(id);
     if (job != core_->jobs().end()) p.counts.push_back({id, job->second.done.count(), running});
   }
 }
 
-void Node::add_hints(wire::Pulse& p) const {
+void Node::add_hints(wire::Heartbeat& p) const {
   for (const auto& [id, m] : core_->machines()) {
     for (const auto& [image, gb] : m.images.kept()) p.images.push_back({id, image, gb});
     if (m.stage == Machine::Stage::Booting)
@@ -324,30 +324,31 @@
   return nullptr;
 }
 
-void Node::hear(const wire::Pulse& pulse) {
-  leadership_.saw_term(now(), pulse.term);
-  const std::string* zone = zone_of(pulse.node);
-  if (core_ && zone) core_->stand_ins().heard(pulse.node, *zone, pulse.word, now());
+void Node::hear(const wire::Heartbeat& heartbeat) {
+  leadership_.saw_term(now(), heartbeat.term);
+  const std::string* zone = zone_of(heartbeat.node);
+  if (core_ && zone) core_->delegations().heard(heartbeat.node, *zone, heartbeat.status, now());
 }
 
-/// Permissions go out with answers only: they count from when they were asked for.
-wire::Pulse Node::answer_pulse(const wire::Pulse& from) {
+/// Delegations go out with answers only: they count from when they were asked for.
+wire::Heartbeat Node::answer_heartbeat(const wire::Heartbeat& from) {
   hear(from);
-  wire::Pulse p = own_pulse(wire::PulsePart::Word);
+  wire::Heartbeat p = own_heartbeat(wire::HeartbeatPart::Beat);
   const std::string* zone = zone_of(from.node);
-  if (leads_now() && zone && settings_.finds_stand_in(*zone))
-    p.permission = core_->stand_ins().permit(from.node, *zone, leadership_.answers_until(), now());
+  if (leads_now() && zone && settings_.finds_delegate(*zone))
+    p.delegation =
+        core_->delegations().delegate(from.node, *zone, leadership_.answers_until(), now());
   return p;
 }
 
-void Node::on_pulse_answer(const std::string& node, const wire::Pulse& pulse,
-                           std::chrono::steady_clock::time_point asked_at) {
-  hear(pulse);
-  if (pulse.permission) stand_in_.permitted(*pulse.permission, seconds(asked_at), now());
-  if (!core_ || pulse.leading || pulse.term < leadership_.term()) return;
+void Node::on_heartbeat_answer(const std::string& node, const wire::Heartbeat& heartbeat,
+                               std::chrono::steady_clock::time_point asked_at) {
+  hear(heartbeat);
+  if (heartbeat.delegation) delegate_.delegated(*heartbeat.delegation, seconds(asked_at), now());
+  if (!core_ || heartbeat.leading || heartbeat.term < leadership_.term()) return;
   // That node follows this term: it answers no worker under an older one. Once all do, nobody else
   // can renew a worker's lease.
-  peer_terms_[node] = pulse.term;
+  peer_terms_[node] = heartbeat.term;
   if (peer_terms_.size() == settings_.peers.size()) core_->fenced(now());
 }
 
@@ -466,10 +467,10 @@
     }
     const std::string live = keys::kLive + w.job;
     guards.push_back({live, w.version});
-    if (w.over) {
+    if (w.finished) {
       changes.push_back({live, "", 0});
-      changes.push_back(
-          {keys::kOver + w.job, wire::encode_over(w.record->state, w.record->done.count()), 0});
+      changes.push_back({keys::kFinished + w.job,
+                         wire::encode_finished(w.record->state, w.record->done.count()), 0});
     } else {
       changes.push_back({live, wire::encode_job(*w.record), 0});
     }
@@ -488,8 +489,8 @@
     for (const auto& w : writes) {
       if (!w.host.empty())
         mirror_.wrote_host(w.host, w.host_record ? &*w.host_record : nullptr, t.revision);
-      else if (w.over)
-        mirror_.wrote_over(w.job, {w.record->state, w.record->done.count()}, t.revision);
+      else if (w.finished)
+        mirror_.wrote_finished(w.job, {w.record->state, w.record->done.count()}, t.revision);
       else
         mirror_.wrote_job(*w.record, t.revision);
     }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -7,8 +7,8 @@
 #include "config/settings.h"
 #include "dispatch/leader_core.h"
 #include "frontend/frontend.h"
+#include "leadership/delegation.h"
 #include "leadership/leadership.h"
-#include "leadership/stand_in.h"
 #include "net/http.h"
 #include "peer/peers.h"
 #include "store/mirror.h"
@@ -41,15 +41,15 @@
   void on_leadership(Leadership::State from, Leadership::State to);
   void on_leader_record();
   void on_job_record(const std::string& id);
-  bool stands_in_for(const WorkerReport& report) const;
+  bool answers_as_delegate(const WorkerReport& report) const;
   const std::string* zone_of(const std::string& node) const;
-  void hear(const wire::Pulse& pulse);
-  wire::Pulse answer_pulse(const wire::Pulse& from);
-  void on_pulse_answer(const std::string& node, const wire::Pulse& pulse,
-                       std::chrono::steady_clock::time_point asked_at);
-  wire::Pulse own_pulse(wire::PulsePart part);
-  void add_counts(wire::Pulse& p) const;
-  void add_hints(wire::Pulse& p) const;
+  void hear(const wire::Heartbeat& heartbeat);
+  wire::Heartbeat answer_heartbeat(const wire::Heartbeat& from);
+  void on_heartbeat_answer(const std::string& node, const wire::Heartbeat& heartbeat,
+                           std::chrono::steady_clock::time_point asked_at);
+  wire::Heartbeat own_heartbeat(wire::HeartbeatPart part);
+  void add_counts(wire::Heartbeat& p) const;
+  void add_hints(wire::Heartbeat& p) const;
   // the leader's hands
   void perform(const Action& action);
   void perform(const SendOrders& order);
@@ -72,7 +72,7 @@
   Mirror mirror_;
   Leadership leadership_;
   HttpClient cloud_;
-  StandIn stand_in_;
+  Delegate delegate_;
   Peers peers_;
   Frontend frontend_;
   std::unique_ptr<HttpServer> server_;
--- a/src/peer/peers.cpp
+++ b/src/peer/peers.cpp
@@ -29,58 +29,59 @@
   limits.connections = 4 * settings_.peers.size() + 8;
   server_ = std::make_unique<HttpServer>(
       io_, settings_.peer_listen, limits, [this](const HttpRequest& request, Respond respond) {
-        const auto pulse =
-            request.path == wire::path::kPulse ? wire::decode_pulse(request.body) : std::nullopt;
-        if (!pulse) return respond({400, {}, 0});
-        note(*pulse);
-        respond({200, wire::encode_pulse(hooks_.answer(*pulse)), 0});
+        const auto heartbeat = request.path == wire::path::kHeartbeat
+                                   ? wire::decode_heartbeat(request.body)
+                                   : std::nullopt;
+        if (!heartbeat) return respond({400, {}, 0});
+        note(*heartbeat);
+        respond({200, wire::encode_heartbeat(hooks_.answer(*heartbeat)), 0});
       });
   beat();
 }
 
-void Peers::pulse_now(wire::PulsePart part) {
-  const wire::Pulse own = hooks_.own(part);
+void Peers::beat_now(wire::HeartbeatPart part) {
+  const wire::Heartbeat own = hooks_.own(part);
   if (own.leading) keep_details(own);
-  const std::string body = wire::encode_pulse_within(own, kMostBody);
+  const std::string body = wire::encode_heartbeat_within(own, kMostBody);
   for (auto& [node, client] : clients_) {
     if (client->in_progress() > 1) continue;
-    client->request("POST", wire::path::kPulse, body, period_s_ * 2,
+    client->request("POST", wire::path::kHeartbeat, body, period_s_ * 2,
                     [this, node = node, asked_at = Clock::now()](HttpResult r) {
-                      const auto pulse = r.ok() ? wire::decode_pulse(r.body) : std::nullopt;
-                      if (!pulse) return;
-                      note(*pulse);
-                      hooks_.answered(node, *pulse, asked_at);
+                      const auto heartbeat = r.ok() ? wire::decode_heartbeat(r.body) : std::nullopt;
+                      if (!heartbeat) return;
+                      note(*heartbeat);
+                      hooks_.answered(node, *heartbeat, asked_at);
                     });
   }
 }
 
 void Peers::beat() {
   const int count = beats_++;
-  pulse_now(count % beats_a_detail_ == 0 ? wire::PulsePart::Counts : wire::PulsePart::Word);
-  if (count % (kHintsBeats * beats_a_detail_) == 0) pulse_now(wire::PulsePart::Hints);
+  beat_now(count % beats_a_detail_ == 0 ? wire::HeartbeatPart::Counts : wire::HeartbeatPart::Beat);
+  if (count % (kHintsBeats * beats_a_detail_) == 0) beat_now(wire::HeartbeatPart::Hints);
   timer_.expires_after(std::chrono::microseconds(static_cast<long long>(period_s_ * 1e6)));
   timer_.async_wait([this](auto error) {
     if (!error) beat();
   });
 }
 
-void Peers::note(const wire::Pulse& pulse) {
-  if (pulse.served) served_heard_ = Clock::now();
-  if (!pulse.leading || pulse.term < leader_term_) return;
-  leader_ = pulse.node;
-  leader_term_ = pulse.term;
+void Peers::note(const wire::Heartbeat& heartbeat) {
+  if (heartbeat.served) served_heard_ = Clock::now();
+  if (!heartbeat.leading || heartbeat.term < leader_term_) return;
+  leader_ = heartbeat.node;
+  leader_term_ = heartbeat.term;
   leader_heard_ = Clock::now();
-  keep_details(pulse);
+  keep_details(heartbeat);
 }
 
-void Peers::keep_details(const wire::Pulse& pulse) {
-  if (pulse.part == wire::PulsePart::Hints) {
-    images_ = pulse.images;
-    booting_ = pulse.booting;
+void Peers::keep_details(const wire::Heartbeat& heartbeat) {
+  if (heartbeat.part == wire::HeartbeatPart::Hints) {
+    images_ = heartbeat.images;
+    booting_ = heartbeat.booting;
     hints_heard_ = Clock::now();
-  } else if (pulse.part == wire::PulsePart::Counts) {
+  } else if (heartbeat.part == wire::HeartbeatPart::Counts) {
     counts_.clear();
-    for (const auto& c : pulse.counts) counts_[c.job] = c;
+    for (const auto& c : heartbeat.counts) counts_[c.job] = c;
   }
 }
 
--- a/src/peer/peers.h
+++ b/src/peer/peers.h
@@ -17,16 +17,16 @@
 class Peers {
  public:
   struct Hooks {
-    /// What this node says: its word, or also what users are shown or a successor would want.
-    std::function<wire::Pulse(wire::PulsePart)> own;
-    std::function<wire::Pulse(const wire::Pulse&)> answer;
-    std::function<void(const std::string& node, const wire::Pulse&,
+    /// What this node says: its status, or also what users are shown or a successor would want.
+    std::function<wire::Heartbeat(wire::HeartbeatPart)> own;
+    std::function<wire::Heartbeat(const wire::Heartbeat&)> answer;
+    std::function<void(const std::string& node, const wire::Heartbeat&,
                        std::chrono::steady_clock::time_point asked_at)>
         answered;
   };
   Peers(asio::io_context& io, const Settings& settings, double period_s, Hooks hooks);
   void start();
-  void pulse_now(wire::PulsePart part);
+  void beat_now(wire::HeartbeatPart part);
 
   /// The leader that others speak of, empty if none was heard of lately.
   std::string leader() const;
@@ -41,8 +41,8 @@
 
  private:
   void beat();
-  void note(const wire::Pulse& pulse);
-  void keep_details(const wire::Pulse& pulse);
+  void note(const wire::Heartbeat& heartbeat);
+  void keep_details(const wire::Heartbeat& heartbeat);
 
   asio::io_context& io_;
   const Settings& settings_;
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Jobs that are over and still answered from memory; older ones are read again when asked for.
-constexpr size_t kOverKept = 20000;
+constexpr size_t kFinishedKept = 20000;
 constexpr int kPage = 200;
 const std::vector<std::string>& load_order() {
   static const std::vector<std::string> prefixes{keys::kLeader, keys::kTerm, keys::kHost,
@@ -138,7 +138,7 @@
     auto known = live_.find(id);
     if (known != live_.end() && known->second.version >= item.version) return;
     // A job that is over never comes back, whatever an older change says.
-    if (gone || over_.count(id)) {
+    if (gone || finished_.count(id)) {
       live_.erase(id);
     } else {
       auto record = wire::decode_job(item.value);
@@ -146,11 +146,11 @@
       live_[id] = {std::move(*record), item.version};
     }
     if (loaded() && listener_.job_changed) listener_.job_changed(id);
-  } else if (item.key.starts_with(keys::kOver)) {
-    const std::string id = item.key.substr(keys::kOver.size());
-    const auto record = gone ? std::nullopt : wire::decode_over(item.value);
+  } else if (item.key.starts_with(keys::kFinished)) {
+    const std::string id = item.key.substr(keys::kFinished.size());
+    const auto record = gone ? std::nullopt : wire::decode_finished(item.value);
     if (!record) return;
-    remember_over(id, *record);
+    remember_finished(id, *record);
     if (loaded() && listener_.job_changed) listener_.job_changed(id);
   } else if (item.key.starts_with(keys::kHost)) {
     const std::string id = item.key.substr(keys::kHost.size());
@@ -178,13 +178,13 @@
   }
 }
 
-void Mirror::remember_over(const std::string& id, wire::OverRecord record) {
+void Mirror::remember_finished(const std::string& id, wire::FinishedRecord record) {
   live_.erase(id);
-  if (!over_.emplace(id, record).second) return;
-  over_order_.push_back(id);
-  if (over_order_.size() <= kOverKept) return;
-  over_.erase(over_order_.front());
-  over_order_.pop_front();
+  if (!finished_.emplace(id, record).second) return;
+  finished_order_.push_back(id);
+  if (finished_order_.size() <= kFinishedKept) return;
+  finished_.erase(finished_order_.front());
+  finished_order_.pop_front();
 }
 
 const Versioned<JobRecord>* Mirror::live(const std::string& id) const {
@@ -192,21 +192,21 @@
   return it == live_.end() ? nullptr : &it->second;
 }
 
-const wire::OverRecord* Mirror::over(const std::string& id) const {
-  const auto it = over_.find(id);
-  return it == over_.end() ? nullptr : &it->second;
+const wire::FinishedRecord* Mirror::finished(const std::string& id) const {
+  const auto it = finished_.find(id);
+  return it == finished_.end() ? nullptr : &it->second;
 }
 
 void Mirror::wrote_job(const JobRecord& record, uint64_t version) {
-  if (over_.count(record.spec.id)) return;
+  if (finished_.count(record.spec.id)) return;
   auto& slot = live_[record.spec.id];
   if (slot.version >= version) return;
   slot = {record, version};
   if (listener_.job_changed) listener_.job_changed(record.spec.id);
 }
 
-void Mirror::wrote_over(const std::string& id, wire::OverRecord record, uint64_t) {
-  remember_over(id, record);
+void Mirror::wrote_finished(const std::string& id, wire::FinishedRecord record, uint64_t) {
+  remember_finished(id, record);
   if (listener_.job_changed) listener_.job_changed(id);
 }
 
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -15,7 +15,7 @@
 namespace keys {
 inline const std::string kRoot = "sq/";
 inline const std::string kLive = "sq/live/";
-inline const std::string kOver = "sq/over/";
+inline const std::string kFinished = "sq/over/";
 inline const std::string kHost = "sq/host/";
 inline const std::string kLeader = "sq/leader";
 inline const std::string kTerm = "sq/term";
@@ -48,17 +48,19 @@
 
   const std::unordered_map<std::string, Versioned<JobRecord>>& live() const { return live_; }
   const Versioned<JobRecord>* live(const std::string& id) const;
-  const wire::OverRecord* over(const std::string& id) const;
+  const wire::FinishedRecord* finished(const std::string& id) const;
   const std::map<std::string, Versioned<HostRecord>>& hosts() const { return hosts_; }
   const Versioned<wire::LeaderRecord>& leader() const { return leader_; }
   const Versioned<wire::LeaderRecord>& term() const { return term_; }
 
   // What this node itself has written, known before the watch brings it.
   void wrote_job(const JobRecord& record, uint64_t version);
-  void wrote_over(const std::string& id, wire::OverRecord record, uint64_t version);
+  void wrote_finished(const std::string& id, wire::FinishedRecord record, uint64_t version);
   void wrote_host(const std::string& id, const HostRecord* record, uint64_t version);
   void wrote_leader(const wire::LeaderRecord& record, uint64_t version);
-  void learned_over(const std::string& id, wire::OverRecord record) { remember_over(id, record); }
+  void learned_finished(const std::string& id, wire::FinishedRecord record) {
+    remember_finished(id, record);
+  }
 
  private:
   enum class State { Loading, Following };
@@ -68,7 +70,7 @@
   void follow();
   void apply(const wire::StorePage& page, std::chrono::steady_clock::time_point asked_at);
   void apply_item(const wire::StoreItem& item);
-  void remember_over(const std::string& id, wire::OverRecord record);
+  void remember_finished(const std::string& id, wire::FinishedRecord record);
   void run_barrier();
   void later(double seconds, std::function<void()> what);
 
@@ -81,8 +83,8 @@
   uint64_t revision_ = 0;
   std::chrono::steady_clock::time_point known_at_{}, loading_since_{};
   std::unordered_map<std::string, Versioned<JobRecord>> live_;
-  std::unordered_map<std::string, wire::OverRecord> over_;
-  std::deque<std::string> over_order_;
+  std::unordered_map<std::string, wire::FinishedRecord> finished_;
+  std::deque<std::string> finished_order_;
   std::map<std::string, Versioned<HostRecord>> hosts_;
   std::map<std::string, uint64_t> host_deleted_;
   Versioned<wire::LeaderRecord> leader_, term_;
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -602,7 +602,7 @@
   return r;
 }
 
-std::string encode_over(JobState state, uint32_t done) {
+std::string encode_finished(JobState state, uint32_t done) {
   return build([&](Packer& p) {
     p.pack_map(2);
     pair(p, "state", name_of(kJobStates, state));
@@ -610,11 +610,11 @@
   });
 }
 
-std::optional<OverRecord> decode_over(View v) {
+std::optional<FinishedRecord> decode_finished(View v) {
   const auto state = value_of(kJobStates, v["state"]);
   const auto done = v["done"].count();
   if (!state || !done) return std::nullopt;
-  return OverRecord{*state, static_cast<uint32_t>(*done)};
+  return FinishedRecord{*state, static_cast<uint32_t>(*done)};
 }
 
 std::string encode_host(const HostRecord& h) {
@@ -653,28 +653,28 @@
   return LeaderRecord{*node, *nonce, *term, v["lease"].count().value_or(0)};
 }
 
-std::string encode_pulse(const Pulse& pulse) {
+std::string encode_heartbeat(const Heartbeat& heartbeat) {
   return build([&](Packer& p) {
-    p.pack_map(pulse.permission ? 11 : 10);
-    pair(p, "node", pulse.node);
-    pair(p, "term", pulse.term);
-    pair(p, "leading", pulse.leading);
-    pair(p, "served", pulse.served);
-    pair(p, "part", static_cast<uint64_t>(pulse.part));
-    const auto& word = pulse.word;
-    text(p, "word");
-    p.pack_array(word.ago ? 4 : 3);
-    p.pack_uint64(word.process), p.pack_uint64(word.term), p.pack_uint64(word.number);
-    if (word.ago) p.pack_double(*word.ago);
-    if (pulse.permission) {
-      text(p, "permission");
+    p.pack_map(heartbeat.delegation ? 11 : 10);
+    pair(p, "node", heartbeat.node);
+    pair(p, "term", heartbeat.term);
+    pair(p, "leading", heartbeat.leading);
+    pair(p, "served", heartbeat.served);
+    pair(p, "part", static_cast<uint64_t>(heartbeat.part));
+    const auto& status = heartbeat.status;
+    text(p, "status");
+    p.pack_array(status.ago ? 4 : 3);
+    p.pack_uint64(status.process), p.pack_uint64(status.term), p.pack_uint64(status.number);
+    if (status.ago) p.pack_double(*status.ago);
+    if (heartbeat.delegation) {
+      text(p, "delegation");
       p.pack_array(3);
-      p.pack_uint64(pulse.permission->term), p.pack_uint64(pulse.permission->number);
-      p.pack_double(pulse.permission->for_s);
+      p.pack_uint64(heartbeat.delegation->term), p.pack_uint64(heartbeat.delegation->number);
+      p.pack_double(heartbeat.delegation->for_s);
     }
     text(p, "counts");
-    p.pack_array(static_cast<uint32_t>(pulse.counts.size()));
-    for (const auto& c : pulse.counts) {
+    p.pack_array(static_cast<uint32_t>(heartbeat.counts.size()));
+    for (const auto& c : heartbeat.counts) {
       p.pack_array(3);
       text(p, c.job);
       p.pack_uint32(c.done);
@@ -682,7 +682,7 @@
     }
     // Each image is named once; a machine's line then holds numbers.
     std::map<std::string_view, std::vector<const HeldImage*>> held;
-    for (const auto& i : pulse.images) held[i.machine].push_back(&i);
+    for (const auto& i : heartbeat.images) held[i.machine].push_back(&i);
     std::map<std::pair<std::string_view, double>, uint32_t> numbers;
     std::vector<std::pair<std::string_view, double>> images;
     for (const auto& [machine, list] : held)
@@ -704,8 +704,8 @@
       for (const HeldImage* i : list) p.pack_uint32(numbers.at({i->image, i->gb}));
     }
     text(p, "booting");
-    p.pack_array(static_cast<uint32_t>(pulse.booting.size()));
-    for (const auto& m : pulse.booting) {
+    p.pack_array(static_cast<uint32_t>(heartbeat.booting.size()));
+    for (const auto& m : heartbeat.booting) {
       p.pack_array(5);
       text(p, m.id), text(p, m.type), text(p, m.zone);
       m.spot ? p.pack_true() : p.pack_false();
@@ -714,62 +714,63 @@
   });
 }
 
-std::string encode_pulse_within(Pulse pulse, size_t limit) {
+std::string encode_heartbeat_within(Heartbeat heartbeat, size_t limit) {
   for (;;) {
-    std::string body = encode_pulse(pulse);
-    const bool bare = pulse.counts.empty() && pulse.images.empty() && pulse.booting.empty();
+    std::string body = encode_heartbeat(heartbeat);
+    const bool bare =
+        heartbeat.counts.empty() && heartbeat.images.empty() && heartbeat.booting.empty();
     if (body.size() <= limit || bare) return body;
     auto shorten = [share = 0.9 * static_cast<double>(limit) /
                             static_cast<double>(body.size())](auto& list) {
       list.resize(static_cast<size_t>(share * static_cast<double>(list.size())));
     };
-    shorten(pulse.counts), shorten(pulse.images), shorten(pulse.booting);
+    shorten(heartbeat.counts), shorten(heartbeat.images), shorten(heartbeat.booting);
   }
 }
 
 namespace {
 
-StandInWord decode_word(View v) {
-  StandInWord word;
-  if (v.size() < 3 || v.size() > 4) return word;
-  word.process = v.at(0).count().value_or(0);
-  word.term = v.at(1).count().value_or(0);
-  word.number = v.at(2).count().value_or(0);
-  if (v.size() == 4) word.ago = v.at(3).number();
-  return word;
+DelegateStatus decode_status(View v) {
+  DelegateStatus status;
+  if (v.size() < 3 || v.size() > 4) return status;
+  status.process = v.at(0).count().value_or(0);
+  status.term = v.at(1).count().value_or(0);
+  status.number = v.at(2).count().value_or(0);
+  if (v.size() == 4) status.ago = v.at(3).number();
+  return status;
 }
 
-std::optional<Permission> decode_permission(View v) {
+std::optional<Delegation> decode_delegation(View v) {
   if (v.size() != 3 || !v.at(0).count() || !v.at(1).count() || !v.at(2).number())
     return std::nullopt;
-  return Permission{*v.at(0).count(), *v.at(1).count(), *v.at(2).number()};
+  return Delegation{*v.at(0).count(), *v.at(1).count(), *v.at(2).number()};
 }
 
 }  // namespace
 
-std::optional<Pulse> decode_pulse(std::string_view body) {
-  return read_root<Pulse>(body, [](View root) -> std::optional<Pulse> {
-    Pulse pulse;
+std::optional<Heartbeat> decode_heartbeat(std::string_view body) {
+  return read_root<Heartbeat>(body, [](View root) -> std::optional<Heartbeat> {
+    Heartbeat heartbeat;
     const auto node = root["node"].text();
     const auto term = root["term"].count();
     const auto leading = root["leading"].flag();
     const View counts = root["counts"];
     if (!node || !term || !leading || !counts.is_list()) return std::nullopt;
-    pulse.node = *node;
-    pulse.term = *term;
-    pulse.leading = *leading;
-    pulse.served = root["served"].flag().value_or(false);
+    heartbeat.node = *node;
+    heartbeat.term = *term;
+    heartbeat.leading = *leading;
+    heartbeat.served = root["served"].flag().value_or(false);
     const auto part = root["part"].count().value_or(0);
-    if (part > static_cast<uint64_t>(PulsePart::Hints)) return std::nullopt;
-    pulse.part = static_cast<PulsePart>(part);
-    pulse.word = decode_word(root["word"]);
-    pulse.permission = decode_permission(root["permission"]);
+    if (part > static_cast<uint64_t>(HeartbeatPart::Hints)) return std::nullopt;
+    heartbeat.part = static_cast<HeartbeatPart>(part);
+    heartbeat.status = decode_status(root["status"]);
+    heartbeat.delegation = decode_delegation(root["delegation"]);
     for (size_t i = 0; i < counts.size(); ++i) {
       const View c = counts.at(i);
       if (c.size() != 3 || !c.at(0).text() || !c.at(1).count() || !c.at(2).count())
         return std::nullopt;
-      pulse.counts.push_back({*c.at(0).text(), static_cast<uint32_t>(*c.at(1).count()),
-                              static_cast<uint32_t>(*c.at(2).count())});
+      heartbeat.counts.push_back({*c.at(0).text(), static_cast<uint32_t>(*c.at(1).count()),
+                                  static_cast<uint32_t>(*c.at(2).count())});
     }
     const View images = root["images"], held = root["held"];
     for (size_t i = 0; i < held.size(); ++i) {
@@ -781,7 +782,7 @@
         if (!number || *number >= images.size()) return std::nullopt;
         const View image = images.at(*number);
         if (image.size() != 2 || !image.at(0).text() || !image.at(1).number()) return std::nullopt;
-        pulse.images.push_back({*machine, *image.at(0).text(), *image.at(1).number()});
+        heartbeat.images.push_back({*machine, *image.at(0).text(), *image.at(1).number()});
       }
     }
     const View booting = root["booting"];
@@ -790,10 +791,11 @@
       if (m.size() != 5 || !m.at(0).text() || !m.at(1).text() || !m.at(2).text() ||
           !m.at(3).flag() || !m.at(4).number())
         return std::nullopt;
-      pulse.booting.push_back({*m.at(0).text(), "", *m.at(1).text(), *m.at(2).text(),
-                               *m.at(3).flag(), ListedMachine::State::Booting, *m.at(4).number()});
+      heartbeat.booting.push_back({*m.at(0).text(), "", *m.at(1).text(), *m.at(2).text(),
+                                   *m.at(3).flag(), ListedMachine::State::Booting,
+                                   *m.at(4).number()});
     }
-    return pulse;
+    return heartbeat;
   });
 }
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -6,7 +6,7 @@
 
 #include "fleet/report.h"
 #include "jobs/record.h"
-#include "leadership/stand_in.h"
+#include "leadership/delegation.h"
 #include "wire/view.h"
 
 /// Protocol messages <-> types. The only place that knows the spellings of the wire.
@@ -25,7 +25,7 @@
 inline constexpr const char* kTransaction = "/multi";
 inline constexpr const char* kGrants = "/grants";
 inline constexpr const char* kChanges = "/changes";
-inline constexpr const char* kPulse = "/pulse";
+inline constexpr const char* kHeartbeat = "/heartbeat";
 }  // namespace path
 
 // Users.
@@ -98,12 +98,12 @@
 // Records, our own values in the state service.
 std::string encode_job(const JobRecord& record);
 std::optional<JobRecord> decode_job(View value);
-std::string encode_over(JobState state, uint32_t done);
-struct OverRecord {
+std::string encode_finished(JobState state, uint32_t done);
+struct FinishedRecord {
   JobState state = JobState::Done;
   uint32_t done = 0;
 };
-std::optional<OverRecord> decode_over(View value);
+std::optional<FinishedRecord> decode_finished(View value);
 std::string encode_host(const HostRecord& host);
 std::optional<HostRecord> decode_host(View value);
 struct LeaderRecord {
@@ -125,24 +125,24 @@
   std::string machine, image;
   double gb = 0;
 };
-/// What a pulse says beside the word about terms. Together the parts of a large fleet would take
-/// more than a body may.
-enum class PulsePart { Word, Counts, Hints };
-struct Pulse {
-  PulsePart part = PulsePart::Word;
+/// What a heartbeat says beside the status about terms. Together the parts of a large fleet would
+/// take more than a body may.
+enum class HeartbeatPart { Beat, Counts, Hints };
+struct Heartbeat {
+  HeartbeatPart part = HeartbeatPart::Beat;
   std::string node;
   uint64_t term = 0;
   bool leading = false;
   bool served = false;  ///< by the state service, not long ago
-  StandInWord word;
-  std::optional<Permission> permission;  ///< for whom this answers
+  DelegateStatus status;
+  std::optional<Delegation> delegation;  ///< for whom this answers
   std::vector<RunningCount> counts;
   std::vector<HeldImage> images;       ///< by machine, each one's most recently used last
   std::vector<ListedMachine> booting;  ///< rented and not heard yet
 };
-std::string encode_pulse(const Pulse& pulse);
-/// The same within a body's limit: what is too much is left out, the word about terms never.
-std::string encode_pulse_within(Pulse pulse, size_t limit);
-std::optional<Pulse> decode_pulse(std::string_view body);
+std::string encode_heartbeat(const Heartbeat& heartbeat);
+/// The same within a body's limit: what is too much is left out, the status about terms never.
+std::string encode_heartbeat_within(Heartbeat heartbeat, size_t limit);
+std::optional<Heartbeat> decode_heartbeat(std::string_view body);
 
 }  // namespace sumacquay::wire
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -293,7 +293,7 @@
   EXPECT_TRUE(l.may_act(1.9));
   EXPECT_FALSE(l.may_act(2.1));
   l.tick(2.1, true, true, 0);
-  EXPECT_EQ(l.state(), Leadership::State::Lapsed);
+  EXPECT_EQ(l.state(), Leadership::State::Expired);
   EXPECT_TRUE(l.may_answer(11.9));
   EXPECT_FALSE(l.may_answer(12.1));
   l.tick(12.1, true, true, 0);
--- a/tests/stand_in_test.cpp
+++ b/tests/delegation_test.cpp
@@ -1,5 +1,5 @@
-// Permissions, words and answers of stand-ins, with late and lost messages, restarts and drift.
-#include "leadership/stand_in.h"
+// Delegations, words and answers of delegates, with late and lost messages, restarts and drift.
+#include "leadership/delegation.h"
 
 #include <gtest/gtest.h>
 
@@ -18,10 +18,10 @@
 
 constexpr Seconds kAfter = 3, kBeat = 1, kFor = 20;
 
-TEST(StandIns, TheLeaderCountsEveryAnswerThatOneMayHaveGiven) {
+TEST(Delegations, TheLeaderCountsEveryAnswerThatOneMayHaveGiven) {
   size_t answers = 0;
   EXPECT_TRUE(holds(
-      "stand-ins",
+      "delegates",
       [&answers] {
         std::mt19937_64 rng(*rc::gen::noShrink(rc::gen::arbitrary<uint64_t>()));
         auto draw = [&rng](double a, double b) {
@@ -30,9 +30,9 @@
         const double skew = 1 + draw(-0.0005, 0.0005);
         Seconds now = 100;
         auto clock = [&] { return now * skew + 5; };
-        StandIns ledger(7, kAfter);
+        Delegations ledger(7, kAfter);
         uint64_t process = 1;
-        StandIn node(process, kAfter);
+        Delegate node(process, kAfter);
         std::multimap<Seconds, std::function<void()>> mail;
         Seconds next = 0, cut_until = 0, last_answer = -1;
         while (now < 400) {
@@ -43,16 +43,16 @@
             f();
           }
           if (draw(0, 1) < 0.004) cut_until = now + draw(1, 60);
-          if (draw(0, 1) < 0.004) node = StandIn(++process, kAfter);
+          if (draw(0, 1) < 0.004) node = Delegate(++process, kAfter);
           if (clock() >= next) {
             next = clock() + kBeat;
             const double there = now < cut_until ? draw(0, 60) : draw(0.001, 0.05);
-            mail.emplace(now + there, [&, word = node.word(clock()), asked = clock(), process] {
-              ledger.heard("n", "z", word, now);
-              const auto p = ledger.permit("n", "z", now + kFor, now);
+            mail.emplace(now + there, [&, status = node.status(clock()), asked = clock(), process] {
+              ledger.heard("n", "z", status, now);
+              const auto p = ledger.delegate("n", "z", now + kFor, now);
               const double back = draw(0, 1) < 0.1 ? draw(0, 30) : 0.01;
               mail.emplace(now + back, [&, p, asked, from = process] {
-                if (from == process && now >= cut_until) node.permitted(p, asked, clock());
+                if (from == process && now >= cut_until) node.delegated(p, asked, clock());
               });
             });
           }
@@ -69,12 +69,12 @@
   EXPECT_GT(answers, 1000u) << "a history without answers checks nothing";
 }
 
-TEST(StandIns, OneThatHearsTheLeaderDelaysNothing) {
-  StandIns ledger(7, kAfter);
-  StandIn node(1, kAfter);
+TEST(Delegations, OneThatHearsTheLeaderDelaysNothing) {
+  Delegations ledger(7, kAfter);
+  Delegate node(1, kAfter);
   for (Seconds now = 10; now < 50; now += kBeat) {
-    ledger.heard("n", "z", node.word(now), now);
-    node.permitted(ledger.permit("n", "z", now + kFor, now), now, now);
+    ledger.heard("n", "z", node.status(now), now);
+    node.delegated(ledger.delegate("n", "z", now + kFor, now), now, now);
     EXPECT_FALSE(node.in_place(7, now));
     if (now > 12) {
       EXPECT_LT(ledger.last_answer("z", now), 0);
@@ -86,13 +86,13 @@
   EXPECT_NEAR(ledger.last_answer("z", 49 + kAfter), 49 + kAfter, 1e-9);
   EXPECT_NEAR(ledger.last_answer("z", 200), 49 + kFor, 1e-9);
   node.answered(60);
-  ledger.heard("n", "z", node.word(70), 70);
-  node.permitted(ledger.permit("n", "z", 70 + kFor, 70), 70, 70);
-  ledger.heard("n", "z", node.word(71), 71);
+  ledger.heard("n", "z", node.status(70), 70);
+  node.delegated(ledger.delegate("n", "z", 70 + kFor, 70), 70, 70);
+  ledger.heard("n", "z", node.status(71), 71);
   EXPECT_NEAR(ledger.last_answer("z", 71), 60, 0.1) << "it told of its last answer";
 }
 
-TEST(StandIns, AreOnlyOfUseWhereWorkersFindThemWithinTheirLease) {
+TEST(Delegations, AreOnlyOfUseWhereWorkersFindThemWithinTheirLease) {
   // Five controllers and a lease of 10 s: four nodes that don't answer take 20 s, and the leader
   // waited for tasks that had long ended.
   Settings s;
@@ -100,35 +100,35 @@
   for (const char* zone : {"b", "c", "a", "b"}) s.peers.push_back({"n", zone, {}});
   s.report_s = 1;
   s.lease_s = 10;
-  EXPECT_FALSE(s.finds_stand_in("b"));
+  EXPECT_FALSE(s.finds_delegate("b"));
   s.lease_s = 22;
-  EXPECT_TRUE(s.finds_stand_in("b"));
-  EXPECT_TRUE(s.finds_stand_in("c"));
+  EXPECT_TRUE(s.finds_delegate("b"));
+  EXPECT_TRUE(s.finds_delegate("c"));
 }
 
-TEST(StandIns, WordsAndPermissionsComeThroughTheWire) {
+TEST(Delegations, WordsAndDelegationsComeThroughTheWire) {
   EXPECT_TRUE(holds(
-      "pulses",
+      "heartbeats",
       [] {
-        wire::Pulse p;
+        wire::Heartbeat p;
         p.node = "n";
         p.term = *rc::gen::arbitrary<uint64_t>();
-        p.word = {*rc::gen::arbitrary<uint64_t>(), *rc::gen::arbitrary<uint64_t>(),
-                  *rc::gen::arbitrary<uint64_t>(), std::nullopt};
-        if (*rc::gen::arbitrary<bool>()) p.word.ago = *rc::gen::inRange(0, 1000) / 7.0;
+        p.status = {*rc::gen::arbitrary<uint64_t>(), *rc::gen::arbitrary<uint64_t>(),
+                    *rc::gen::arbitrary<uint64_t>(), std::nullopt};
+        if (*rc::gen::arbitrary<bool>()) p.status.ago = *rc::gen::inRange(0, 1000) / 7.0;
         if (*rc::gen::arbitrary<bool>())
-          p.permission =
-              Permission{*rc::gen::arbitrary<uint64_t>(), *rc::gen::arbitrary<uint64_t>(),
+          p.delegation =
+              Delegation{*rc::gen::arbitrary<uint64_t>(), *rc::gen::arbitrary<uint64_t>(),
                          *rc::gen::inRange(0, 1000) / 7.0};
-        const auto q = wire::decode_pulse(wire::encode_pulse(p));
+        const auto q = wire::decode_heartbeat(wire::encode_heartbeat(p));
         RC_ASSERT(q.has_value());
-        RC_ASSERT(q->word.process == p.word.process && q->word.term == p.word.term);
-        RC_ASSERT(q->word.number == p.word.number && q->word.ago == p.word.ago);
-        RC_ASSERT(q->permission.has_value() == p.permission.has_value());
-        if (p.permission) {
-          RC_ASSERT(q->permission->term == p.permission->term);
-          RC_ASSERT(q->permission->number == p.permission->number);
-          RC_ASSERT(q->permission->for_s == p.permission->for_s);
+        RC_ASSERT(q->status.process == p.status.process && q->status.term == p.status.term);
+        RC_ASSERT(q->status.number == p.status.number && q->status.ago == p.status.ago);
+        RC_ASSERT(q->delegation.has_value() == p.delegation.has_value());
+        if (p.delegation) {
+          RC_ASSERT(q->delegation->term == p.delegation->term);
+          RC_ASSERT(q->delegation->number == p.delegation->number);
+          RC_ASSERT(q->delegation->for_s == p.delegation->for_s);
         }
       },
       200));
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -138,7 +138,7 @@
         wire::parse_types(bytes);
         wire::parse_machines(bytes);
         wire::parse_changes(bytes);
-        wire::decode_pulse(bytes);
+        wire::decode_heartbeat(bytes);
       },
       2000));
   EXPECT_TRUE(holds("a cut or changed record never passes for another shape", [] {
@@ -188,9 +188,9 @@
   EXPECT_NE(body("together", 1).error.find("together"), std::string::npos);
 }
 
-TEST(Peers, APulseComesBackAsItWas) {
-  EXPECT_TRUE(holds("pulse", [] {
-    wire::Pulse p;
+TEST(Peers, AHeartbeatComesBackAsItWas) {
+  EXPECT_TRUE(holds("heartbeat", [] {
+    wire::Heartbeat p;
     p.node = *testing::name();
     p.term = static_cast<uint64_t>(*rc::gen::inRange(0, 1 << 30));
     p.leading = *rc::gen::arbitrary<bool>();
@@ -201,32 +201,32 @@
       p.booting.push_back({*testing::name(), "", *testing::name(), *testing::name(), i % 2 == 0,
                            ListedMachine::State::Booting, i * 1.5});
     }
-    const auto back = wire::decode_pulse(wire::encode_pulse(p));
+    const auto back = wire::decode_heartbeat(wire::encode_heartbeat(p));
     RC_ASSERT(back.has_value());
-    RC_ASSERT(wire::encode_pulse(*back) == wire::encode_pulse(p));
+    RC_ASSERT(wire::encode_heartbeat(*back) == wire::encode_heartbeat(p));
     RC_ASSERT(back->term == p.term && back->leading == p.leading && back->served == p.served);
   }));
 }
 
-TEST(Peers, APulseOfAnyFleetFitsABodyAndKeepsItsWord) {
+TEST(Peers, AHeartbeatOfAnyFleetFitsABodyAndKeepsItsWord) {
   constexpr size_t kLimit = 64 * 1024;
-  wire::Pulse p;
+  wire::Heartbeat p;
   p.node = "n";
   p.term = 77;
   p.leading = true;
-  p.part = wire::PulsePart::Counts;
+  p.part = wire::HeartbeatPart::Counts;
   auto named = [](const char* kind, int i) { return kind + std::to_string(100000 + i); };
   for (int i = 0; i < 2000; ++i) p.counts.push_back({named("job-", i), 100000, 100000});
-  EXPECT_EQ(wire::decode_pulse(wire::encode_pulse_within(p, kLimit))->counts.size(), 2000u)
+  EXPECT_EQ(wire::decode_heartbeat(wire::encode_heartbeat_within(p, kLimit))->counts.size(), 2000u)
       << "the counts of twice the largest fleet fit whole";
   for (int i = 0; i < 5000; ++i) {
     const std::string machine = named(std::string(200, 'm').c_str(), i);
     p.images.push_back({machine, named(std::string(200, 'i').c_str(), i), 7.5});
     p.booting.push_back({machine, "", "type", "zone", true, ListedMachine::State::Booting, 1.5});
   }
-  const std::string body = wire::encode_pulse_within(p, kLimit);
+  const std::string body = wire::encode_heartbeat_within(p, kLimit);
   EXPECT_LE(body.size(), kLimit);
-  const auto back = wire::decode_pulse(body);
+  const auto back = wire::decode_heartbeat(body);
   ASSERT_TRUE(back.has_value());
   EXPECT_EQ(back->term, 77u);
   EXPECT_TRUE(back->leading);
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -321,7 +321,7 @@
   EXPECT_GT(rented(now + 0.1), 0u);
   record.state = JobState::Cancelled;
   core->job_stored(record, 6, now + 1);
-  core->job_over("job-1");
+  core->job_finished("job-1");
   auto later_core = leader(2, 0);
   later_core->job_stored(record, 6, now);
   EXPECT_GT(std::holds_alternative<Rent>(later_core->tick(now + 1).at(0)), 0)
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -56,7 +56,7 @@
       else if (!core_)
         elect();
       if (now_ < troubles * 0.7 && chance(0.02)) submit();
-      for (auto& zone : type_.zones) talk_to_stand_in(zone);
+      for (auto& zone : type_.zones) talk_to_delegate(zone);
       for (auto& [id, w] : workers_) step_worker(id, w);
       if (core_ && now_ < acts_until_) step_leader();
       check_standing_rules();
@@ -71,7 +71,7 @@
   }
   size_t submitted() const { return truth_.size(); }
   size_t starts() const { return starts_; }
-  size_t stood_in() const { return stood_in_; }
+  size_t delegated() const { return delegated_; }
   const std::vector<std::string>& broken() const { return broken_; }
 
  private:
@@ -176,39 +176,40 @@
   // ---- nodes that answer a zone's workers in the leader's place
 
   struct Follower {
-    std::optional<StandIn> stand_in;
+    std::optional<Delegate> delegate;
     uint64_t process = 0, highest_term = 0;
     Seconds next = 0, cut_until = -1;
   };
 
-  void talk_to_stand_in(const std::string& zone) {
+  void talk_to_delegate(const std::string& zone) {
     Follower& f = followers_[zone];
-    if (!f.stand_in || chance(0.0005))
-      f.stand_in.emplace(++f.process + (zone == "east" ? 0 : 1000), settings_.stand_in_after_s());
+    if (!f.delegate || chance(0.0005))
+      f.delegate.emplace(++f.process + (zone == "east" ? 0 : 1000), settings_.delegation_after_s());
     if (now_ < f.next) return;
     f.next = now_ + settings_.renew_s();
     // Held back for the time of the cut, or a little; what comes late must do no harm.
     const double delay = now_ < f.cut_until ? f.cut_until - now_ : between(0.001, 0.1);
-    later(delay, [this, zone, asked_at = now_, process = f.process, word = f.stand_in->word(now_)] {
-      if (!core_ || now_ >= acts_until_) return;
-      core_->stand_ins().heard("node-" + zone, zone, word, now_);
-      const auto p =
-          core_->stand_ins().permit("node-" + zone, zone, now_ + settings_.answers_s(), now_);
-      later(between(0.001, chance(0.1) ? 2 : 0.1), [this, zone, asked_at, process, p] {
-        Follower& to = followers_[zone];
-        if (to.process != process || now_ < to.cut_until) return;
-        to.highest_term = std::max(to.highest_term, p.term);
-        to.stand_in->permitted(p, asked_at, now_);
-      });
-    });
+    later(delay,
+          [this, zone, asked_at = now_, process = f.process, status = f.delegate->status(now_)] {
+            if (!core_ || now_ >= acts_until_) return;
+            core_->delegations().heard("node-" + zone, zone, status, now_);
+            const auto p = core_->delegations().delegate("node-" + zone, zone,
+                                                         now_ + settings_.answers_s(), now_);
+            later(between(0.001, chance(0.1) ? 2 : 0.1), [this, zone, asked_at, process, p] {
+              Follower& to = followers_[zone];
+              if (to.process != process || now_ < to.cut_until) return;
+              to.highest_term = std::max(to.highest_term, p.term);
+              to.delegate->delegated(p, asked_at, now_);
+            });
+          });
   }
 
   /// The report of a worker that hears nobody but the node of its zone.
-  void ask_stand_in(Worker& w, const WorkerReport& r, Seconds sent) {
+  void ask_delegate(Worker& w, const WorkerReport& r, Seconds sent) {
     Follower& f = followers_[w.zone];
-    if (r.token == 0 || !f.stand_in || !f.stand_in->in_place(f.highest_term, now_)) return;
-    f.stand_in->answered(now_);
-    ++stood_in_;
+    if (r.token == 0 || !f.delegate || !f.delegate->in_place(f.highest_term, now_)) return;
+    f.delegate->answered(now_);
+    ++delegated_;
     w.waiting = false;
     w.answered_sent = sent;
   }
@@ -238,7 +239,7 @@
           if (!w.job.empty() && it != store_.end())
             core_->job_stored(it->second.first, it->second.second, now_);
           else if (!w.job.empty())
-            core_->job_over(w.job);
+            core_->job_finished(w.job);
         }
       });
     });
@@ -262,7 +263,7 @@
       const auto& t = truth_[w.job];
       if (w.record->state == JobState::Done && t.done.size() < t.spec.tasks)
         broken_.push_back("not_done " + w.job);
-      if (w.over)
+      if (w.finished)
         store_.erase(w.job);
       else
         store_[w.job] = {*w.record, revision_};
@@ -389,7 +390,7 @@
     w.report_sent = now_;
     w.next_report = now_ + between(0.75, 1.25);
     const WorkerReport r = report_of(id, w);
-    if (now_ < followers_[w.zone].cut_until) return ask_stand_in(w, r, now_);
+    if (now_ < followers_[w.zone].cut_until) return ask_delegate(w, r, now_);
     const double delay = now_ < w.cut_until ? between(3, 20) : between(0.001, 0.05);
     later(delay, [this, r, sent = now_] { receive(r, sent, true); });
     if (chance(0.02)) later(delay + between(0.1, 30), [this, r] { receive(r, 0, false); });
@@ -533,25 +534,25 @@
   std::map<std::string, Truth> truth_;
   std::vector<std::string> broken_;
   std::map<std::string, Follower> followers_;  ///< by zone
-  size_t starts_ = 0, stood_in_ = 0;
+  size_t starts_ = 0, delegated_ = 0;
 };
 
 TEST(Histories, KeepTheRulesAndFinishTheWorkOnceTroublesAreOver) {
-  size_t starts = 0, jobs = 0, stood_in = 0;
+  size_t starts = 0, jobs = 0, delegated = 0;
   for (uint64_t seed = 1; seed <= 60; ++seed) {
     World world(seed);
     world.run(300, 250);
     EXPECT_EQ(world.broken(), std::vector<std::string>{}) << "seed " << seed;
     EXPECT_EQ(world.unfinished(), 0u) << "seed " << seed;
     starts += world.starts();
-    stood_in += world.stood_in();
+    delegated += world.delegated();
     jobs += world.submitted();
     if (HasFailure()) break;
   }
   // A history in which little happens checks little.
   EXPECT_GT(jobs, 1000u);
   EXPECT_GT(starts, 3000u);
-  EXPECT_GT(stood_in, 150u);
+  EXPECT_GT(delegated, 150u);
 }
 
 }  // namespace
--- a/tests/users_test.cpp
+++ b/tests/users_test.cpp
@@ -1,4 +1,4 @@
-// Two nodes' users' sides against a stand-in for the state service, over loopback.
+// Two nodes' users' sides against a delegate for the state service, over loopback.
 #include <gtest/gtest.h>
 
 #include <deque>
