Every answer that renews a worker's lease stops what the answerer knows to be cancelled

An expired leader, one whose order is out or whose token is not shown yet, and a delegate renewed leases without stops: a cancelled task whose stop was lost went on for as long as it was renewed. Delegates also end cancel_s less a lease past their own look. Stops come first and are never cut; the newest attempt wins at a takeover; machines that reach no controller get no work.

--- a/src/dispatch/leader_core.cpp
+++ b/src/dispatch/leader_core.cpp
@@ -115,7 +115,7 @@
     // A report may have brought tasks of this job before its record was read.
     for (auto& [id, m] : machines_)
       for (auto& [key, run] : m.runs)
-        if (key.task.job == record.spec.id && run.present()) adopt(m, key, run, job);
+        if (key.task.job == record.spec.id && run.present()) adopt(m, key, run, job, now);
   }
   if (record.state != JobState::Pending) stop_job(job, false, now);
 }
@@ -138,7 +138,7 @@
   m.info = host;
   m.stage = Machine::Stage::Up;
   m.recorded = true;
-  m.first_seen = now;
+  m.first_seen = m.last_report = now;  // until its worker has found this leader
   ++unaccounted_;
 }
 
@@ -299,11 +299,15 @@
   m.report_seq = r.seq;
   answer.fresh = true;
   m.answered = now;
-  if (at > std::make_pair(m.session, m.seq)) {
-    const bool no_orders_out = !m.order_in_flight;
-    take_in(m, r, no_orders_out, now);
-    if (may_act && m.proven && no_orders_out) answer.commands = commands_for(m, true);
-  }
+  m.last_report = now;
+  const bool newest = at > std::make_pair(m.session, m.seq), no_orders_out = !m.order_in_flight;
+  if (newest) take_in(m, r, no_orders_out, now);
+  if (newest && may_act && m.proven && no_orders_out)
+    answer.commands = commands_for(m, true);
+  else
+    // The answer renews the worker's lease: without these a cancelled task whose stop was lost
+    // would go on for as long as it is renewed, though this leader may do nothing else there.
+    answer.commands = stops_of_ended(r, [this](const std::string& id) { return ended(id); });
   // A greeting shows it the token faster than it would report again.
   if (!m.proven) m.next_greeting = now;
   answer.token = token(m);
@@ -322,6 +326,7 @@
     ++m.counter;
     m.proven = false;
     m.next_order = now + settings_.report_s;
+    for (auto& [key, run] : m.runs) run.stop_sent = false;
   }
   if (!r || r->machine != id) return;
   if (std::make_pair(r->session, r->seq) > std::make_pair(m.session, m.seq))
@@ -396,18 +401,33 @@
 }
 
 /// A task that an earlier leader started is kept, unless it should not be there.
-void LeaderCore::adopt(Machine& m, const RunKey& key, Run& run, Job& job) {
+void LeaderCore::adopt(Machine& m, const RunKey& key, Run& run, Job& job, Seconds now) {
   const JobSpec& spec = job.spec();
   run.need = spec.need;
   run.image = spec.image;
   run.image_gb = spec.image_gb;
-  const bool first = !job.at.count(key.task.task);
   add_presence(m, key);
-  run.wanted =
-      first && job.runnable() && key.task.task < spec.tasks && !job.done.contains(key.task.task);
-  if (spec.kind != JobKind::Gang || !run.wanted) return;
-  if (job.gang_attempt == 0) job.gang_attempt = key.attempt;
-  run.wanted = job.gang_attempt == key.attempt;
+  const bool gang = spec.kind == JobKind::Gang;
+  uint64_t newest = key.attempt;
+  for (const auto& [task, places] : job.at)
+    if (gang || task == key.task.task)
+      for (const auto& [machine, attempt] : places) newest = std::max(newest, attempt);
+  if (gang) job.gang_attempt = newest;
+  run.wanted = key.attempt == newest && job.runnable() && key.task.task < spec.tasks &&
+               !job.done.contains(key.task.task);
+  // A task is started again only once its earlier start is certainly gone: a report that still
+  // shows that one is old, and must not stop the one that runs.
+  for (const auto& [task, places] : job.at)
+    if (gang || task == key.task.task)
+      for (const auto& [machine, attempt] : places)
+        if (attempt < newest) unwant_at(machine, {{key.task.job, task}, attempt}, now);
+}
+
+void LeaderCore::unwant_at(const std::string& machine, const RunKey& key, Seconds now) {
+  const auto m = machines_.find(machine);
+  if (m == machines_.end()) return;
+  const auto run = m->second.runs.find(key);
+  if (run != m->second.runs.end()) unwant(run->second, false, now);
 }
 
 void LeaderCore::take_in_task(Machine& m, const TaskReport& t, Seconds now) {
@@ -418,7 +438,7 @@
     run.placed_at = now;
     run.sent = true;
     run.wanted = false;
-    if (Job* job = find_job(t.key.job)) adopt(m, key, run, *job);
+    if (Job* job = find_job(t.key.job)) adopt(m, key, run, *job, now);
   }
   if (t.state == TaskState::Exited) run.cause = t.cause;
   set_phase(m, key, run, phase_of(t.state), now);
@@ -555,8 +575,16 @@
   return job && job->runnable() && job->covers(m.info.id);
 }
 
+/// Stops come first and are never cut: they take no more than their tasks did in the report.
 std::vector<Command> LeaderCore::commands_for(Machine& m, bool forget) {
   std::vector<Command> out;
+  for (auto& [key, run] : m.runs) {
+    if (run.wanted || !run.present() || run.phase == Run::Phase::Ordered) continue;
+    const Job* job = find_job(key.task.job);
+    const bool save = run.graceful && job && job->spec().saves();
+    if (save && run.phase == Run::Phase::Saving) continue;
+    out.push_back({Verb::Stop, key.task, key.attempt, save ? job->spec().save_s * 1.5 + 1 : 0});
+  }
   for (auto& [key, run] : m.runs) {
     if (out.size() >= kMostCommands) break;
     if (startable(m, key, run)) {
@@ -568,16 +596,16 @@
                            job->spec().kind == JobKind::Service ||
                            job->stored.done.contains(key.task.task);
       if (forget && durable) out.push_back({Verb::Forget, key.task, key.attempt, 0});
-    } else if (!run.wanted && run.phase != Run::Phase::Ordered) {
-      const Job* job = find_job(key.task.job);
-      const bool save = run.graceful && job && job->spec().saves();
-      if (save && run.phase == Run::Phase::Saving) continue;
-      out.push_back({Verb::Stop, key.task, key.attempt, save ? job->spec().save_s * 1.5 + 1 : 0});
     }
   }
   return out;
 }
 
+bool LeaderCore::ended(const std::string& id) const {
+  const Job* job = find_job(id);
+  return !job || job->stored.state != JobState::Pending;
+}
+
 void LeaderCore::fenced(Seconds now) {
   if (fenced_ || now >= fence_) return;
   fenced_ = true;
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -145,7 +145,7 @@
   uint64_t token(const Machine& m) const { return (term_ << 20) | m.counter; }
   void take_in(Machine& m, const WorkerReport& r, bool absence_counts, Seconds now);
   void take_in_task(Machine& m, const TaskReport& t, Seconds now);
-  void adopt(Machine& m, const RunKey& key, Run& run, Job& job);
+  void adopt(Machine& m, const RunKey& key, Run& run, Job& job, Seconds now);
   void use_image(Machine& m, const std::string& image, double gb);
   void settle_exit(Machine& m, const RunKey& key, Run& run, Seconds now);
   void count_failure(Machine& m, Job& job, Seconds now);
@@ -155,10 +155,13 @@
   void remove_run(Machine& m, const RunKey& key);
   void remove_all_runs(Machine& m);
   void unwant(Run& run, bool graceful, Seconds now);
+  void unwant_at(const std::string& machine, const RunKey& key, Seconds now);
   void stop_job(Job& job, bool graceful, Seconds now);
   void stop_gang_of(const TaskKey& key, Seconds now);
   void account(Machine& m);
   std::vector<Command> commands_for(Machine& m, bool forget);
+  /// Cancelled or finished, as far as this leader knows.
+  bool ended(const std::string& id) const;
   bool startable(const Machine& m, const RunKey& key, const Run& run) const;
   const Job* find_job(const std::string& id) const;
   Job* find_job(const std::string& id);
--- a/src/dispatch/machines.cpp
+++ b/src/dispatch/machines.cpp
@@ -105,7 +105,7 @@
   for (const auto& [id, m] : machines_) {
     if (m.stage != Machine::Stage::Up) continue;
     ++up;
-    newest = std::max(newest, m.last_heard);
+    newest = std::max(newest, m.last_report);
   }
   return up >= kSeveral && now - newest > kAllSilent * settings_.report_s + 0.5;
 }
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -20,7 +20,7 @@
 
 bool LeaderCore::usable(const Machine& m, Seconds now) const {
   return m.stage == Machine::Stage::Up && m.proven && !m.sick && !m.draining && !m.taken_at &&
-         now - m.last_heard < kSilence * settings_.report_s + 0.5;
+         now - m.last_report < kSilence * settings_.report_s + 0.5;
 }
 
 std::vector<Slot> LeaderCore::picture(Seconds now, bool booting) const {
--- a/src/fleet/machine.h
+++ b/src/fleet/machine.h
@@ -81,6 +81,8 @@
   bool proven = false;     ///< has shown the token in force
   bool accounted = false;  ///< since the takeover: told what it has, or certainly has nothing
   Seconds last_heard = -std::numeric_limits<Seconds>::infinity();
+  /// When a report of its own came; answers to orders don't count, and show no lease renewed.
+  Seconds last_report = -std::numeric_limits<Seconds>::infinity();
   Seconds zone_back = -std::numeric_limits<Seconds>::infinity();  ///< when its zone was heard again
   Seconds answered = -std::numeric_limits<Seconds>::infinity();   ///< last answer that may renew
   bool old_answers = true;  ///< an earlier leader may have answered it until the fence
--- a/src/fleet/report.h
+++ b/src/fleet/report.h
@@ -42,6 +42,18 @@
   bool operator==(const Command&) const = default;
 };
 
+/// Stops for all tasks of a report whose jobs are known to be cancelled or finished. They do no
+/// harm at any time, since attempts are never reused, and whoever renews a worker's lease sends
+/// them.
+template <class Ended>
+std::vector<Command> stops_of_ended(const WorkerReport& report, Ended&& ended) {
+  std::vector<Command> out;
+  for (const auto& t : report.tasks)
+    if (t.state != TaskState::Exited && ended(t.key.job))
+      out.push_back({Verb::Stop, t.key, t.attempt, 0});
+  return out;
+}
+
 struct ListedMachine {
   std::string id, addr, type, zone;
   bool spot = false;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -155,7 +155,11 @@
   if (!core_ || !leadership_.may_answer(now())) {
     if (answers_as_delegate(*report)) {
       delegate_.answered(now());
-      return respond({200, wire::report_answer(report->token, {}), 0});
+      const auto stops = stops_of_ended(*report, [this](const std::string& id) {
+        const auto* live = mirror_.live(id);
+        return live ? live->value.state != JobState::Pending : mirror_.finished(id) != nullptr;
+      });
+      return respond({200, wire::report_answer(report->token, stops), 0});
     }
     const bool record_newer = mirror_.leader().value.term > peers_.leader_term();
     std::string leader = record_newer ? mirror_.leader().value.node : peers_.leader();
@@ -173,7 +177,10 @@
   const Seconds served_at = seconds(store_.last_served());
   return leadership_.state() == Leadership::State::Follower && report.token > 0 &&
          report.zone == settings_.zone && now() - served_at > settings_.delegation_after_s() &&
-         delegate_.in_place(leadership_.highest_term(), now());
+         delegate_.in_place(leadership_.highest_term(), now()) &&
+         // The leader's last look at the records may be newer than this node's, which stops only
+         // what it knows to be cancelled.
+         now() < seconds(mirror_.known_at()) + settings_.answers_s();
 }
 
 // ---------------------------------------------------------------- leadership
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -484,6 +484,130 @@
   EXPECT_TRUE(core->jobs().at("job-1").at.empty());
 }
 
+/// A task of job-1 runs on i-9; the leader hears of the cancellation only when told to.
+struct Cancelled : Fixture {
+  std::unique_ptr<LeaderCore> core = leader(1, 0);
+  uint64_t token = 0, attempt = 0;
+
+  Cancelled() {
+    record.spec.tasks = 1;
+    core->job_stored(record, 5, now);
+    token = core->report(report("i-9", 1, 0), true, now).token;
+    core->report(report("i-9", 2, token), true, now + 0.1);
+    core->tick(now + 0.2);
+    write_all(*core);
+    for (const auto& c : core->report(report("i-9", 3, token), true, now + 0.3).commands)
+      if (c.verb == Verb::Start) attempt = c.attempt;
+    core->report(running(4), true, now + 1);
+  }
+  WorkerReport running(uint64_t seq) {
+    return report("i-9", seq, token, {{{"job-1", 0}, attempt, TaskState::Running}});
+  }
+  void cancel() {
+    record.state = JobState::Cancelled;
+    record.started = true;
+    core->job_stored(record, 500, now + 1);
+  }
+  bool stops(const LeaderCore::ReportAnswer& answer) const {
+    return answer.fresh && std::count(answer.commands.begin(), answer.commands.end(),
+                                      Command{Verb::Stop, {"job-1", 0}, attempt, 0}) == 1;
+  }
+};
+
+// Each answer renews the worker's lease: without the stop a cancelled task whose first stop was
+// lost would go on for as long as that is renewed.
+TEST_F(Cancelled, ALeaderWhoseLeaseHasExpiredStopsWhatItKnowsToBeCancelled) {
+  EXPECT_TRUE(core->report(running(5), false, now + 2).commands.empty()) << "and nothing else";
+  cancel();
+  EXPECT_TRUE(stops(core->report(running(6), false, now + 3)));
+}
+
+TEST_F(Cancelled, AMachineThatHasNotShownTheTokenIsToldToStop) {
+  cancel();
+  ASSERT_EQ(orders(core->tick(now + 2)).size(), 1u);
+  core->orders_done("i-9", std::nullopt, false, now + 3);
+  EXPECT_TRUE(stops(core->report(running(5), true, now + 3.1))) << "the token is raised only now";
+}
+
+TEST_F(Cancelled, AMachineThatAnOrderIsOnItsWayToIsToldToStop) {
+  cancel();
+  ASSERT_EQ(orders(core->tick(now + 2)).size(), 1u);
+  EXPECT_TRUE(stops(core->report(running(5), true, now + 2.5)));
+}
+
+TEST_F(Cancelled, AReportThatAnOrdersAnswerHasOvertakenIsAnsweredWithStops) {
+  cancel();
+  core->orders_done("i-9", running(7), true, now + 2);
+  EXPECT_TRUE(stops(core->report(running(6), true, now + 2.1)));
+}
+
+TEST_F(Cancelled, AStopThatWasNotCarriedOutIsOrderedAgain) {
+  cancel();
+  ASSERT_EQ(orders(core->tick(now + 2)).size(), 1u);
+  core->orders_done("i-9", std::nullopt, false, now + 3);
+  auto shown = running(5);
+  shown.token = core->report(running(5), true, now + 3.1).token;
+  shown.seq = 6;
+  core->probed("i-9", shown, now + 4);
+  EXPECT_EQ(orders(core->tick(now + 5)).size(), 1u);
+}
+
+TEST_F(Cancelled, NoNumberOfStartsCrowdsOutAStop) {
+  settings.teams[0].gpus_max = 0;
+  type.room = {2000, 4, 2000};
+  core->set_types({type});
+  cancel();
+  JobRecord crowd = record;
+  crowd.state = JobState::Pending;
+  crowd.started = false;
+  crowd.spec.id = "job-0";
+  crowd.spec.kind = JobKind::Array;
+  crowd.spec.need = {1, 0, 1};
+  crowd.spec.tasks = 500;
+  core->job_stored(crowd, 6, now + 1);
+  core->report(running(5), true, now + 1.1);
+  core->tick(now + 2);
+  core->orders_done("i-9", running(6), true, now + 2.1);
+  write_all(*core);
+  const auto answer = core->report(running(7), true, now + 3);
+  EXPECT_GT(answer.commands.size(), 200u);
+  EXPECT_TRUE(stops(answer));
+  EXPECT_EQ(answer.commands[0].verb, Verb::Stop);
+}
+
+// An old report comes to a new leader first: what it shows was started again elsewhere since.
+TEST_F(Fixture, AnOldReportDoesNotStopTheNewerStartOfItsTask) {
+  record.spec.tasks = 1;
+  record.started = true;
+  for (bool old_first : {true, false}) {
+    auto core = leader(3, 5);
+    core->host_stored(host, now);
+    core->host_stored({"i-2", "10.0.0.3:9", "g", "e", false}, now);
+    core->job_stored(record, 5, now);
+    const auto old_one = report("i-1", 4, 1 << 20, {{{"job-1", 0}, 7, TaskState::Running}});
+    const auto real = report("i-2", 9, 2 << 20, {{{"job-1", 0}, 8, TaskState::Running}});
+    core->report(old_first ? old_one : real, true, now + 0.1);
+    core->report(old_first ? real : old_one, true, now + 0.2);
+    EXPECT_TRUE(core->machines().at("i-2").runs.begin()->second.wanted);
+    EXPECT_FALSE(core->machines().at("i-1").runs.begin()->second.wanted);
+    EXPECT_EQ(core->jobs().at("job-1").at.at(0).size(), 2u) << "it counts as there all the same";
+  }
+}
+
+TEST_F(Fixture, AMachineThatReportsToNobodyGetsNothingNewThoughItAnswersOrders) {
+  auto core = leader(1, 0);
+  const auto token = core->report(report("i-9", 1, 0), true, now).token;
+  core->report(report("i-9", 2, token), true, now + 0.1);
+  for (int i = 1; i <= 8; ++i) core->probed("i-9", report("i-9", 2 + i, token), now + i);
+  core->job_stored(record, 5, now + 8);
+  core->tick(now + 8.1);
+  EXPECT_TRUE(core->jobs().at("job-1").at.empty()) << "what it runs ends with its lease";
+  core->report(report("i-9", 20, token), true, now + 8.2);
+  core->hurry();
+  core->tick(now + 8.3);
+  EXPECT_FALSE(core->jobs().at("job-1").at.empty());
+}
+
 TEST_F(Fixture, ALateCopyOfAReportIsNotAnswered) {
   auto core = leader(1, 0);
   const auto token = core->report(report("i-9", 5, 0), true, now).token;
