--- /dev/null
+++ b/tests/meetings_test.cpp
@@ -0,0 +1,643 @@
+// Troubles that meet: each scripted over fixed seeds, with proof that the meeting came about.
+#include <gtest/gtest.h>
+
+#include "world.h"
+
+namespace sumacquay {
+namespace {
+
+constexpr uint64_t kSeeds = 8;
+
+/// A deployment at work: services and long tasks, so that cancellations have something to stop.
+WorldOptions long_tasks(Seconds cancel_s = 22) {
+  WorldOptions o;
+  o.cancel_s = cancel_s;
+  o.task_least = 60;
+  o.task_most = 90;
+  return o;
+}
+/// Half of a team's limit and all of another's work.
+void submit_services(World& world, int count) {
+  for (int i = 0; i < count; ++i) {
+    JobSpec s = world.any_spec();
+    s.kind = i % 3 == 2 ? JobKind::Array : JobKind::Service;
+    s.tasks = 1 + static_cast<uint32_t>(i % 2);
+    s.spread = s.one_zone = false;
+    s.team = i % 2 ? "limited" : "open";
+    world.submit(s);
+  }
+}
+void settle(World& world, int jobs = 6, Seconds span = 40) {
+  world.run_until([&] { return world.leader() >= 0; }, 20);
+  submit_services(world, jobs);
+  world.run_for(span);
+}
+std::vector<std::string> cancel_running(World& world, size_t most, int via = -1) {
+  auto jobs = world.jobs_running();
+  if (jobs.size() > most) jobs.resize(most);
+  for (const auto& id : jobs) world.cancel(id, via);
+  return jobs;
+}
+size_t confirmed(const World& world, const std::vector<std::string>& jobs) {
+  size_t n = 0;
+  for (const auto& id : jobs) n += world.cancelled_at(id).has_value();
+  return n;
+}
+size_t confirmed_within(const World& world, const std::vector<std::string>& jobs, Seconds from,
+                        Seconds to) {
+  size_t n = 0;
+  for (const auto& id : jobs) {
+    const auto at = world.cancelled_at(id);
+    n += at && *at >= from && *at <= to;
+  }
+  return n;
+}
+
+/// Runs a meeting's script over the seeds, then ends all troubles and judges. The script returns
+/// how often the meeting came about.
+void meet(const WorldOptions& options, const std::function<size_t(World&)>& script,
+          size_t least_meetings = kSeeds) {
+  size_t meetings = 0;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    World world(seed, options);
+    meetings += script(world);
+    world.finish();
+    EXPECT_EQ(world.broken(), std::vector<std::string>{}) << "seed " << seed;
+    EXPECT_EQ(world.unfinished(), 0u) << "seed " << seed;
+  }
+  EXPECT_GE(meetings, least_meetings) << "the meeting hardly came about";
+}
+/// With a time for cancellations of hardly two leases, and of a lease and three leader leases.
+void meet_in_both(const std::function<size_t(World&)>& script, size_t least_meetings = kSeeds) {
+  {
+    SCOPED_TRACE("cancel_s of hardly two leases");
+    meet(long_tasks(22), script, least_meetings);
+  }
+  SCOPED_TRACE("cancel_s of a lease and three leader leases");
+  meet(long_tasks(16), script, least_meetings);
+}
+
+/// Neither answers nor orders reach the machines of these jobs; some come late.
+void silence(World& world, const std::vector<std::string>& jobs, Seconds span) {
+  for (const auto& id : jobs)
+    for (const auto& m : world.machines_of(id)) {
+      world.deafen(m, span);
+      world.hold_orders(m, span + world.between(0, 30));
+    }
+}
+
+// ---- the state service refuses the leader alone, then it is out for all
+
+/// Cancellations in the gap: confirmed by another controller after the refused leader's last look.
+size_t gap(World& world, Seconds refused_for) {
+  settle(world);
+  const int old = world.leader();
+  if (old < 0) return 0;
+  const Seconds began = world.now();
+  world.refuse(old, 200);
+  world.run_for(0.3);
+  const auto jobs = cancel_running(world, 3, world.follower());
+  if (refused_for > 2) silence(world, jobs, refused_for + 0.5);
+  world.run_for(refused_for);
+  world.outage(40);
+  const Seconds out = world.now();
+  world.run_for(45);
+  return confirmed_within(world, jobs, began, out);
+}
+
+TEST(Meetings, CancelledAsTheLeaderAloneIsRefusedThenOutageASecondLater) {
+  meet_in_both([](World& world) { return gap(world, 1); });
+}
+TEST(Meetings, CancelledAsTheLeaderAloneIsRefusedThenOutageWithinALeaderLease) {
+  meet_in_both([](World& world) { return gap(world, 1.8); });
+}
+
+/// The leader learns of the cancellation, its stops are lost; refusal and outage follow. Workers
+/// are deaf for less than it takes them to turn to the next node twice: their leases go on.
+size_t known_but_stop_lost(World& world, Seconds refused_after, Seconds out_after, Seconds deaf) {
+  settle(world);
+  const int old = world.leader();
+  if (old < 0) return 0;
+  auto running = world.jobs_running();
+  if (running.size() > 3) running.resize(3);
+  silence(world, running, deaf);
+  for (const auto& id : running) world.cancel(id, world.follower());
+  world.at(refused_after, [&world, old] { world.refuse(old, 200); });
+  world.at(out_after, [&world] { world.outage(40); });
+  world.run_for(deaf - 0.1);
+  size_t met = 0;
+  for (const auto& id : running) met += world.cancelled_at(id) && !world.machines_of(id).empty();
+  world.run_for(45);
+  return met;
+}
+
+TEST(Meetings, CancelledWithTheStopsLostThenTheLeaderRefusedThenOutage) {
+  meet_in_both([](World& world) { return known_but_stop_lost(world, 0.5, 1.5, 3); });
+}
+
+/// An outage from the first, with the stops lost as it begins.
+TEST(Meetings, CancelledJustBeforeAnOutageWithTheStopsLost) {
+  meet_in_both([](World& world) -> size_t {
+    settle(world);
+    auto running = world.jobs_running();
+    if (running.size() > 3) running.resize(3);
+    silence(world, running, world.between(1, 8));
+    for (const auto& id : running) world.cancel(id);
+    world.run_for(world.between(0.2, 0.6));
+    const size_t met = confirmed(world, running);
+    world.outage(40);
+    world.run_for(45);
+    return met;
+  });
+}
+
+// ---- late reports
+
+TEST(Meetings, AReportIsHeldBackUntilANewLeaderHasActed) {
+  meet_in_both(
+      [](World& world) {
+        settle(world);
+        world.late_reports(0.7, 12);
+        world.run_for(4);
+        cancel_running(world, 2);
+        world.end_process(std::max(world.leader(), 0), 3);
+        world.run_for(30);
+        return world.late_reports_to_new_leader();
+      },
+      30);
+}
+
+TEST(Meetings, OldReportsReachEveryControllerAsANewLeaderBegins) {
+  meet_in_both(
+      [](World& world) {
+        settle(world);
+        for (int i = 0; i < 3; ++i) {
+          world.late_reports(1, 6, true);
+          world.run_for(5);
+          cancel_running(world, 1);
+          submit_services(world, 2);
+          world.end_process(std::max(world.leader(), 0), 1);
+          world.run_for(18);
+        }
+        return world.late_reports_to_new_leader();
+      },
+      50);
+}
+
+TEST(Meetings, OldReportsArriveAfterNewerOnesAlsoFromEarlierSessions) {
+  meet_in_both(
+      [](World& world) {
+        settle(world);
+        world.late_reports(0.6, 40);
+        for (int i = 0; i < 3; ++i) {
+          for (const auto& m : world.machines())
+            if (world.chance(0.5)) world.cut(m, world.between(11, 16));
+          world.run_for(12);
+          cancel_running(world, 1);
+          submit_services(world, 1);
+        }
+        world.run_for(20);
+        return world.late_reports_heard();
+      },
+      200);
+}
+
+// ---- cuts
+
+TEST(Meetings, AZoneWithWorkersAndAControllerIsCutForLongerThanALease) {
+  meet_in_both([](World& world) {
+    settle(world);
+    const std::string zone = world.chance(0.5) ? "east" : "west";
+    const Seconds began = world.now();
+    world.cut_zone(zone, world.between(15, 45));
+    world.run_for(world.between(0.5, 3));
+    const auto jobs = cancel_running(world, 2);
+    world.run_for(50);
+    return confirmed_within(world, jobs, began, began + 15);
+  });
+}
+
+TEST(Meetings, ALeaderIsCutFromStateAndPeersWhileWorkersAndUsersReachIt) {
+  meet_in_both([](World& world) -> size_t {
+    settle(world);
+    const int old = world.leader();
+    if (old < 0) return 0;
+    const uint64_t term = world.highest_term();
+    world.cut_from_state(old, 40);
+    world.cut_from_peers(old, 40);
+    world.run_for(world.between(0.1, 4));
+    const auto jobs = cancel_running(world, 3, old);
+    world.run_for(45);
+    return world.highest_term() > term ? confirmed(world, jobs) : 0;
+  });
+}
+
+TEST(Meetings, ALeaderIsCutInEveryCombinationWhileJobsAreCancelled) {
+  meet_in_both([](World& world) {
+    settle(world);
+    size_t met = 0;
+    for (int which = 1; which < 8; ++which) {
+      const int old = world.leader();
+      if (old < 0) {
+        world.run_for(5);
+        continue;
+      }
+      const Seconds span = world.between(4, 16);
+      if (which & 1) world.cut_from_state(old, span);
+      if (which & 2) world.cut_from_peers(old, span);
+      if (which & 4) world.cut_from_workers(old, span);
+      world.run_for(world.between(0.1, 3));
+      const auto jobs = cancel_running(world, 1);
+      submit_services(world, 1);
+      world.run_for(18);
+      met += confirmed(world, jobs);
+    }
+    return met;
+  });
+}
+
+TEST(Meetings, WorkersReachNoControllerWhileDirectCommandsReachThem) {
+  meet_in_both([](World& world) {
+    settle(world);
+    for (const auto& m : world.machines()) world.mute(m, world.between(15, 40));
+    world.run_for(world.between(0.5, 8));
+    const Seconds began = world.now();
+    const auto jobs = cancel_running(world, 3);
+    submit_services(world, 2);
+    world.run_for(3);
+    if (world.chance(0.5)) world.end_process(std::max(world.leader(), 0), 2);
+    world.run_for(40);
+    return confirmed_within(world, jobs, began, began + 5);
+  });
+}
+
+// ---- changes of leader
+
+TEST(Meetings, JobsAreCancelledAsWorkChangesHands) {
+  meet_in_both([](World& world) {
+    settle(world);
+    size_t met = 0;
+    for (int i = 0; i < 4; ++i) {
+      const Seconds began = world.now();
+      std::vector<std::string> jobs;
+      for (int k = 0; k < 4; ++k)
+        world.at(world.between(0, 4), [&world, &jobs] {
+          for (const auto& id : cancel_running(world, 1)) jobs.push_back(id);
+        });
+      world.end_process(std::max(world.leader(), 0), world.between(0.3, 5));
+      world.run_for(6);
+      submit_services(world, 4);
+      met += confirmed_within(world, jobs, began, began + 6);
+      world.run_for(20);
+    }
+    return met;
+  });
+}
+
+TEST(Meetings, ATeamAtItsLimitCancelsJobsOnCutAndHungMachinesAsTheLeaderChanges) {
+  meet_in_both([](World& world) {
+    settle(world, 12, 60);
+    const Seconds began = world.now();
+    const auto jobs = world.jobs_running();
+    size_t met = 0;
+    for (const auto& id : jobs) {
+      if (world.chance(0.5)) continue;
+      for (const auto& m : world.machines_of(id)) {
+        const Seconds span = world.between(3, 25);
+        switch (world.any(3)) {
+          case 0:
+            world.cut(m, span);
+            break;
+          case 1:
+            world.hang(m, span);
+            break;
+          default:
+            world.deafen(m, span);
+        }
+      }
+      world.cancel(id);
+    }
+    world.run_for(world.between(0.1, 2));
+    world.end_process(std::max(world.leader(), 0), 3);
+    submit_services(world, 6);
+    world.run_for(40);
+    met += confirmed_within(world, jobs, began, began + 15);
+    return met;
+  });
+}
+
+TEST(Meetings, ATeamAtItsLimitWithMachinesThatCannotBeAskedACancellationAndANewLeader) {
+  meet_in_both([](World& world) {
+    settle(world, 12, 60);
+    const auto all = world.machines();
+    for (size_t i = 0; i < all.size(); i += 2) {
+      world.cut(all[i], world.between(8, 30));
+      world.hold_orders(all[i], world.between(8, 40));
+    }
+    const Seconds began = world.now();
+    world.end_process(std::max(world.leader(), 0), 8);
+    world.run_for(world.between(0.5, 5));
+    const auto jobs = cancel_running(world, 3);
+    submit_services(world, 6);
+    world.run_for(45);
+    return confirmed_within(world, jobs, began, began + 15);
+  });
+}
+
+TEST(Meetings, ControllersHandOverAndBackAllEndAndOneReturns) {
+  meet_in_both([](World& world) {
+    settle(world);
+    const uint64_t before = world.highest_term();
+    for (int i = 0; i < 2; ++i) {
+      world.end_process(std::max(world.leader(), 0), world.between(0.2, 4));
+      world.run_for(6);
+      cancel_running(world, 1);
+    }
+    const int back = static_cast<int>(world.any(3));
+    for (int c = 0; c < 3; ++c)
+      world.end_process(c, c == back ? world.between(0.2, 1) : world.between(20, 30));
+    world.run_for(6);
+    cancel_running(world, 1);
+    submit_services(world, 3);
+    world.run_for(35);
+    return world.highest_term() - before;
+  });
+}
+
+TEST(Meetings, LeadersChangeTenTimesInTwoMinutesAlsoInsideAnOutage) {
+  meet_in_both(
+      [](World& world) {
+        settle(world);
+        const size_t before = world.terms();
+        for (int i = 0; i < 12; ++i) {
+          const int leader = world.leader() >= 0 ? world.leader() : static_cast<int>(world.any(3));
+          if (i % 3 == 2)
+            world.stand_still(leader, world.between(3, 12));
+          else
+            world.end_process(leader, world.between(0.2, 5));
+          if (i == 6) world.outage(15);
+          world.run_for(world.between(1, 3));
+          cancel_running(world, 1);
+          submit_services(world, 1);
+          world.run_for(8);
+        }
+        world.run_for(20);
+        return world.terms() - before;
+      },
+      8 * kSeeds);
+}
+
+TEST(Meetings, AllControllersAreAwayForLongerThanALease) {
+  meet_in_both([](World& world) -> size_t {
+    settle(world);
+    auto jobs = cancel_running(world, 1);
+    world.run_for(world.between(0.05, 1));
+    for (int c = 0; c < 3; ++c) world.end_process(c, world.between(11, 25));
+    world.run_for(12);
+    const bool none = world.leader() < 0 || world.jobs_running().empty();
+    world.run_for(25);
+    return none;
+  });
+}
+
+TEST(Meetings, ALeaderStandsStillAndGoesOnWhileAnotherLeads) {
+  meet_in_both([](World& world) -> size_t {
+    settle(world);
+    const uint64_t before = world.highest_term();
+    for (int i = 0; i < 3; ++i) {
+      world.stand_still(std::max(world.leader(), 0), world.between(2, 14));
+      world.run_for(world.between(0.1, 4));
+      cancel_running(world, 1);
+      submit_services(world, 2);
+      world.run_for(18);
+    }
+    return world.highest_term() - before;
+  });
+}
+
+TEST(Meetings, ALeaderEndsWhileMachinesWithLongTasksCannotBeReachedOrDoNotHear) {
+  meet_in_both([](World& world) {
+    settle(world);
+    const uint64_t before = world.highest_term();
+    for (const auto& m : world.machines()) {
+      const Seconds span = world.between(2, 30);
+      if (world.chance(0.5))
+        world.deafen(m, span);
+      else
+        world.cut(m, span);
+    }
+    world.run_for(world.between(0.1, 2));
+    world.end_process(std::max(world.leader(), 0), 5);
+    world.run_for(5);
+    cancel_running(world, 2);
+    submit_services(world, 3);
+    world.run_for(40);
+    return world.highest_term() - before;
+  });
+}
+
+// ---- the state service
+
+TEST(Meetings, SlowAnswersThenTheLeaderRefusedThenEverybodyWhileUsersCancel) {
+  meet_in_both([](World& world) {
+    settle(world);
+    const Seconds began = world.now();
+    world.slow(10);
+    std::vector<std::string> jobs = cancel_running(world, 1);
+    world.run_for(world.between(2, 6));
+    world.refuse(std::max(world.leader(), 0), 60);
+    for (const auto& id : cancel_running(world, 2)) jobs.push_back(id);
+    world.run_for(world.between(0.5, 5));
+    const Seconds out = world.now();
+    world.outage(35);
+    cancel_running(world, 1);
+    world.run_for(40);
+    return confirmed_within(world, jobs, began, out);
+  });
+}
+
+TEST(Meetings, TransactionsAreCarriedOutAndOnlyTheirAnswersAreLost) {
+  meet_in_both(
+      [](World& world) {
+        settle(world);
+        world.lost_answers(0.5, 60);
+        for (int i = 0; i < 10; ++i) {
+          cancel_running(world, 1);
+          submit_services(world, 2);
+          world.run_for(6);
+          if (i == 5) world.end_process(std::max(world.leader(), 0), 2);
+        }
+        return world.answers_lost();
+      },
+      10 * kSeeds);
+}
+
+TEST(Meetings, TransactionsWithoutAnAnswerAreCarriedOutAfterNewerOnes) {
+  meet_in_both(
+      [](World& world) {
+        settle(world);
+        world.late_writes(0.4, 60);
+        for (int i = 0; i < 10; ++i) {
+          cancel_running(world, 1);
+          submit_services(world, 2);
+          world.run_for(6);
+          if (i % 4 == 3) world.end_process(std::max(world.leader(), 0), 2);
+        }
+        world.run_for(15);
+        return world.late_writes_applied();
+      },
+      2 * kSeeds);
+}
+
+// ---- loads
+
+TEST(Meetings, OneTaskJobsComeFourASecondAQuarterOfThemCancelled) {
+  WorldOptions o;
+  o.task_least = 0.5;
+  o.task_most = 3;
+  meet(
+      o,
+      [](World& world) {
+        world.run_until([&] { return world.leader() >= 0; }, 20);
+        for (int i = 0; i < 240; ++i) {
+          JobSpec s = world.any_spec();
+          s.kind = JobKind::Array;
+          s.tasks = 1;
+          s.one_zone = s.spread = false;
+          const std::string id = world.submit(s);
+          if (i % 4 == 0) world.at(world.between(0.1, 4), [&world, id] { world.cancel(id); });
+          world.run_for(0.25);
+          if (i == 120) world.end_process(std::max(world.leader(), 0), 3);
+        }
+        return world.cancellations();
+      },
+      20 * kSeeds);
+}
+
+TEST(Meetings, JobsOfTwoOrThreeTasksEndFarApartAcrossAChangeOfLeader) {
+  WorldOptions o;
+  o.task_least = 2;
+  o.task_most = 60;
+  meet(o, [](World& world) {
+    world.run_until([&] { return world.leader() >= 0; }, 20);
+    for (int i = 0; i < 8; ++i) {
+      JobSpec s = world.any_spec();
+      s.kind = JobKind::Array;
+      s.tasks = 2 + static_cast<uint32_t>(i % 2);
+      s.one_zone = s.spread = false;
+      world.submit(s);
+    }
+    world.run_for(25);
+    const uint64_t before = world.highest_term();
+    for (int i = 0; i < 3; ++i) {
+      world.end_process(std::max(world.leader(), 0), world.between(0.3, 4));
+      world.run_for(15);
+    }
+    return world.highest_term() - before;
+  });
+}
+
+TEST(Meetings, JobsBoundToOneZoneLoseMachines) {
+  meet_in_both([](World& world) {
+    world.run_until([&] { return world.leader() >= 0; }, 20);
+    for (int i = 0; i < 6; ++i) {
+      JobSpec s = world.any_spec();
+      s.kind = i % 2 ? JobKind::Array : JobKind::Gang;
+      s.tasks = 2 + static_cast<uint32_t>(i % 3);
+      s.spread = false;
+      s.one_zone = true;
+      if (i % 3 == 0) s.zone = world.chance(0.5) ? "east" : "west";
+      world.submit(s);
+    }
+    world.run_for(20);
+    size_t lost = 0;
+    for (int i = 0; i < 4; ++i) {
+      for (const auto& id : world.jobs_running()) {
+        const auto on = world.machines_of(id);
+        if (on.empty()) continue;
+        if (world.chance(0.5))
+          world.lose_machine(on[0]);
+        else
+          world.cut(on[0], 15);
+        ++lost;
+        break;
+      }
+      if (i == 2) world.end_process(std::max(world.leader(), 0), 2);
+      world.run_for(14);
+    }
+    return lost;
+  });
+}
+
+TEST(Meetings, NewMachinesGetWorkAtOnceWhileWritesLagAndTheLeaderEnds) {
+  WorldOptions o = long_tasks();
+  o.machines = 1;
+  o.boot_least = 0.2;
+  o.boot_most = 2;
+  meet(o, [](World& world) {
+    world.run_until([&] { return world.leader() >= 0; }, 20);
+    world.run_for(5);
+    const size_t before = world.starts();
+    world.slow(30);
+    world.late_writes(0.2, 30);
+    submit_services(world, 8);
+    world.run_for(world.between(1, 5));
+    world.end_process(std::max(world.leader(), 0), 4);
+    world.run_for(10);
+    cancel_running(world, 2);
+    world.end_process(std::max(world.leader(), 0), 0.5);
+    world.run_for(30);
+    return world.starts() - before;
+  });
+}
+
+TEST(Meetings, ACommandOrItsAnswerIsHeldUpAndTheMachineGoesOn) {
+  size_t done = 0;
+  meet_in_both([&done](World& world) {
+    settle(world);
+    for (int i = 0; i < 5; ++i) {
+      for (const auto& m : world.machines()) {
+        const Seconds span = world.between(2, 9);
+        if (world.chance(0.7)) world.hold_orders(m, world.chance(0.5) ? span : 4 * span);
+        if (world.chance(0.3)) world.hang(m, span);
+        if (world.chance(0.4)) world.mute(m, span);
+      }
+      submit_services(world, 3);
+      world.run_for(world.between(1, 5));
+      cancel_running(world, 2);
+      world.run_for(12);
+      if (i == 1) world.end_process(std::max(world.leader(), 0), 2);
+    }
+    world.run_for(30);
+    done += world.late_orders_done();
+    return world.late_orders();
+  });
+  EXPECT_GE(done, kSeeds) << "late orders were hardly ever carried out";
+}
+
+TEST(Meetings, CancellationsMeetTheEndOfAJobsLastTask) {
+  WorldOptions o;
+  o.task_least = 4;
+  o.task_most = 4.2;
+  meet(
+      o,
+      [](World& world) {
+        world.run_until([&] { return world.leader() >= 0; }, 20);
+        for (int i = 0; i < 40; ++i) {
+          JobSpec s = world.any_spec();
+          s.kind = JobKind::Array;
+          s.tasks = 1;
+          s.one_zone = s.spread = false;
+          const std::string id = world.submit(s);
+          world.run_until([&] { return !world.machines_of(id).empty(); }, 20);
+          world.at(world.between(3.8, 5.4), [&world, id] { world.cancel(id); });
+          world.run_for(1);
+        }
+        world.run_for(10);
+        return world.cancellations();
+      },
+      5 * kSeeds);
+}
+
+}  // namespace
+}  // namespace sumacquay
--- a/tests/world.h
+++ b/tests/world.h
@@ -302,6 +302,7 @@
   size_t late_reports_heard() const { return late_reports_heard_; }
   /// Sent under an earlier leader than the one that heard them.
   size_t late_reports_to_new_leader() const { return late_reports_to_new_leader_; }
+  size_t late_orders() const { return late_orders_; }
   size_t late_orders_done() const { return late_orders_done_; }
 
   // ---- what came of it
@@ -1094,6 +1095,7 @@
       Worker& w = it->second;
       if (now_ < w.hung_until) return carry_out(o, w.hung_until - now_, sent, answer_lost, answer);
       const bool executed = o.token >= w.token && o.session == w.session;
+      if (now_ - sent > 2) ++late_orders_;
       if (executed) {
         w.token = o.token;
         if (now_ - sent > 2) ++late_orders_done_;
@@ -1517,7 +1519,8 @@
   std::vector<std::string> broken_;
   size_t starts_ = 0, delegated_ = 0, cancellations_ = 0, starts_after_cancel_ = 0,
          late_writes_applied_ = 0, late_writes_tried_ = 0, answers_lost_ = 0,
-         late_reports_heard_ = 0, late_reports_to_new_leader_ = 0, late_orders_done_ = 0;
+         late_reports_heard_ = 0, late_reports_to_new_leader_ = 0, late_orders_ = 0,
+         late_orders_done_ = 0;
   Seconds ordered_after_cancel_ = 0;
 };
 
