--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -111,6 +111,9 @@
 TEST(Meetings, CancelledAsTheLeaderAloneIsRefusedThenOutageWithinALeaderLease) {
   meet_in_both([](World& world) { return gap(world, 1.8); });
 }
+TEST(Meetings, CancelledAsTheLeaderAloneIsRefusedThenOutageAfterAnotherTookOver) {
+  meet_in_both([](World& world) { return gap(world, 4); });
+}
 
 /// The leader learns of the cancellation, its stops are lost; refusal and outage follow. Workers
 /// are deaf for less than it takes them to turn to the next node twice: their leases go on.
@@ -134,6 +137,12 @@
 TEST(Meetings, CancelledWithTheStopsLostThenTheLeaderRefusedThenOutage) {
   meet_in_both([](World& world) { return known_but_stop_lost(world, 0.5, 1.5, 3); });
 }
+TEST(Meetings, CancelledWellBeforeTheRefusalWithTheStopsLostThenOutage) {
+  meet_in_both([](World& world) { return known_but_stop_lost(world, 2.5, 3, 4.6); });
+}
+TEST(Meetings, CancelledLongBeforeTheRefusalWithTheStopsLostThenOutage) {
+  meet_in_both([](World& world) { return known_but_stop_lost(world, 4, 4.5, 6); });
+}
 
 /// An outage from the first, with the stops lost as it begins.
 TEST(Meetings, CancelledJustBeforeAnOutageWithTheStopsLost) {
