A delegate's answer is decided in one place, with stops and its own look at the records

The world of tests uses the same. Meetings.CancelledWellBeforeTheRefusalWithTheStopsLostThenOutage and Delegations.AnAnswerStops... fail without.

--- a/src/leadership/delegation.h
+++ b/src/leadership/delegation.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "fleet/report.h"
 #include "jobs/spec.h"
 
 // A zone that is cut off keeps what runs there if a controller in it answers its workers in the
@@ -29,17 +30,30 @@
 /// The node's side.
 class Delegate {
  public:
-  Delegate(uint64_t process, Seconds after) : process_(process), after_(after) {}
+  /// `answers_s`: for how long past a look at the records workers may be answered.
+  Delegate(uint64_t process, Seconds after, Seconds answers_s)
+      : process_(process), after_(after), answers_s_(answers_s) {}
   void delegated(const Delegation& p, Seconds asked_at, Seconds now);
   /// Whether the leader has been silent for so long that this node is in its place. It isn't when
   /// somebody leads with a higher term.
   bool in_place(uint64_t highest_term, Seconds now) const;
-  void answered(Seconds now) { answered_ = now; }
+  /// The commands of an answer in the leader's place, none if there is to be no answer.
+  /// `records_known_at`: this node's last look at the records. The leader's may have been newer,
+  /// but this node stops only what it knows to be cancelled, and so ends its answers by its own.
+  /// `ended(job)`: whether a job is known to be cancelled or finished.
+  template <class Ended>
+  std::optional<std::vector<Command>> answer(const WorkerReport& report, uint64_t highest_term,
+                                             Seconds records_known_at, Ended&& ended, Seconds now) {
+    const bool known_of = now < records_known_at + answers_s_;
+    if (report.token == 0 || !known_of || !in_place(highest_term, now)) return std::nullopt;
+    answered_ = now;
+    return stops_of_ended(report, ended);
+  }
   DelegateStatus status(Seconds now) const;
 
  private:
   uint64_t process_;
-  Seconds after_;
+  Seconds after_, answers_s_;
   Delegation newest_;
   Seconds until_ = -1, heard_ = -1;
   std::optional<Seconds> answered_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -52,7 +52,7 @@
       mirror_(io, settings, store_),
       leadership_(leadership_config(settings), leadership_effects()),
       cloud_(io, settings.cloud, 4, 32),
-      delegate_(nonce_, settings.delegation_after_s()),
+      delegate_(nonce_, settings.delegation_after_s(), settings.answers_s()),
       peers_(io, settings, settings.renew_s(),
              {[this](wire::HeartbeatPart part) { return own_heartbeat(part); },
               [this](const wire::Heartbeat& p) { return answer_heartbeat(p); },
@@ -153,13 +153,11 @@
   if (!report) return respond({400, wire::error_body("not a report"), 0});
   leadership_.saw_term(now(), report->token >> 20);
   if (!core_ || !leadership_.may_answer(now())) {
-    if (answers_as_delegate(*report)) {
-      delegate_.answered(now());
-      const auto stops = stops_of_ended(*report, [this](const std::string& id) {
-        const auto* live = mirror_.live(id);
-        return live ? live->value.state != JobState::Pending : mirror_.finished(id) != nullptr;
-      });
-      return respond({200, wire::report_answer(report->token, stops), 0});
+    if (may_be_delegate(*report)) {
+      const auto stops = delegate_.answer(
+          *report, leadership_.highest_term(), seconds(mirror_.known_at()),
+          [this](const std::string& id) { return mirror_.ended(id); }, now());
+      if (stops) return respond({200, wire::report_answer(report->token, *stops), 0});
     }
     const bool record_newer = mirror_.leader().value.term > peers_.leader_term();
     std::string leader = record_newer ? mirror_.leader().value.node : peers_.leader();
@@ -173,14 +171,10 @@
 
 /// A zone that is cut off loses the leader and the state service together. While this node still
 /// hears either, another leader may be found, and workers had better go on looking.
-bool Node::answers_as_delegate(const WorkerReport& report) const {
+bool Node::may_be_delegate(const WorkerReport& report) const {
   const Seconds served_at = seconds(store_.last_served());
-  return leadership_.state() == Leadership::State::Follower && report.token > 0 &&
-         report.zone == settings_.zone && now() - served_at > settings_.delegation_after_s() &&
-         delegate_.in_place(leadership_.highest_term(), now()) &&
-         // The leader's last look at the records may be newer than this node's, which stops only
-         // what it knows to be cancelled.
-         now() < seconds(mirror_.known_at()) + settings_.answers_s();
+  return leadership_.state() == Leadership::State::Follower && report.zone == settings_.zone &&
+         now() - served_at > settings_.delegation_after_s();
 }
 
 // ---------------------------------------------------------------- leadership
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -41,7 +41,7 @@
   void on_leadership(Leadership::State from, Leadership::State to);
   void on_leader_record();
   void on_job_record(const std::string& id);
-  bool answers_as_delegate(const WorkerReport& report) const;
+  bool may_be_delegate(const WorkerReport& report) const;
   const std::string* zone_of(const std::string& node) const;
   void hear(const wire::Heartbeat& heartbeat);
   wire::Heartbeat answer_heartbeat(const wire::Heartbeat& from);
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -197,6 +197,11 @@
   return it == finished_.end() ? nullptr : &it->second;
 }
 
+bool Mirror::ended(const std::string& id) const {
+  const auto* record = live(id);
+  return record ? record->value.state != JobState::Pending : finished(id) != nullptr;
+}
+
 void Mirror::wrote_job(const JobRecord& record, uint64_t version) {
   if (finished_.count(record.spec.id)) return;
   auto& slot = live_[record.spec.id];
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -49,6 +49,8 @@
   const std::unordered_map<std::string, Versioned<JobRecord>>& live() const { return live_; }
   const Versioned<JobRecord>* live(const std::string& id) const;
   const wire::FinishedRecord* finished(const std::string& id) const;
+  /// Whether the job is known to be cancelled or done.
+  bool ended(const std::string& id) const;
   const std::map<std::string, Versioned<HostRecord>>& hosts() const { return hosts_; }
   const Versioned<wire::LeaderRecord>& leader() const { return leader_; }
   const Versioned<wire::LeaderRecord>& term() const { return term_; }
--- a/tests/delegation_test.cpp
+++ b/tests/delegation_test.cpp
@@ -18,6 +18,17 @@
 
 constexpr Seconds kAfter = 3, kBeat = 1, kFor = 20;
 
+/// A report of a worker that has seen a token, with a task of each of two jobs.
+WorkerReport report() {
+  WorkerReport r;
+  r.token = 7 << 20;
+  r.tasks = {{{"job-1", 0}, 4, TaskState::Running}, {{"job-2", 3}, 5, TaskState::Saving}};
+  return r;
+}
+bool none_ended(const std::string&) {
+  return false;
+}
+
 TEST(Delegations, TheLeaderCountsEveryAnswerThatOneMayHaveGiven) {
   size_t answers = 0;
   EXPECT_TRUE(holds(
@@ -32,7 +43,7 @@
         auto clock = [&] { return now * skew + 5; };
         Delegations ledger(7, kAfter);
         uint64_t process = 1;
-        Delegate node(process, kAfter);
+        Delegate node(process, kAfter, kFor);
         std::multimap<Seconds, std::function<void()>> mail;
         Seconds next = 0, cut_until = 0, last_answer = -1;
         while (now < 400) {
@@ -43,7 +54,7 @@
             f();
           }
           if (draw(0, 1) < 0.004) cut_until = now + draw(1, 60);
-          if (draw(0, 1) < 0.004) node = Delegate(++process, kAfter);
+          if (draw(0, 1) < 0.004) node = Delegate(++process, kAfter, kFor);
           if (clock() >= next) {
             next = clock() + kBeat;
             const double there = now < cut_until ? draw(0, 60) : draw(0.001, 0.05);
@@ -56,8 +67,7 @@
               });
             });
           }
-          if (node.in_place(7, clock()) && draw(0, 1) < 0.3) {
-            node.answered(clock());
+          if (draw(0, 1) < 0.3 && node.answer(report(), 7, clock(), none_ended, clock())) {
             last_answer = now;
             ++answers;
           }
@@ -71,7 +81,7 @@
 
 TEST(Delegations, OneThatHearsTheLeaderDelaysNothing) {
   Delegations ledger(7, kAfter);
-  Delegate node(1, kAfter);
+  Delegate node(1, kAfter, kFor);
   for (Seconds now = 10; now < 50; now += kBeat) {
     ledger.heard("n", "z", node.status(now), now);
     node.delegated(ledger.delegate("n", "z", now + kFor, now), now, now);
@@ -85,13 +95,29 @@
   EXPECT_FALSE(node.in_place(7, 49 + kFor));
   EXPECT_NEAR(ledger.last_answer("z", 49 + kAfter), 49 + kAfter, 1e-9);
   EXPECT_NEAR(ledger.last_answer("z", 200), 49 + kFor, 1e-9);
-  node.answered(60);
+  EXPECT_TRUE(node.answer(report(), 7, 60, none_ended, 60));
   ledger.heard("n", "z", node.status(70), 70);
   node.delegated(ledger.delegate("n", "z", 70 + kFor, 70), 70, 70);
   ledger.heard("n", "z", node.status(71), 71);
   EXPECT_NEAR(ledger.last_answer("z", 71), 60, 0.1) << "it told of its last answer";
 }
 
+TEST(Delegations, AnAnswerStopsWhatIsKnownToHaveEndedAndNoneComesLongPastTheOwnLook) {
+  Delegations ledger(7, kAfter);
+  Delegate node(1, kAfter, 10);
+  node.delegated(ledger.delegate("n", "z", 30, 10), 10, 10);
+  const auto ended = [](const std::string& job) { return job == "job-2"; };
+  const auto answer = node.answer(report(), 7, 9, ended, 18.9);
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(*answer, (std::vector<Command>{{Verb::Stop, {"job-2", 3}, 5, 0}}));
+  EXPECT_FALSE(node.answer(report(), 7, 9, ended, 19)) << "10 s past its own look";
+  EXPECT_FALSE(node.answer(report(), 8, 15, ended, 19)) << "somebody else leads";
+  auto fresh = report();
+  fresh.token = 0;
+  EXPECT_FALSE(node.answer(fresh, 7, 15, ended, 19)) << "it has no token to be answered with";
+  EXPECT_TRUE(node.answer(report(), 7, 15, ended, 19));
+}
+
 TEST(Delegations, AreOnlyOfUseWhereWorkersFindThemWithinTheirLease) {
   // Five controllers and a lease of 10 s: four nodes that don't answer take 20 s, and the leader
   // waited for tasks that had long ended.
--- a/tests/world.h
+++ b/tests/world.h
@@ -688,7 +688,7 @@
     p->nonce = ++last_nonce_;
     p->served_at = now_;
     const Settings& s = controllers_[c].settings;
-    p->delegate = std::make_unique<Delegate>(p->nonce, s.delegation_after_s());
+    p->delegate = std::make_unique<Delegate>(p->nonce, s.delegation_after_s(), s.answers_s());
     Leadership::Config config;
     config.lease = s.leader_lease_s();
     config.renew = s.renew_s();
@@ -1249,12 +1249,17 @@
     ReportReply out;
     p.leadership->saw_term(now_, r.token >> 20);
     if (!p.core || !p.leadership->may_answer(now_)) {
-      if (delegate_of && answers_as_delegate(p, r, *delegate_of)) {
-        p.delegate->answered(now_);
-        ++delegated_;
-        out.status = 200;
-        out.token = r.token;
-        return out;
+      if (delegate_of && may_be_delegate(p, r, *delegate_of)) {
+        const auto stops = p.delegate->answer(
+            r, p.leadership->highest_term(), p.records.known_at,
+            [&p](const std::string& id) { return ended(p.records, id); }, now_);
+        if (stops) {
+          ++delegated_;
+          out.status = 200;
+          out.token = r.token;
+          out.commands = *stops;
+          return out;
+        }
       }
       const bool record_newer = p.records.leader.value.term > p.leader_term;
       if (record_newer)
@@ -1269,10 +1274,14 @@
     out.commands = answer.commands;
     return out;
   }
-  bool answers_as_delegate(const Process& p, const WorkerReport& r, const Settings& s) const {
-    return p.leadership->state() == Leadership::State::Follower && r.token > 0 &&
-           r.zone == s.zone && now_ - p.served_at > s.delegation_after_s() &&
-           p.delegate->in_place(p.leadership->highest_term(), now_);
+  bool may_be_delegate(const Process& p, const WorkerReport& r, const Settings& s) const {
+    return p.leadership->state() == Leadership::State::Follower && r.zone == s.zone &&
+           now_ - p.served_at > s.delegation_after_s();
+  }
+  static bool ended(const Records& records, const std::string& id) {
+    const auto live = records.live.find(id);
+    return live != records.live.end() ? live->second.value.state != JobState::Pending
+                                      : records.finished.count(id) > 0;
   }
 
   void receive(size_t c, Process& p, const WorkerReport& r, Seconds sent) {
