A zone taken for cut off is rented in again a lease after its last machine is gone

A question that is under way when this node accepts the job is not answered 404 after the acceptance.

--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -241,7 +241,9 @@
   /// By type: when the last rented of those that this leader saw boot was rented.
   std::map<std::string, Seconds> newest_up_;
   std::set<std::string> hosts_to_delete_;
-  std::set<std::string> cut_zones_, lively_zones_;  ///< as far as can be told
+  /// Zones that seem cut off, and when a machine there last showed anything.
+  std::map<std::string, Seconds> cut_zones_;
+  std::set<std::string> lively_zones_;  ///< many of their machines were heard lately
   std::set<std::string> writing_hosts_;
   std::vector<MachineType> types_;
   std::map<std::tuple<std::string, std::string, bool>, std::pair<Seconds, int>> refused_;
--- a/src/dispatch/machines.cpp
+++ b/src/dispatch/machines.cpp
@@ -298,6 +298,11 @@
     if (silence(m, now) > suspect * kShortlySilent) ++c.silent;
     if (silence(m, now) < kLately * settings_.report_s) ++c.heard;
   }
+  // A zone without any machine left shows nothing either way: after a while it is tried again, or
+  // it would stay closed to renting for ever.
+  for (auto& [zone, last_shown] : cut_zones_)
+    if (zones.count(zone)) last_shown = now;
+  std::erase_if(cut_zones_, [&](const auto& cut) { return now - cut.second > settings_.lease_s; });
   lively_zones_.clear();
   for (const auto& [zone, c] : zones)
     if (c.up >= kSeveral && static_cast<double>(c.heard) > kLively * c.up)
@@ -308,7 +313,7 @@
       spdlog::info("zone {}: {} of {} machines silent, {}", zone, c.silent, c.up,
                    cut ? "taken for cut off" : "no longer taken for cut off");
     if (cut)
-      cut_zones_.insert(zone);
+      cut_zones_[zone] = now;
     else if (cut_zones_.erase(zone) > 0)
       expect_back(zone, now);
   }
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -86,6 +86,8 @@
     // Jobs leave the live records only for those that are over, so reading these last finds a job
     // that moves in between.
     store_.read(Urgency::Rest, wire::item_path(keys::kFinished + id), [=, this](HttpResult r) {
+      // This node may have accepted it, and said so, since the question was asked.
+      if (const auto* record = mirror_.live(id)) return live(*record);
       if (r.answered && r.status == 404) return unknown();
       const auto page = r.ok() ? wire::parse_item(r.body) : std::nullopt;
       const auto record = page ? wire::decode_finished(page->items[0].value) : std::nullopt;
