--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -102,12 +102,15 @@
     out.push_back(&job);
   }
   // Arrival order; of those that arrive together the largest gang first. A job that might preempt
-  // another goes before it: started the other way round, the other would only be stopped again.
+  // another goes before it: started the other way round, the other would only be stopped again. Of
+  // those that can stop nobody, tasks that need no GPUs fit into every gap and would take the CPUs
+  // beside all GPUs, so those that need GPUs go first.
   const double together_ms = settings_.report_s * 1000;
   std::sort(out.begin(), out.end(), [&](const Job* a, const Job* b) {
     auto rank = [&](const Job* j) {
       return std::make_tuple(
           -static_cast<int>(j->spec().priority),
+          j->spec().priority == Priority::Low && j->spec().need.gpus == 0,
           std::floor(static_cast<double>(j->stored.submitted_ms) / together_ms),
           j->spec().kind == JobKind::Gang ? -static_cast<int>(j->spec().tasks) : 0,
           j->stored.submitted_ms, j->spec().id);
@@ -190,7 +193,9 @@
       gather(*job, *d, slots, now);
     else
       make_room(*job, *d, slots, now);
-    if (!d->tasks.empty()) unplaced_.push_back(std::move(*d));
+    if (d->tasks.empty()) continue;
+    if (job->spec().priority == Priority::Low) hold_beside_gpus(*d, slots);
+    unplaced_.push_back(std::move(*d));
   }
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -11,6 +11,8 @@
 constexpr double kBreath = 3;
 /// How long a machine has to say that it is there / the workers' lease.
 constexpr double kProbeDeadline = 0.05;
+/// The pause between two ticks that shows this process to have stood still / the workers' lease.
+constexpr double kStoodStill = 0.1;
 /// The part of all sockets that orders to workers may keep.
 constexpr double kOrderSockets = 0.2;
 
@@ -91,6 +93,7 @@
 }
 
 void Node::tick() {
+  log_troubles();
   keep_records_known();
   leadership_.tick(now(), mirror_.loaded(), mirror_.leader().version != 0, random());
   resign_if_unheard();
@@ -101,6 +104,18 @@
   });
 }
 
+/// So that operators can tell from the log which trouble it was: this process that stood still, or
+/// the state service that was lost. Lost partners are logged by `Peers`.
+void Node::log_troubles() {
+  const Seconds gap = now() - ticked_;
+  if (ticked_ > 0 && gap > settings_.lease_s * kStoodStill)
+    spdlog::info("this process stood still for {:.1f} s", gap);
+  ticked_ = now();
+  if (served() == state_served_) return;
+  state_served_ = !state_served_;
+  spdlog::info("state service: {}", state_served_ ? "answers again" : "does not answer this node");
+}
+
 /// Where little is written the watch says nothing for long, and nobody can tell silence from a cut.
 void Node::keep_records_known() {
   const Seconds known_at = seconds(mirror_.known_at());
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -27,6 +27,7 @@
   double random();
   void tick();
   void tick_core();
+  void log_troubles();
   void keep_records_known();
   void resign_if_unheard();
   // requests
@@ -80,7 +81,7 @@
   std::vector<MachineType> types_;
   std::unique_ptr<LeaderCore> core_;
   uint64_t core_generation_ = 0;
-  Seconds next_core_tick_ = 0;
+  Seconds next_core_tick_ = 0, ticked_ = 0;
   struct WorkerClient {
     std::shared_ptr<HttpClient> client;
     Seconds used = 0;
@@ -88,7 +89,7 @@
   std::shared_ptr<HttpClient> worker_client(const std::string& addr);
   std::map<std::string, WorkerClient> workers_;  ///< by address
   std::map<std::string, uint64_t> peer_terms_;
-  bool writing_ = false, revoked_ = false, reading_ = false;
+  bool writing_ = false, revoked_ = false, reading_ = false, state_served_ = true;
 };
 
 }  // namespace sumacquay
--- a/src/peer/peers.cpp
+++ b/src/peer/peers.cpp
@@ -1,5 +1,7 @@
 #include "peer/peers.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 
 namespace sumacquay {
@@ -20,8 +22,10 @@
       hooks_(std::move(hooks)),
       timer_(io),
       beats_a_detail_(std::max(1, static_cast<int>(kDetails / period_s))) {
-  for (const auto& p : settings.peers)
+  for (const auto& p : settings.peers) {
+    partners_[p.node].heard = Clock::now();
     clients_[p.node] = std::make_unique<HttpClient>(io, p.addr, 2, 4);
+  }
 }
 
 void Peers::start() {
@@ -55,7 +59,19 @@
   }
 }
 
+/// Each partner that falls silent or is heard again is told once, for operators.
+void Peers::log_partners() {
+  for (auto& [node, partner] : partners_) {
+    const std::chrono::duration<double> age = Clock::now() - partner.heard;
+    const bool silent = age.count() > kRecent * period_s_;
+    if (silent == partner.silent) continue;
+    partner.silent = silent;
+    spdlog::info("partner {}: {}", node, silent ? "silent" : "heard again");
+  }
+}
+
 void Peers::beat() {
+  log_partners();
   const int count = beats_++;
   beat_now(count % beats_a_detail_ == 0 ? wire::HeartbeatPart::Counts : wire::HeartbeatPart::Beat);
   if (count % (kHintsBeats * beats_a_detail_) == 0) beat_now(wire::HeartbeatPart::Hints);
@@ -66,6 +82,8 @@
 }
 
 void Peers::note(const wire::Heartbeat& heartbeat) {
+  const auto partner = partners_.find(heartbeat.node);
+  if (partner != partners_.end()) partner->second.heard = Clock::now();
   if (heartbeat.served) served_heard_ = Clock::now();
   if (!heartbeat.leading || heartbeat.term < leader_term_) return;
   leader_ = heartbeat.node;
--- a/src/peer/peers.h
+++ b/src/peer/peers.h
@@ -41,6 +41,7 @@
 
  private:
   void beat();
+  void log_partners();
   void note(const wire::Heartbeat& heartbeat);
   void keep_details(const wire::Heartbeat& heartbeat);
 
@@ -48,6 +49,11 @@
   const Settings& settings_;
   double period_s_;
   Hooks hooks_;
+  struct Partner {
+    std::chrono::steady_clock::time_point heard;
+    bool silent = false;
+  };
+  std::map<std::string, Partner> partners_;
   std::map<std::string, std::unique_ptr<HttpClient>> clients_;
   std::unique_ptr<HttpServer> server_;
   asio::steady_timer timer_;
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -45,13 +45,13 @@
   using Ranked = std::pair<decltype(rank(slots[0], d)), size_t>;
   std::vector<Ranked> order;
   for (size_t i = 0; i < slots.size(); ++i)
-    if (d.spec->need.fits_in(slots[i].free) && usable(slots[i], d, zones))
+    if (slots[i].fits(d.spec->need) && usable(slots[i], d, zones))
       order.emplace_back(rank(slots[i], d), i);
   std::sort(order.begin(), order.end());
   std::vector<Placed> out;
   auto task = d.tasks.begin();
   for (const auto& [ignored, i] : order)
-    while (task != d.tasks.end() && d.spec->need.fits_in(slots[i].free) &&
+    while (task != d.tasks.end() && slots[i].fits(d.spec->need) &&
            zone_allows(*d.spec, zones, slots[i].zone)) {
       slots[i].free -= d.spec->need;
       ++zones[slots[i].zone];
@@ -148,6 +148,21 @@
   for (const auto& p : held) std::erase(d.tasks, p.task);
 }
 
+void hold_beside_gpus(const Demand& d, std::vector<Slot>& slots) {
+  const Amounts& need = d.spec->need;
+  if (need.gpus <= 0) return;
+  using Ranked = std::pair<double, size_t>;
+  std::vector<Ranked> order;
+  for (size_t i = 0; i < slots.size(); ++i)
+    if (slots[i].free.gpus - slots[i].held.gpus >= need.gpus && usable(slots[i], d, d.zones))
+      order.emplace_back(slots[i].held.cpus - slots[i].free.cpus, i);
+  std::sort(order.begin(), order.end());
+  size_t left = d.tasks.size();
+  for (const auto& [ignored, i] : order)
+    for (; left > 0 && slots[i].free.gpus - slots[i].held.gpus >= need.gpus; --left)
+      slots[i].held += need;
+}
+
 Trial::~Trial() {
   for (const auto& [slot, need] : taken_) slots_[slot].free += need;
 }
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -19,7 +19,14 @@
   Amounts room;        ///< the whole machine's
   Amounts free;        ///< of it, what nothing takes
   Amounts coming;      ///< free once the tasks that are being stopped are gone
+  Amounts held;        ///< of it, what waits beside free GPUs for tasks that need some
   bool usable = true;  ///< may be given new tasks
+
+  bool fits(const Amounts& need) const {
+    Amounts open = free;
+    if (need.gpus == 0) open -= held;
+    return need.fits_in(open);
+  }
 };
 
 /// What of a job is to be placed, and what of it is somewhere already.
@@ -49,6 +56,10 @@
 /// to that zone if the gang must be in one.
 void hold(Demand& demand, std::vector<Slot>& slots, const std::vector<Slot>& soon);
 
+/// For tasks that need GPUs and found no room: tasks that need none leave them what is free of the
+/// CPUs and memory beside free GPUs, on the machines where the least is missing.
+void hold_beside_gpus(const Demand& demand, std::vector<Slot>& slots);
+
 /// Finds out whether things would fit: what it places is given back when it ends.
 class Trial {
  public:
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -134,6 +134,28 @@
   EXPECT_TRUE(preempt(d, slots, victims).has_value());
 }
 
+TEST(Placement, TasksWithoutGpusLeaveTheCpusBesideFreeGpusToThoseThatWaitForThem) {
+  std::vector<Slot> slots(2);
+  for (auto& s : slots) s.type = "g", s.zone = "e", s.room = {96, 8, 384};
+  slots[0].free = {10, 6, 300};
+  slots[1].free = {14, 2, 300};
+  JobSpec waits, small;
+  waits.need = {16, 2, 50};
+  small.need = {1, 0, 1};
+  Demand gpus, none;
+  gpus.spec = &waits;
+  gpus.tasks = {0};
+  ASSERT_TRUE(place(gpus, slots).empty());
+  hold_beside_gpus(gpus, slots);
+  none.spec = &small;
+  for (uint32_t t = 0; t < 100; ++t) none.tasks.push_back(t);
+  const auto placed = place(none, slots);
+  EXPECT_EQ(placed.size(), 10u) << "the second machine, which lacks the least, is held";
+  for (const auto& p : placed) EXPECT_EQ(p.slot, 0u);
+  slots[1].free.cpus = 16;
+  EXPECT_EQ(place(gpus, slots).size(), 1u) << "once enough is free they take it";
+}
+
 TEST(Provision, CountsBootingMachinesAndAvoidsWhatWasRefused) {
   MachineType g;
   g.name = "g";
