A round looks at zones, names and dear checks only where they matter

The cost of a round followed all that runs.

A new test compares the search for victims with the plain one on generated slots and victims.

--- a/src/dispatch/machines.cpp
+++ b/src/dispatch/machines.cpp
@@ -445,7 +445,7 @@
     if (!m.proven) continue;
     const bool news = std::any_of(m.runs.begin(), m.runs.end(), [&](const auto& r) {
       const auto& [key, run] = r;
-      return (startable(m, key, run) && !run.sent) ||
+      return (!run.sent && startable(m, key, run)) ||
              (!run.wanted && run.present() && run.phase != Run::Phase::Ordered && !run.stop_sent);
     });
     if (!news) continue;
--- a/src/dispatch/moves.cpp
+++ b/src/dispatch/moves.cpp
@@ -44,9 +44,10 @@
     Demand d;
     d.spec = &job->spec();
     d.tasks = {key.task.task};
-    for (const auto& [task, places] : job->at)
-      for (const auto& [machine, attempt] : places)
-        if (task != key.task.task) ++d.zones[machines_.at(machine).info.zone];
+    if (d.spec->counts_zones())
+      for (const auto& [task, places] : job->at)
+        for (const auto& [machine, attempt] : places)
+          if (task != key.task.task) ++d.zones[machines_.at(machine).info.zone];
     // Nothing is moved to an empty machine: that would only go back and forth.
     d.avoid = [job](const Slot& s) {
       return empty(s) || !s.of->images.has(job->spec().image) ||
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -110,7 +110,7 @@
           -static_cast<int>(j->spec().priority),
           std::floor(static_cast<double>(j->stored.submitted_ms) / together_ms),
           j->spec().kind == JobKind::Gang ? -static_cast<int>(j->spec().tasks) : 0,
-          j->stored.submitted_ms, j->spec().id);
+          j->stored.submitted_ms, std::string_view(j->spec().id));
     };
     return rank(a) < rank(b);
   });
@@ -158,15 +158,19 @@
   const bool gang = job.spec().kind == JobKind::Gang;
   if (gang && most < job.spec().tasks) return std::nullopt;
   const size_t limit = gang ? job.spec().tasks : std::min(most, kMostTasks);
+  auto there = job.at.begin();  // both in order: one pass over what is somewhere
   for (uint32_t t = job.done.next_missing(0); t < job.spec().tasks && d.tasks.size() < limit;
-       t = job.done.next_missing(t + 1))
-    if (!job.at.count(t)) d.tasks.push_back(t);
+       t = job.done.next_missing(t + 1)) {
+    while (there != job.at.end() && there->first < t) ++there;
+    if (there == job.at.end() || there->first != t) d.tasks.push_back(t);
+  }
   if (d.tasks.empty()) return std::nullopt;
-  for (const auto& [task, places] : job.at)
-    for (const auto& [machine, attempt] : places) {
-      const auto m = machines_.find(machine);
-      if (m != machines_.end()) ++d.zones[m->second.info.zone];
-    }
+  if (d.spec->counts_zones())
+    for (const auto& [task, places] : job.at)
+      for (const auto& [machine, attempt] : places) {
+        const auto m = machines_.find(machine);
+        if (m != machines_.end()) ++d.zones[m->second.info.zone];
+      }
   d.image_first = fetch_hurts(job);
   d.avoid = [&job](const Slot& s) { return job.failed_on.count(s.machine) > 0; };
   d.has_image = [&job](const Slot& s) { return s.of && s.of->images.has(job.spec().image); };
@@ -192,6 +196,7 @@
       make_room(*job, *d, slots, now);
     if (!d->tasks.empty()) unplaced_.push_back(std::move(*d));
   }
+  victims_.reset();  // it looks at names that the jobs own
 }
 
 void LeaderCore::start_placed(Job& job, const std::vector<Placed>& placed,
@@ -230,11 +235,13 @@
   std::vector<Victim> out;
   for (size_t i = 0; i < slots.size(); ++i) {
     if (!slots[i].of) continue;
+    const Job* job = nullptr;  // runs are in the order of their jobs: one look a job
     for (const auto& [key, run] : slots[i].of->runs) {
-      const Job* job = find_job(key.task.job);
-      if (!job || !run.present() || !run.wanted) continue;
+      if (!run.present() || !run.wanted) continue;
+      if (!job || job->spec().id != key.task.job) job = find_job(key.task.job);
+      if (!job) continue;
       const bool gang = job->spec().kind == JobKind::Gang && job->spec().tasks > 1;
-      out.push_back({key.task.job, key.task.task, i, run.need, job->spec().priority,
+      out.push_back({job->spec().id, key.task.task, i, run.need, job->spec().priority,
                      loss_of(*job, run, now), gang});
     }
   }
@@ -335,7 +342,7 @@
     Slot& slot = slots[p->slot];
     for (size_t v : p->victims) {
       const Victim& victim = candidates[v];
-      Job* loser = find_job(victim.job);
+      Job* loser = find_job(std::string(victim.job));
       if (!loser) continue;
       spdlog::info("{}/{} gives way to {}", victim.job, victim.task, job.spec().id);
       if (loser->spec().kind == JobKind::Gang) {
--- a/src/jobs/spec.h
+++ b/src/jobs/spec.h
@@ -49,6 +49,8 @@
   bool operator==(const JobSpec&) const = default;
   bool allows_type(const std::string& type) const;
   uint32_t zone_limit() const { return spread ? (tasks + 1) / 2 : tasks; }
+  /// Whether it matters in which zones its other tasks are.
+  bool counts_zones() const { return one_zone || spread; }
   bool saves() const { return checkpoint_s > 0; }
 };
 
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -172,11 +172,14 @@
   std::optional<Preemption> best;
   double best_loss = 0;
   for (size_t i = 0; i < slots.size(); ++i) {
-    if (!usable(slots[i], d, d.zones)) continue;
+    auto& order = by_slot[i];
     Amounts room = slots[i].free;
     room += slots[i].coming;
+    Amounts most = room;
+    for (size_t v : order) most += victims[v].need;
+    // The rest is dearer, and most slots end here.
+    if (!d.spec->need.fits_in(most) || !usable(slots[i], d, d.zones)) continue;
     if (d.spec->need.fits_in(room)) return Preemption{i, {}, true};
-    auto& order = by_slot[i];
     std::sort(order.begin(), order.end(), [&](size_t a, size_t b) {
       return std::tie(victims[a].priority, victims[a].loss_s) <
              std::tie(victims[b].priority, victims[b].loss_s);
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -2,6 +2,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -67,7 +68,7 @@
 
 /// A running task that a job may be given the place of.
 struct Victim {
-  std::string job;
+  std::string_view job;  ///< owned by whoever lists the victims
   uint32_t task = 0;
   size_t slot = 0;
   Amounts need;
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -118,6 +118,74 @@
   EXPECT_TRUE(preempt(d, slots, victims)->on_its_way) << "room is coming: nothing more is stopped";
 }
 
+/// The plain search that preempt() shortens: every slot, every order of victims in full.
+std::optional<Preemption> plain_preempt(const Demand& d, const std::vector<Slot>& slots,
+                                        const std::vector<Victim>& victims) {
+  std::optional<Preemption> best;
+  double best_loss = 0;
+  for (size_t i = 0; i < slots.size(); ++i) {
+    if (!slots[i].usable) continue;
+    Amounts room = slots[i].free;
+    room += slots[i].coming;
+    if (d.spec->need.fits_in(room)) return Preemption{i, {}, true};
+    std::vector<size_t> order;
+    for (size_t v = 0; v < victims.size(); ++v)
+      if (victims[v].slot == i && !victims[v].stopped && victims[v].priority < d.spec->priority)
+        order.push_back(v);
+    std::stable_sort(order.begin(), order.end(), [&](size_t a, size_t b) {
+      return std::tie(victims[a].priority, victims[a].loss_s) <
+             std::tie(victims[b].priority, victims[b].loss_s);
+    });
+    Preemption p{i, {}, false};
+    double loss = 0;
+    for (size_t v : order) {
+      if (d.spec->need.fits_in(room)) break;
+      room += victims[v].need;
+      loss += 1 + victims[v].loss_s + 1000.0 * static_cast<int>(victims[v].priority);
+      p.victims.push_back(v);
+    }
+    if (d.spec->need.fits_in(room) && (!best || loss < best_loss)) best = p, best_loss = loss;
+  }
+  return best;
+}
+
+TEST(Placement, FindsTheSameVictimsAsThePlainSearch) {
+  EXPECT_TRUE(testing::holds("preempt() is the plain search", [] {
+    const auto amounts = [](int most) {
+      return Amounts{*rc::gen::inRange(0, most) * 0.25, *rc::gen::inRange(0, 3) * 1.0,
+                     *rc::gen::inRange(0, most) * 0.5};
+    };
+    const auto priority =
+        rc::gen::element(Priority::Low, Priority::Normal, Priority::High, Priority::Production);
+    JobSpec spec;
+    spec.priority = *priority;
+    spec.need = amounts(16);
+    Demand d;
+    d.spec = &spec;
+    d.tasks = {0};
+    std::vector<Slot> slots;
+    for (int i = *rc::gen::inRange(1, 6); i > 0; --i) {
+      slots.push_back(slot("m" + std::to_string(i), "e", {8, 8, 64}));
+      slots.back().free = amounts(8);
+      if (*rc::gen::arbitrary<bool>()) slots.back().coming = amounts(8);
+      slots.back().usable = *rc::gen::inRange(0, 4) > 0;
+    }
+    std::vector<Victim> victims;
+    for (int i = *rc::gen::inRange(0, 14); i > 0; --i) {
+      Victim v{"job",     0,      *rc::gen::inRange<size_t>(0, slots.size()), amounts(10),
+               *priority, i * 0.5};  // all different: ties between equals are nobody's concern
+      v.stopped = *rc::gen::inRange(0, 5) == 0;
+      victims.push_back(v);
+    }
+    const auto is = preempt(d, slots, victims), should = plain_preempt(d, slots, victims);
+    RC_ASSERT(is.has_value() == should.has_value());
+    if (!is) return;
+    RC_ASSERT(is->slot == should->slot);
+    RC_ASSERT(is->victims == should->victims);
+    RC_ASSERT(is->on_its_way == should->on_its_way);
+  }));
+}
+
 // Replicas of a few CPUs stopped gangs that held whole machines on four machines at once.
 TEST(Placement, AGangGivesWayOnlyToATaskThatTakesAGoodPartOfItsMachine) {
   JobSpec spec;
