--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -230,6 +230,43 @@
   });
 }
 
+/// A controller in the zone answers in the leader's place for longer than the leader itself did:
+/// its workers keep what they run, and the leader must not start it again elsewhere meanwhile.
+TEST(Meetings, AZoneIsCutWhoseControllersAnswerItsWorkersInTheLeadersPlace) {
+  WorldOptions o = long_tasks();
+  o.machines = 8;  // enough that a silent zone is taken for cut off, not its machines for dead
+  o.most_machines = 16;
+  size_t apart = 0;
+  meet(
+      o,
+      [&apart](World& world) -> size_t {
+        // Workers of the east find a node there in time only if the leader is the one in the west.
+        for (int tries = 0; tries < 12 && world.leader() != 1; ++tries) {
+          if (world.leader() >= 0) world.end_process(world.leader(), 3);
+          world.run_for(5);
+        }
+        if (world.leader() != 1) return 0;
+        submit_services(world, 16);
+        world.run_for(25);
+        std::vector<std::string> there;
+        for (const auto& id : world.jobs_running())
+          for (const auto& m : world.machines_of(id))
+            if (world.zone_of(m) == "east" && (there.empty() || there.back() != id))
+              there.push_back(id);
+        const size_t before = world.delegated();
+        world.cut_zone("east", 45);
+        world.run_for(10);
+        cancel_running(world, 2);
+        world.run_for(3);  // past the lease that the leader itself gave
+        for (const auto& id : there)
+          for (const auto& m : world.machines_of(id)) apart += world.zone_of(m) == "east";
+        world.run_for(35);
+        return world.delegated() - before;
+      },
+      10 * kSeeds);
+  EXPECT_GE(apart, 5 * kSeeds) << "tasks hardly outlived the leader's own answers";
+}
+
 TEST(Meetings, ALeaderIsCutFromStateAndPeersWhileWorkersAndUsersReachIt) {
   meet_in_both([](World& world) -> size_t {
     settle(world);
@@ -582,6 +619,55 @@
   });
 }
 
+TEST(Meetings, MoreWorkThanRoomUrgentAndNotWithSlowFetches) {
+  WorldOptions o;
+  o.most_machines = o.machines = 4;
+  o.task_least = 20;
+  o.task_most = 40;
+  o.fetch_least = 3;
+  o.fetch_most = 10;
+  meet(
+      o,
+      [](World& world) {
+        world.run_until([&] { return world.leader() >= 0; }, 20);
+        const auto submit = [&world](Priority priority, int jobs) {
+          std::vector<std::string> ids;
+          for (int i = 0; i < jobs; ++i) {
+            JobSpec s = world.any_spec();
+            s.kind = JobKind::Array;
+            s.priority = priority;
+            s.tasks = 2;
+            s.team = "open";
+            s.spread = s.one_zone = false;
+            ids.push_back(world.submit(s));
+          }
+          return ids;
+        };
+        const auto waiting = [&world](const std::vector<std::string>& ids) {
+          size_t n = 0;
+          for (const auto& id : ids) n += world.tasks_waiting(id);
+          return n;
+        };
+        const auto later = submit(Priority::Low, 16);
+        world.run_for(15);
+        const auto urgent = submit(Priority::Production, 6);
+        world.run_for(world.between(0.2, 3));
+        world.end_process(std::max(world.leader(), 0), 3);
+        const auto all = world.machines();
+        if (!all.empty()) world.cut(all[world.any(all.size())], world.between(2, 12));
+        const auto begun = [&] {
+          return std::all_of(urgent.begin(), urgent.end(),
+                             [&](const auto& id) { return world.began_at(id).has_value(); });
+        };
+        EXPECT_TRUE(world.run_until(begun, 60)) << "urgent work waits";
+        const size_t met = waiting(later);
+        EXPECT_GT(met, waiting(urgent)) << "it runs first";
+        world.run_for(20);
+        return met;
+      },
+      8 * kSeeds);
+}
+
 TEST(Meetings, NewMachinesGetWorkAtOnceWhileWritesLagAndTheLeaderEnds) {
   WorldOptions o = long_tasks();
   o.machines = 1;
--- a/tests/world.h
+++ b/tests/world.h
@@ -28,6 +28,7 @@
   Seconds nominal_boot_s = 5;
   Seconds boot_least = 2, boot_most = 6;
   Seconds task_least = 2, task_most = 15;
+  Seconds fetch_least = 0.1, fetch_most = 1;
 };
 
 /// The state service: keys with versions, guards and leases.
@@ -218,6 +219,16 @@
   std::optional<Seconds> cancelled_at(const std::string& id) const {
     return truth_.at(id).cancelled_at;
   }
+  /// When the first of its tasks ran, none: not yet.
+  std::optional<Seconds> began_at(const std::string& id) const { return truth_.at(id).began_at; }
+  /// Tasks that are neither done nor on any machine.
+  size_t tasks_waiting(const std::string& id) const {
+    std::set<uint32_t> there = truth_.at(id).done;
+    for (const auto& [machine, w] : workers_)
+      for (const auto& [key, t] : w.tasks)
+        if (key.job == id && t.state != TaskState::Exited) there.insert(key.task);
+    return truth_.at(id).spec.tasks - there.size();
+  }
   std::vector<std::string> jobs_running() const {
     std::set<std::string> out;
     for (const auto& [id, w] : workers_)
@@ -354,6 +365,7 @@
     bool accepted = false, cancel_asked = false, told_done = false;
     std::set<uint32_t> done;
     std::optional<Seconds> cancelled_at;  ///< first confirmation by any node
+    std::optional<Seconds> began_at;
     Seconds waits_since = -1;
   };
 
@@ -1339,7 +1351,8 @@
       if (c.verb == Verb::Start) {
         if (it != w.tasks.end() && it->second.attempt == c.attempt) continue;
         if (it != w.tasks.end() && it->second.state != TaskState::Exited) continue;
-        w.tasks[c.key] = {c.attempt, TaskState::Fetching, ExitCause::None, now_ + between(0.1, 1)};
+        w.tasks[c.key] = {c.attempt, TaskState::Fetching, ExitCause::None,
+                          now_ + between(options_.fetch_least, options_.fetch_most)};
         check_start(id, w, c.key, ordered);
       } else if (it == w.tasks.end() || it->second.attempt != c.attempt) {
         continue;
@@ -1357,6 +1370,8 @@
     if (t.state == TaskState::Exited || now_ < t.next) return;
     if (t.state == TaskState::Fetching) {
       t.state = TaskState::Running;
+      Truth& begun = truth_[key.job];
+      if (!begun.began_at) begun.began_at = now_;
       t.next = now_ + between(options_.task_least, options_.task_most);
       if (!w.sick) return;
       t.state = TaskState::Exited;
