--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -622,8 +622,8 @@
 TEST(Meetings, MoreWorkThanRoomUrgentAndNotWithSlowFetches) {
   WorldOptions o;
   o.most_machines = o.machines = 4;
-  o.task_least = 20;
-  o.task_most = 40;
+  o.task_least = 30;  // who waits for a place to come free by itself waits for too long
+  o.task_most = 50;
   o.fetch_least = 3;
   o.fetch_most = 10;
   meet(
@@ -648,7 +648,7 @@
           for (const auto& id : ids) n += world.tasks_waiting(id);
           return n;
         };
-        const auto later = submit(Priority::Low, 16);
+        const auto later = submit(Priority::Low, 12);
         world.run_for(15);
         const auto urgent = submit(Priority::Production, 6);
         world.run_for(world.between(0.2, 3));
@@ -659,7 +659,7 @@
           return std::all_of(urgent.begin(), urgent.end(),
                              [&](const auto& id) { return world.began_at(id).has_value(); });
         };
-        EXPECT_TRUE(world.run_until(begun, 60)) << "urgent work waits";
+        EXPECT_TRUE(world.run_until(begun, 25)) << "urgent work waits";
         const size_t met = waiting(later);
         EXPECT_GT(met, waiting(urgent)) << "it runs first";
         world.run_for(20);
