--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -79,7 +79,7 @@
                        std::function<void()> unknown) {
   // Over is final: no read can find it changed.
   if (const auto* known = mirror_.finished(id)) return finished(*known);
-  mirror_.refresh([=, this](bool fresh) {
+  mirror_.read_barrier([=, this](bool fresh) {
     if (!fresh) return later_please(respond);
     if (const auto* record = mirror_.live(id)) return live(*record);
     if (const auto* known = mirror_.finished(id)) return finished(*known);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -122,7 +122,7 @@
   leadership_.records_known(known_at);
   if (reading_ || now() - known_at < settings_.renew_s()) return;
   reading_ = true;
-  mirror_.refresh([this](bool) { reading_ = false; });
+  mirror_.read_barrier([this](bool) { reading_ = false; });
 }
 
 /// The state service still renews the lease of a leader that workers can't reach: it has to go by
@@ -219,23 +219,23 @@
   const wire::LeaderRecord record{settings_.node, nonce_, term, lease};
   const std::string value = wire::encode_leader(record);
   const Seconds end = now() + settings_.leader_lease_s();
-  store_.transact(
-      Urgency::Leadership, {{keys::kLeader, 0}, {keys::kTerm, mirror_.term().version}},
-      {{keys::kLeader, value, lease}, {keys::kTerm, value, 0}},
-      [this, campaign, record, lease, end](TxnResult t) {
-        if (t.outcome == TxnOutcome::Committed) {
-          mirror_.wrote_leader(record, t.revision);
-          return take_office(campaign, record.term, end);
-        }
-        // Ended at once, so that a transaction that is still on its way can't win.
-        store_.revoke(lease, [](HttpResult) {});
-        mirror_.refresh([this, campaign](bool) { leadership_.elected(now(), campaign, false, 0); });
-      });
+  store_.transact(Urgency::Leadership, {{keys::kLeader, 0}, {keys::kTerm, mirror_.term().version}},
+                  {{keys::kLeader, value, lease}, {keys::kTerm, value, 0}},
+                  [this, campaign, record, lease, end](TxnResult t) {
+                    if (t.outcome == TxnOutcome::Committed) {
+                      mirror_.wrote_leader(record, t.revision);
+                      return take_office(campaign, record.term, end);
+                    }
+                    // Ended at once, so that a transaction that is still on its way can't win.
+                    store_.revoke(lease, [](HttpResult) {});
+                    mirror_.read_barrier(
+                        [this, campaign](bool) { leadership_.elected(now(), campaign, false, 0); });
+                  });
 }
 
 /// Reads everything that earlier leaders wrote before it acts on the records.
 void Node::take_office(Leadership::Campaign campaign, uint64_t term, Seconds end) {
-  mirror_.refresh([this, campaign, term, end](bool fresh) {
+  mirror_.read_barrier([this, campaign, term, end](bool fresh) {
     if (fresh) return leadership_.elected(now(), campaign, true, term);
     if (now() > end) return leadership_.elected(now(), campaign, false, 0);
     auto timer = std::make_shared<asio::steady_timer>(io_, as_us(settings_.lease_s * 0.005));
@@ -521,7 +521,7 @@
   // It failed, or nobody knows: what the records say now decides what is still to be written.
   for (const auto& key : t.failed)
     if (key == keys::kTerm) spdlog::info("the term has changed");
-  mirror_.refresh([this, generation = core_generation_](bool) {
+  mirror_.read_barrier([this, generation = core_generation_](bool) {
     if (generation == core_generation_) writing_ = false;
   });
 }
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -99,7 +99,7 @@
                });
 }
 
-void Mirror::refresh(std::function<void(bool)> done) {
+void Mirror::read_barrier(std::function<void(bool)> done) {
   constexpr size_t kMostWaiting = 1000;
   if (!loaded() || waiting_.size() >= kMostWaiting) {
     asio::post(io_, [done = std::move(done)] { done(false); });
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -27,7 +27,7 @@
   uint64_t version = 0;
 };
 
-/// A node's copy of the state service's records, kept up by a watch. `refresh` is the read
+/// A node's copy of the state service's records, kept up by a watch. `read_barrier` is the read
 /// barrier: one request brings the copy up to date for all who wait for it.
 class Mirror {
  public:
@@ -48,7 +48,7 @@
   /// The copy holds everything that was written before this time.
   std::chrono::steady_clock::time_point known_at() const { return known_at_; }
   /// Calls back with true once the copy holds everything written before this call.
-  void refresh(std::function<void(bool)> done);
+  void read_barrier(std::function<void(bool)> done);
 
   const std::unordered_map<std::string, Versioned<JobRecord>>& live() const { return live_; }
   const Versioned<JobRecord>* live(const std::string& id) const;
