--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -215,6 +215,29 @@
       200);
 }
 
+TEST(Meetings, ReportsAreOvertakenByOrdersAndTheirAnswers) {
+  WorldOptions o;
+  o.task_least = 4;
+  o.task_most = 10;
+  meet(
+      o,
+      [](World& world) {
+        settle(world, 4, 20);
+        const size_t before = world.starts();
+        world.slow_reports(70);
+        for (int i = 0; i < 20; ++i) {
+          JobSpec s = world.any_spec();
+          s.kind = JobKind::Array;
+          s.spread = s.one_zone = false;
+          world.submit(s);
+          world.run_for(world.between(1, 4));
+          if (i % 5 == 4) cancel_running(world, 1);
+        }
+        return world.starts() - before;
+      },
+      20 * kSeeds);
+}
+
 // ---- cuts
 
 TEST(Meetings, AZoneWithWorkersAndAControllerIsCutForLongerThanALease) {
--- a/tests/world.h
+++ b/tests/world.h
@@ -317,6 +317,8 @@
     copies_until_ = now_ + span;
     copies_for_next_ = for_next;
   }
+  /// Half of the reports are overtaken: by orders, their answers and probes.
+  void slow_reports(Seconds span) { reports_slow_until_ = now_ + span; }
   size_t late_reports_heard() const { return late_reports_heard_; }
   /// Sent under an earlier leader than the one that heard them.
   size_t late_reports_to_new_leader() const { return late_reports_to_new_leader_; }
@@ -500,6 +502,7 @@
       if (!controllers_[c].process) begin_process(c);
     if (out()) outage_until_ = now_;
     late_releases_until_ = slow_until_ = late_until_ = lost_until_ = copies_until_ = -1;
+    reports_slow_until_ = -1;
     zone_cut_until_.clear();
     for (auto& [id, w] : workers_)
       w.hung_until = w.cut_until = w.deaf_until = w.mute_until = w.held_until = -1;
@@ -1245,6 +1248,7 @@
       if (chance(0.7)) return;
       delay += apart - now_;  // held on its way
     }
+    if (now_ < reports_slow_until_ && chance(0.5)) delay += between(0.2, 3.5);
     if (!controllers_[c].process) return next_node(w);
     to_controller(c, delay, [this, c, r, sent = now_](Process& p) { receive(c, p, r, sent); });
   }
@@ -1547,7 +1551,8 @@
   uint64_t last_nonce_ = 0;
   int next_machine_ = 0;
   Seconds outage_until_ = -1, slow_until_ = -1, late_until_ = -1, lost_until_ = -1,
-          copies_until_ = -1, late_releases_until_ = -1, quiet_since_ = -1, next_wait_check_ = 0;
+          copies_until_ = -1, reports_slow_until_ = -1, late_releases_until_ = -1,
+          quiet_since_ = -1, next_wait_check_ = 0;
   double late_share_ = 0, lost_share_ = 0, copy_share_ = 0;
   bool copies_for_next_ = false;
   std::vector<std::string> broken_;
