--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -143,19 +143,31 @@
 
 void Frontend::submit(const HttpRequest& request, const Respond& respond) {
   const auto parsed = wire::parse_job(request.body);
-  if (!parsed.spec) return respond({400, wire::error_body(parsed.error), 0});
+  // Without an id it can't be the repeat of anything.
+  if (parsed.id.empty()) return respond({400, wire::error_body(parsed.error), 0});
+  if (!parsed.spec) return refuse_unknown(parsed.id, 400, parsed.error, respond);
   const JobSpec& spec = *parsed.spec;
-  if (!mirror_.loaded() || sources_.types().empty()) return later_please(respond);
-  // A job that was accepted stays so, whatever would be said of it now.
-  if (!mirror_.live(spec.id) && !mirror_.finished(spec.id)) {
-    const auto never = never_runs(spec, sources_.types(), settings_.team(spec.team));
-    if (!never.empty()) return respond({422, wire::error_body(never), 0});
-    return accept(spec, respond);
-  }
-  answer_known(spec.id, respond);
+  if (sources_.types().empty() || mirror_.live(spec.id) || mirror_.finished(spec.id))
+    return answer_known(spec.id, respond);
+  const auto never = never_runs(spec, sources_.types(), settings_.team(spec.team));
+  if (!never.empty()) return refuse_unknown(spec.id, 422, never, respond);
+  if (!mirror_.loaded()) return later_please(respond);
+  accept(spec, respond);
+}
+
+/// A job that was accepted stays so, whatever would be said of it now: another node may have known
+/// other machine types, or got a whole submission where this one lacks a field.
+void Frontend::refuse_unknown(const std::string& id, int status, const std::string& why,
+                              const Respond& respond) {
+  answer_known(id, respond, [=] { respond({status, wire::error_body(why), 0}); });
 }
 
 void Frontend::answer_known(const std::string& id, const Respond& respond) {
+  answer_known(id, respond, [=] { later_please(respond); });
+}
+
+void Frontend::answer_known(const std::string& id, const Respond& respond,
+                            std::function<void()> unknown) {
   auto answer = [=](JobState state, uint32_t running) {
     respond({200, wire::job_answer(id, shown(state, running)), 0});
   };
@@ -164,7 +176,7 @@
       [=, this](const Versioned<JobRecord>& r) {
         answer(r.value.state, sources_.counts(id).running);
       },
-      [=](const wire::FinishedRecord& r) { answer(r.state, 0); }, [=] { later_please(respond); });
+      [=](const wire::FinishedRecord& r) { answer(r.state, 0); }, std::move(unknown));
 }
 
 void Frontend::accept(const JobSpec& spec, const Respond& respond) {
@@ -173,7 +185,7 @@
   record.submitted_ms = sources_.time_of_day_ms();
   const std::string value = wire::encode_job(record);
   if (value.size() > settings_.state_value_kb * 1024 * 0.5)
-    return respond({400, wire::error_body("the job's description is too large"), 0});
+    return refuse_unknown(spec.id, 400, "the job's description is too large", respond);
   const std::string live = keys::kLive + spec.id, finished = keys::kFinished + spec.id;
   store_.transact(
       Urgency::Record, {{live, 0}, {finished, 0}}, {{live, value, 0}}, [=, this](TxnResult t) {
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -23,11 +23,16 @@
   Frontend(const Settings& settings, StoreClient& store, Mirror& mirror, Sources sources);
   /// False: not a path of the users'.
   bool handle(const HttpRequest& request, Respond respond);
+  /// Requests that are not answered yet.
+  int in_progress() const { return limit_.in_progress(); }
 
  private:
   void submit(const HttpRequest& request, const Respond& respond);
   void accept(const JobSpec& spec, const Respond& respond);
   void answer_known(const std::string& id, const Respond& respond);
+  void answer_known(const std::string& id, const Respond& respond, std::function<void()> unknown);
+  void refuse_unknown(const std::string& id, int status, const std::string& why,
+                      const Respond& respond);
   void query(const std::string& id, const Respond& respond);
   void cancel(const std::string& id, int tries, const Respond& respond);
   /// The job's state as of now or later; `unknown` is called only if no such job was ever accepted.
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -2,13 +2,13 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <memory>
+#include <utility>
 
 namespace sumacquay {
 namespace {
 
-/// Jobs that are over and still answered from memory; older ones are read again when asked for.
-constexpr size_t kFinishedKept = 20000;
 constexpr int kPage = 200;
 const std::vector<std::string>& load_order() {
   static const std::vector<std::string> prefixes{keys::kLeader, keys::kTerm, keys::kHost,
@@ -18,8 +18,12 @@
 
 }  // namespace
 
-Mirror::Mirror(asio::io_context& io, const Settings& s, StoreClient& store)
-    : io_(io), store_(store), wait_s_(s.lease_s), barrier_gap_s_(8.0 / s.state_rps) {}
+Mirror::Mirror(asio::io_context& io, const Settings& s, StoreClient& store, size_t finished_kept)
+    : io_(io),
+      store_(store),
+      wait_s_(s.lease_s),
+      barrier_gap_s_(8.0 / s.state_rps),
+      finished_kept_(finished_kept) {}
 
 void Mirror::start() {
   load();
@@ -48,6 +52,7 @@
   term_ = {};
   leader_seen_ = 0;
   loading_since_ = std::chrono::steady_clock::now();
+  refuse_waiting();
   load_page(0, "", 0);
 }
 
@@ -102,6 +107,12 @@
   if (!barrier_running_) run_barrier();
 }
 
+/// A barrier that runs while the copy is being loaded would be answered from a part of it.
+void Mirror::refuse_waiting() {
+  for (auto& done : std::exchange(waiting_, {}))
+    asio::post(io_, [done = std::move(done)] { done(false); });
+}
+
 void Mirror::run_barrier() {
   // Only those who asked before the request is sent are served by it.
   auto served = std::make_shared<std::vector<std::function<void(bool)>>>(std::move(waiting_));
@@ -125,8 +136,13 @@
 
 void Mirror::apply(const wire::StorePage& page, std::chrono::steady_clock::time_point asked_at) {
   const uint64_t before = revision_;
+  // Nothing says that changes come in their order: a key could come back after its deletion.
+  std::vector<const wire::StoreItem*> items;
   for (const auto& item : page.items)
-    if (item.version > before) apply_item(item);
+    if (item.version > before) items.push_back(&item);
+  std::stable_sort(items.begin(), items.end(),
+                   [](const auto* x, const auto* y) { return x->version < y->version; });
+  for (const auto* item : items) apply_item(*item);
   revision_ = std::max(revision_, page.revision);
   known_at_ = std::max(known_at_, asked_at);
 }
@@ -182,7 +198,7 @@
   live_.erase(id);
   if (!finished_.emplace(id, record).second) return;
   finished_order_.push_back(id);
-  if (finished_order_.size() <= kFinishedKept) return;
+  if (finished_order_.size() <= finished_kept_) return;
   finished_.erase(finished_order_.front());
   finished_order_.pop_front();
 }
@@ -197,8 +213,14 @@
   return it == finished_.end() ? nullptr : &it->second;
 }
 
+/// An answer that was held up may tell of a record that has changed or is gone since. The copy has
+/// that change already, or will have it once it is loaded.
+bool Mirror::ahead(uint64_t version) const {
+  return loaded() && version > revision_;
+}
+
 void Mirror::wrote_job(const JobRecord& record, uint64_t version) {
-  if (finished_.count(record.spec.id)) return;
+  if (!ahead(version) || finished_.count(record.spec.id)) return;
   auto& slot = live_[record.spec.id];
   if (slot.version >= version) return;
   slot = {record, version};
@@ -211,6 +233,7 @@
 }
 
 void Mirror::wrote_host(const std::string& id, const HostRecord* record, uint64_t version) {
+  if (!ahead(version)) return;
   if (record) {
     hosts_[id] = {*record, version};
   } else {
@@ -220,7 +243,8 @@
 }
 
 void Mirror::wrote_leader(const wire::LeaderRecord& record, uint64_t version) {
-  leader_seen_ = std::max(leader_seen_, version);
+  if (!ahead(version)) return;
+  leader_seen_ = version;
   leader_ = {record, version};
   term_ = {record, version};
 }
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -36,7 +36,11 @@
     std::function<void()> leader_changed;
   };
 
-  Mirror(asio::io_context& io, const Settings& settings, StoreClient& store);
+  /// Jobs that are over and still answered from memory; older ones are read again when asked for.
+  static constexpr size_t kFinishedKept = 20000;
+
+  Mirror(asio::io_context& io, const Settings& settings, StoreClient& store,
+         size_t finished_kept = kFinishedKept);
   void start();
   void set_listener(Listener listener) { listener_ = std::move(listener); }
 
@@ -71,12 +75,15 @@
   void apply(const wire::StorePage& page, std::chrono::steady_clock::time_point asked_at);
   void apply_item(const wire::StoreItem& item);
   void remember_finished(const std::string& id, wire::FinishedRecord record);
+  bool ahead(uint64_t version) const;
+  void refuse_waiting();
   void run_barrier();
   void later(double seconds, std::function<void()> what);
 
   asio::io_context& io_;
   StoreClient& store_;
   double wait_s_, barrier_gap_s_;
+  size_t finished_kept_;
   Listener listener_;
   State state_ = State::Loading;
   uint64_t generation_ = 0;  ///< counts loads: answers to earlier ones are dropped
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -292,13 +292,15 @@
 
 ParsedJob parse_job(std::string_view body) {
   auto document = Document::parse(body);
-  if (!document) return {std::nullopt, "not MessagePack"};
-  if (!document->root().is_map()) return {std::nullopt, "not a map"};
+  if (!document) return {std::nullopt, "not MessagePack", {}};
+  if (!document->root().is_map()) return {std::nullopt, "not a map", {}};
+  std::string id = document->root()["id"].text_or("");
+  if (!valid_job_id(id)) id.clear();
   Fields f(document->root());
   JobSpec s;
   read_spec(f, s);
-  if (!f.ok()) return {std::nullopt, f.error()};
-  return {std::move(s), {}};
+  if (!f.ok()) return {std::nullopt, f.error(), std::move(id)};
+  return {std::move(s), {}, std::move(id)};
 }
 
 std::string job_answer(const std::string& id, ShownState state) {
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -32,6 +32,7 @@
 struct ParsedJob {
   std::optional<JobSpec> spec;
   std::string error;  ///< why there is none
+  std::string id;     ///< also of a malformed job, where it can be read and is valid
 };
 bool valid_job_id(std::string_view id);
 ParsedJob parse_job(std::string_view body);
