--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -51,6 +51,7 @@
   leader_ = {};
   term_ = {};
   leader_seen_ = 0;
+  unread_ = 0;
   loading_since_ = std::chrono::steady_clock::now();
   refuse_waiting();
   load_page(0, "", 0);
@@ -91,6 +92,7 @@
                  if (r.answered && r.status == 410) return load();
                  const auto page = r.ok() ? wire::parse_changes(r.body) : std::nullopt;
                  if (page) apply(*page, asked_at);
+                 note_read(r, page.has_value());
                  later(page ? 0.004 : wait_s_ * 0.03, [this, generation] {
                    if (generation == generation_) follow();
                  });
@@ -126,6 +128,7 @@
                                                                       : std::nullopt;
                 if (page) apply(*page, asked_at);
                 if (r.answered && r.status == 410 && generation == generation_) load();
+                if (generation == generation_) note_read(r, page.has_value());
                 for (auto& done : *served) done(page.has_value());
                 later(barrier_gap_s_, [this] {
                   barrier_running_ = false;
@@ -134,6 +137,27 @@
               });
 }
 
+/// The changes of a long absence can be more than an answer may hold, or than arrives in time. They
+/// would be asked for in vain until the service drops them; lists come in pages.
+void Mirror::note_read(const HttpResult& r, bool readable) {
+  constexpr int kMostUnread = 3;
+  if (readable) unread_ = 0;
+  if (readable || (r.answered && !r.ok())) return;
+  const std::chrono::duration<double> age = std::chrono::steady_clock::now() - known_at_;
+  if (++unread_ >= kMostUnread && loaded() && age.count() > wait_s_) load_if_served();
+}
+
+/// Where nothing at all is answered, an old copy is better than none.
+void Mirror::load_if_served() {
+  if (probing_) return;
+  probing_ = true;
+  store_.read(Urgency::Rest, wire::page_path(keys::kLeader, "", 1),
+              [this, generation = generation_](HttpResult r) {
+                probing_ = false;
+                if (r.ok() && generation == generation_ && unread_ > 0) load();
+              });
+}
+
 void Mirror::apply(const wire::StorePage& page, std::chrono::steady_clock::time_point asked_at) {
   const uint64_t before = revision_;
   // Nothing says that changes come in their order: a key could come back after its deletion.
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -77,6 +77,8 @@
   void remember_finished(const std::string& id, wire::FinishedRecord record);
   bool ahead(uint64_t version) const;
   void refuse_waiting();
+  void note_read(const HttpResult& r, bool readable);
+  void load_if_served();
   void run_barrier();
   void later(double seconds, std::function<void()> what);
 
@@ -98,6 +100,8 @@
   uint64_t leader_seen_ = 0;
   std::vector<std::function<void(bool)>> waiting_;
   bool barrier_running_ = false;
+  int unread_ = 0;  ///< reads of changes in a row that brought nothing
+  bool probing_ = false;
 };
 
 }  // namespace sumacquay
--- a/tests/users_test.cpp
+++ b/tests/users_test.cpp
@@ -778,5 +778,40 @@
   until([&] { return b.frontend->in_progress() == 0; });
 }
 
+TEST_F(Troubles, ChangesThatNoAnswerHoldsAreNotAskedForInVain) {
+  EXPECT_EQ(ask(a, "POST", "/work", submission("job-1")), "201 pending");
+  b.settings.lease_s = 2;  // how old the copy becomes before it is loaded again
+  prepare(b);
+  b.mirror->start();
+  until([&] { return b.mirror->loaded(); });
+  EXPECT_EQ(finish(a, "job-1"), TxnOutcome::Committed);
+  const std::string value = '\xda' + std::string("\x1f\xff") + std::string(0x1fff, 'x');
+  for (int i = 0; i < 600; ++i) {
+    const std::string key = "sq/passing/" + std::to_string(i);
+    ++state.revision, state.set(key, value);
+    ++state.revision, state.erase(key);
+  }
+  EXPECT_EQ(ask(b, "GET", "/work/job-1"), "503 ") << "five megabytes";
+  until([&] { return ask(b, "GET", "/work/job-1") == "200 done"; });
+  EXPECT_EQ(ask(b, "GET", "/work/job-2"), "404 ");
+}
+
+TEST_F(Troubles, AnOldCopyIsKeptWhileNothingAtAllIsAnswered) {
+  EXPECT_EQ(ask(a, "POST", "/work", submission("job-1")), "201 pending");
+  b.settings.lease_s = 1;
+  prepare(b);
+  b.mirror->start();
+  until([&] { return b.mirror->loaded(); });
+  b.door->silent = true;
+  const auto old = std::chrono::steady_clock::now() + std::chrono::seconds(3);
+  until([&] {
+    return ask(b, "GET", "/work/job-1") == "503 " && std::chrono::steady_clock::now() > old;
+  });
+  EXPECT_TRUE(b.mirror->loaded());
+  EXPECT_NE(b.mirror->live("job-1"), nullptr);
+  b.door->silent = false;
+  until([&] { return ask(b, "GET", "/work/job-1") == "200 pending"; });
+}
+
 }  // namespace
 }  // namespace sumacquay
