The leader's transaction is built by a function of its own, with a test of each guard

record_transaction() turns the writes that the leader wants into guards and typed changes; the node encodes and sends them as before. The unit test was seen failing, one edit at a time, with - the guard by the term taken out: IsRefusedOnceAnotherLeaderHasBeenElected; - the guard by the record's version taken out: IsRefusedOnceARecordOfItHasChanged; - the deletion of a finished job's live record taken out, or its finished record not written: MovesAFinishedJobOutOfTheLiveRecordsInOneStep and HoldsEveryWriteOnce.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,11 +2,11 @@
 
 #include <spdlog/spdlog.h>
 
+#include "dispatch/record_transaction.h"
+
 namespace sumacquay {
 namespace {
 
-/// Changes of the term key and of nothing else go with a leader's transaction as its first guard.
-constexpr int kGuards = 1;
 /// What is left to renewals, reports and users between two looks at the fleet / what a look takes.
 constexpr double kBreath = 3;
 /// How long a machine has to say that it is there / the workers' lease.
@@ -472,27 +472,9 @@
   if (writing_ || !leads_now() || !mirror_.loaded()) return;
   const auto writes = core_->wanted_writes(now(), static_cast<size_t>(settings_.state_txn_ops));
   if (writes.empty()) return;
-  std::vector<wire::Guard> guards{{keys::kTerm, mirror_.term().version}};
-  std::vector<wire::Change> changes;
-  guards.reserve(writes.size() + kGuards);
-  for (const auto& w : writes) {
-    if (!w.host.empty()) {
-      const std::string key = keys::kHost + w.host;
-      changes.push_back({key, w.host_record ? wire::encode_host(*w.host_record) : "", 0});
-      continue;
-    }
-    const std::string live = keys::kLive + w.job;
-    guards.push_back({live, w.version});
-    if (w.finished) {
-      changes.push_back({live, "", 0});
-      changes.push_back({keys::kFinished + w.job,
-                         wire::encode_finished(w.record->state, w.record->done.count()), 0});
-    } else {
-      changes.push_back({live, wire::encode_job(*w.record), 0});
-    }
-  }
+  const auto transaction = record_transaction(writes, mirror_.term().version);
   writing_ = true;
-  store_.transact(Urgency::Record, guards, changes,
+  store_.transact(Urgency::Record, transaction.guards, encode(transaction.changes),
                   [this, writes, generation = core_generation_](TxnResult t) {
                     if (generation != core_generation_ || !core_) return;
                     records_written(writes, t);
--- /dev/null
+++ b/tests/record_transaction_test.cpp
@@ -0,0 +1,123 @@
+// The leader's transaction as it is sent: its guards, its changes, and what a store that keeps
+// guards makes of it.
+#include "dispatch/record_transaction.h"
+
+#include <gtest/gtest.h>
+
+#include "store/mirror.h"
+
+namespace sumacquay {
+namespace {
+
+constexpr uint64_t kTermVersion = 70;
+
+JobRecord job_record(const std::string& id) {
+  JobRecord record;
+  record.spec.id = id;
+  record.spec.tasks = 3;
+  record.submitted_ms = 5;
+  return record;
+}
+
+RecordWrite job_write(const std::string& id, uint64_t version) {
+  RecordWrite write;
+  write.job = id;
+  write.version = version;
+  write.record = job_record(id);
+  return write;
+}
+
+RecordWrite finished_write(const std::string& id, uint64_t version) {
+  RecordWrite write = job_write(id, version);
+  write.record->state = JobState::Done;
+  write.record->done.add(0);
+  write.record->done.add(1);
+  write.finished = true;
+  return write;
+}
+
+RecordWrite host_write(const std::string& id) {
+  RecordWrite write;
+  write.host = id;
+  write.host_record = HostRecord{id, "10.0.0.1:9", "g", "east", true};
+  return write;
+}
+
+RecordWrite host_deletion(const std::string& id) {
+  RecordWrite write;
+  write.host = id;
+  return write;
+}
+
+/// Whether the state service would carry the transaction out while these keys have these versions.
+bool passes(const RecordTransaction& transaction, const std::map<std::string, uint64_t>& versions) {
+  for (const auto& guard : transaction.guards) {
+    const auto held = versions.find(guard.key);
+    const uint64_t version = held == versions.end() ? 0 : held->second;
+    if (version != guard.version) return false;
+  }
+  return true;
+}
+
+using Encoded = std::map<std::string, std::string>;
+Encoded encoded(const RecordTransaction& transaction) {
+  Encoded values;
+  for (const auto& change : encode(transaction.changes)) {
+    EXPECT_EQ(change.lease, 0u) << "records outlive the leader's lease: " << change.key;
+    EXPECT_TRUE(values.emplace(change.key, change.value).second) << "twice: " << change.key;
+  }
+  return values;
+}
+
+TEST(RecordTransaction, IsRefusedOnceAnotherLeaderHasBeenElected) {
+  for (const auto& write :
+       {job_write("a", 4), finished_write("a", 4), host_write("i-1"), host_deletion("i-1")}) {
+    const auto transaction = record_transaction({write}, kTermVersion);
+    EXPECT_TRUE(passes(transaction, {{keys::kTerm, kTermVersion}, {keys::kLive + "a", 4}}));
+    EXPECT_FALSE(passes(transaction, {{keys::kTerm, kTermVersion + 1}, {keys::kLive + "a", 4}}));
+  }
+}
+
+TEST(RecordTransaction, IsRefusedOnceARecordOfItHasChanged) {
+  const std::map<std::string, uint64_t> as_decided{
+      {keys::kTerm, kTermVersion}, {keys::kLive + "a", 4}, {keys::kLive + "b", 9}};
+  const auto transaction =
+      record_transaction({job_write("a", 4), finished_write("b", 9)}, kTermVersion);
+  EXPECT_TRUE(passes(transaction, as_decided));
+  for (const std::string job : {"a", "b"}) {
+    auto changed = as_decided;
+    ++changed[keys::kLive + job];
+    EXPECT_FALSE(passes(transaction, changed)) << job << " was cancelled in between";
+    changed.erase(keys::kLive + job);
+    EXPECT_FALSE(passes(transaction, changed)) << job << " has left the live records";
+  }
+}
+
+TEST(RecordTransaction, MovesAFinishedJobOutOfTheLiveRecordsInOneStep) {
+  const auto write = finished_write("a", 4);
+  const Encoded expected{{keys::kLive + "a", ""},
+                         {keys::kFinished + "a", wire::encode_finished(JobState::Done, 2)}};
+  EXPECT_EQ(encoded(record_transaction({write}, kTermVersion)), expected);
+}
+
+TEST(RecordTransaction, HoldsEveryWriteOnce) {
+  const std::vector<RecordWrite> writes{job_write("a", 4), finished_write("b", 9),
+                                        host_write("i-1"), host_deletion("i-2")};
+  const Encoded expected{
+      {keys::kLive + "a", wire::encode_job(job_record("a"))},
+      {keys::kLive + "b", ""},
+      {keys::kFinished + "b", wire::encode_finished(JobState::Done, 2)},
+      {keys::kHost + "i-1", wire::encode_host({"i-1", "10.0.0.1:9", "g", "east", true})},
+      {keys::kHost + "i-2", ""}};
+  EXPECT_EQ(encoded(record_transaction(writes, kTermVersion)), expected);
+}
+
+/// The leader fills a transaction up to the state service's limit by this count.
+TEST(RecordTransaction, HasAsManyChangesAsItsWritesSay) {
+  for (const auto& write :
+       {job_write("a", 4), finished_write("a", 4), host_write("i-1"), host_deletion("i-1")})
+    EXPECT_EQ(record_transaction({write}, kTermVersion).changes.size(), write.changes());
+}
+
+}  // namespace
+}  // namespace sumacquay
