--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -4,6 +4,9 @@
 
 #include <chrono>
 
+#include "wire/store_messages.h"
+#include "wire/user_messages.h"
+
 namespace sumacquay {
 namespace {
 
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -7,6 +7,8 @@
 #include "net/concurrency_limit.h"
 #include "net/http.h"
 #include "store/mirror.h"
+#include "wire/heartbeat.h"
+#include "wire/records.h"
 
 namespace sumacquay {
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -13,6 +13,7 @@
 #include "peer/peers.h"
 #include "store/mirror.h"
 #include "store/store_client.h"
+#include "wire/messages.h"
 
 namespace sumacquay {
 
--- a/src/peer/peers.h
+++ b/src/peer/peers.h
@@ -6,7 +6,7 @@
 
 #include "config/settings.h"
 #include "net/http.h"
-#include "wire/messages.h"
+#include "wire/heartbeat.h"
 
 namespace sumacquay {
 
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -9,6 +9,8 @@
 
 #include "jobs/record.h"
 #include "store/store_client.h"
+#include "wire/records.h"
+#include "wire/store_messages.h"
 
 namespace sumacquay {
 
--- /dev/null
+++ b/src/wire/cloud_messages.cpp
@@ -0,0 +1,132 @@
+#include "wire/cloud_messages.h"
+
+#include <utility>
+
+#include "wire/codec.h"
+#include "wire/field_names.h"
+
+namespace sumacquay::wire {
+namespace {
+
+using codec::build;
+using codec::Fields;
+using codec::pack_field;
+using codec::Packer;
+
+constexpr size_t kMostTypeNameBytes = 200;
+constexpr size_t kMostNameBytes = 150;
+
+constexpr codec::Spellings<ListedMachine::State, 3> kMachineStates{
+    {{ListedMachine::State::Booting, "starting"},
+     {ListedMachine::State::Running, "running"},
+     {ListedMachine::State::Failed, "failed"}}};
+
+std::optional<MachineType> read_type(View map) {
+  Fields fields(map);
+  MachineType type;
+  type.name = fields.text("sku", 1, kMostTypeNameBytes);
+  type.room.cpus = fields.amount(field::kCpus);
+  type.room.gpus = fields[field::kGpus].number().value_or(0);
+  type.room.memory_gb = fields.amount(field::kMemory);
+  type.cache_gb = fields.amount("local_gb");
+  type.fetch_gb_per_s = fields.amount("fetch_gb_per_s");
+  type.price = fields.amount("hourly");
+  type.spot_price = fields["market_price"].number().value_or(type.price);
+  type.boot_s = fields.amount("boot_s");
+  const View zones = fields["halls"];
+  for (size_t i = 0; i < zones.size(); ++i) type.zones.push_back(zones.at(i).text_or(""));
+  if (!fields.ok()) return std::nullopt;
+  return type;
+}
+
+std::optional<std::vector<MachineType>> read_types(View root) {
+  const View list = root[field::kTypes];
+  if (!list.is_list()) return std::nullopt;
+  std::vector<MachineType> types;
+  for (size_t i = 0; i < list.size(); ++i) {
+    auto type = read_type(list.at(i));
+    if (!type) return std::nullopt;
+    types.push_back(std::move(*type));
+  }
+  return types;
+}
+
+std::optional<ListedMachine> read_machine(View map) {
+  Fields fields(map);
+  ListedMachine machine;
+  machine.id = fields.text(field::kId, 1, kMostNameBytes);
+  machine.addr = fields[field::kAddress].text_or("");
+  machine.type = fields.text(field::kType, 0, kMostNameBytes);
+  machine.zone = fields.text(field::kZone, 0, kMostNameBytes);
+  machine.spot = fields.flag(field::kSpot);
+  machine.state = fields.choice(field::kStage, kMachineStates);
+  machine.age_s = fields["age_s"].number().value_or(0);
+  if (!fields.ok()) return std::nullopt;
+  return machine;
+}
+
+std::optional<MachinePage> read_machines(View root) {
+  const View list = root[field::kMachines];
+  if (!list.is_list()) return std::nullopt;
+  MachinePage page;
+  page.more = root[field::kMore].flag().value_or(false);
+  for (size_t i = 0; i < list.size(); ++i) {
+    auto machine = read_machine(list.at(i));
+    if (!machine) return std::nullopt;
+    page.machines.push_back(std::move(*machine));
+  }
+  return page;
+}
+
+std::optional<std::vector<std::string>> read_rented(View root) {
+  const View list = root[field::kMachines];
+  if (!list.is_list()) return std::nullopt;
+  std::vector<std::string> machines;
+  for (size_t i = 0; i < list.size(); ++i) {
+    const auto id = list.at(i).text();
+    if (id) machines.push_back(*id);
+  }
+  return machines;
+}
+
+}  // namespace
+
+std::optional<std::vector<MachineType>> parse_types(std::string_view body) {
+  return codec::read_root<std::vector<MachineType>>(body, read_types);
+}
+
+std::string machines_path(const std::string& after, int limit) {
+  std::string target = std::string(path::kMachines) + "?most=" + std::to_string(limit);
+  if (!after.empty()) target += "&after=" + after;
+  return target;
+}
+
+std::optional<MachinePage> parse_machines(std::string_view body) {
+  return codec::read_root<MachinePage>(body, read_machines);
+}
+
+std::string rent_body(const std::string& request, const std::string& type, const std::string& zone,
+                      bool spot, int count) {
+  return build([&](Packer& packer) {
+    packer.pack_map(5);
+    pack_field(packer, "hire", request);
+    pack_field(packer, field::kType, type);
+    pack_field(packer, field::kZone, zone);
+    pack_field(packer, field::kSpot, spot);
+    pack_field(packer, "how_many", static_cast<uint64_t>(count));
+  });
+}
+
+std::optional<std::vector<std::string>> parse_rented(std::string_view body) {
+  return codec::read_root<std::vector<std::string>>(body, read_rented);
+}
+
+std::string release_body(const std::vector<std::string>& machines) {
+  return build([&](Packer& packer) {
+    packer.pack_map(1);
+    codec::pack_text(packer, field::kMachines);
+    codec::pack_texts(packer, machines);
+  });
+}
+
+}  // namespace sumacquay::wire
--- /dev/null
+++ b/src/wire/job_spec_codec.cpp
@@ -0,0 +1,110 @@
+#include "wire/job_spec_codec.h"
+
+#include "wire/field_names.h"
+#include "wire/user_messages.h"
+
+namespace sumacquay::wire::codec {
+namespace {
+
+constexpr size_t kMostNameBytes = 200;
+constexpr size_t kMostTypes = 64;
+constexpr uint64_t kMostTasks = 100000;
+constexpr uint32_t kRequiredFields = 17;
+
+constexpr const char* kJobClass = "pattern";
+constexpr const char* kTeam = "guild";
+constexpr const char* kKind = "weave";
+constexpr const char* kPriority = "urgency";
+constexpr const char* kImage = "bolt";
+constexpr const char* kImageSize = "image_gb";
+constexpr const char* kOneZone = "together";
+constexpr const char* kSpread = "scatter";
+constexpr const char* kEstimate = "reckon_s";
+constexpr const char* kCheckpoint = "mark_s";
+constexpr const char* kSave = "stow_s";
+constexpr const char* kDeadline = "due_s";
+
+constexpr Spellings<JobKind, 3> kKinds{
+    {{JobKind::Array, "sweep"}, {JobKind::Gang, "ensemble"}, {JobKind::Service, "service"}}};
+constexpr Spellings<Priority, 4> kPriorities{{{Priority::Production, "production"},
+                                              {Priority::High, "high"},
+                                              {Priority::Normal, "normal"},
+                                              {Priority::Low, "best_effort"}}};
+
+/// The machine types that the job may run on; where the field is missing, any.
+void read_types(Fields& fields, JobSpec& spec) {
+  const View types = fields[field::kTypes];
+  if (types.missing()) return;
+  if (!types.is_list() || types.size() > kMostTypes) fields.note_invalid(field::kTypes);
+  spec.types.emplace();
+  for (size_t i = 0; i < types.size() && fields.ok(); ++i) {
+    const auto type = types.at(i).text();
+    if (!type || type->size() > kMostNameBytes)
+      fields.note_invalid(field::kTypes);
+    else
+      spec.types->push_back(*type);
+  }
+}
+
+uint32_t count_fields(const JobSpec& spec) {
+  uint32_t count = kRequiredFields;
+  if (spec.types) ++count;
+  if (spec.zone) ++count;
+  if (spec.deadline_s) ++count;
+  return count;
+}
+
+}  // namespace
+
+void read_spec(Fields& fields, JobSpec& spec) {
+  spec.id = fields.text(field::kId, 1, kMostNameBytes);
+  if (fields.ok() && !valid_job_id(spec.id)) fields.note_invalid(field::kId);
+  spec.job_class = fields.text(kJobClass, 0, kMostNameBytes);
+  spec.team = fields.text(kTeam, 0, kMostNameBytes);
+  spec.kind = fields.choice(kKind, kKinds);
+  spec.priority = fields.choice(kPriority, kPriorities);
+  spec.tasks = static_cast<uint32_t>(fields.count(field::kTasks, 1, kMostTasks));
+  spec.need.cpus = fields.amount(field::kCpus);
+  spec.need.gpus = fields.amount(field::kGpus);
+  spec.need.memory_gb = fields.amount(field::kMemory);
+  spec.image = fields.text(kImage, 0, kMostNameBytes);
+  spec.image_gb = fields.amount(kImageSize);
+  read_types(fields, spec);
+  if (!fields[field::kZone].missing()) spec.zone = fields.text(field::kZone, 0, kMostNameBytes);
+  spec.one_zone = fields.flag(kOneZone);
+  spec.spread = fields.flag(kSpread);
+  spec.spot = fields.flag(field::kSpot);
+  spec.estimate_s = fields.amount(kEstimate);
+  spec.checkpoint_s = fields.amount(kCheckpoint);
+  spec.save_s = fields.amount(kSave);
+  if (!fields[kDeadline].missing()) spec.deadline_s = fields.amount(kDeadline);
+}
+
+void pack_spec(Packer& packer, const JobSpec& spec) {
+  packer.pack_map(count_fields(spec));
+  pack_field(packer, field::kId, spec.id);
+  pack_field(packer, kJobClass, spec.job_class);
+  pack_field(packer, kTeam, spec.team);
+  pack_field(packer, kKind, spelling_of(kKinds, spec.kind));
+  pack_field(packer, kPriority, spelling_of(kPriorities, spec.priority));
+  pack_field(packer, field::kTasks, uint64_t{spec.tasks});
+  pack_field(packer, field::kCpus, spec.need.cpus);
+  pack_field(packer, field::kGpus, spec.need.gpus);
+  pack_field(packer, field::kMemory, spec.need.memory_gb);
+  pack_field(packer, kImage, spec.image);
+  pack_field(packer, kImageSize, spec.image_gb);
+  if (spec.types) {
+    pack_text(packer, field::kTypes);
+    pack_texts(packer, *spec.types);
+  }
+  if (spec.zone) pack_field(packer, field::kZone, *spec.zone);
+  pack_field(packer, kOneZone, spec.one_zone);
+  pack_field(packer, kSpread, spec.spread);
+  pack_field(packer, field::kSpot, spec.spot);
+  pack_field(packer, kEstimate, spec.estimate_s);
+  pack_field(packer, kCheckpoint, spec.checkpoint_s);
+  pack_field(packer, kSave, spec.save_s);
+  if (spec.deadline_s) pack_field(packer, kDeadline, *spec.deadline_s);
+}
+
+}  // namespace sumacquay::wire::codec
--- /dev/null
+++ b/src/wire/records.cpp
@@ -0,0 +1,157 @@
+#include "wire/records.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "wire/codec.h"
+#include "wire/job_spec_codec.h"
+
+namespace sumacquay::wire {
+namespace {
+
+using codec::build;
+using codec::pack_field;
+using codec::Packer;
+using codec::value_of;
+
+constexpr const char* kSpec = "spec";
+constexpr const char* kState = "state";
+constexpr const char* kStarted = "started";
+constexpr const char* kHosts = "hosts";
+constexpr const char* kSubmittedAt = "at_ms";
+constexpr const char* kDone = "done";
+
+constexpr const char* kId = "id";
+constexpr const char* kAddress = "addr";
+constexpr const char* kType = "type";
+constexpr const char* kZone = "zone";
+constexpr const char* kSpot = "spot";
+
+constexpr const char* kNode = "node";
+constexpr const char* kNonce = "nonce";
+constexpr const char* kTerm = "term";
+constexpr const char* kLease = "lease";
+
+constexpr codec::Spellings<JobState, 3> kJobStates{
+    {{JobState::Pending, "pending"}, {JobState::Cancelled, "cancelled"}, {JobState::Done, "done"}}};
+
+void pack_ranges(Packer& packer, const Ranges& ranges) {
+  const std::vector<uint32_t> lengths = ranges.to_lengths();
+  codec::pack_list(packer, lengths.size());
+  for (const uint32_t length : lengths) packer.pack_uint32(length);
+}
+
+bool read_ranges(View value, uint32_t most, Ranges& ranges) {
+  std::vector<uint32_t> lengths;
+  for (size_t i = 0; i < value.size(); ++i) {
+    // A number that can't be read is past any limit, and so makes the whole invalid.
+    const uint64_t length = value.at(i).count().value_or(UINT32_MAX);
+    lengths.push_back(static_cast<uint32_t>(length));
+  }
+  return Ranges::from_lengths(lengths, most, ranges);
+}
+
+std::vector<std::string> read_texts(View list) {
+  std::vector<std::string> texts;
+  for (size_t i = 0; i < list.size(); ++i) texts.push_back(list.at(i).text_or(""));
+  return texts;
+}
+
+}  // namespace
+
+std::string encode_job(const JobRecord& record) {
+  return build([&](Packer& packer) {
+    packer.pack_map(record.hosts ? 6 : 5);
+    codec::pack_text(packer, kSpec);
+    codec::pack_spec(packer, record.spec);
+    pack_field(packer, kState, spelling_of(kJobStates, record.state));
+    pack_field(packer, kStarted, record.started);
+    if (record.hosts) {
+      codec::pack_text(packer, kHosts);
+      codec::pack_texts(packer, *record.hosts);
+    }
+    pack_field(packer, kSubmittedAt, record.submitted_ms);
+    codec::pack_text(packer, kDone);
+    pack_ranges(packer, record.done);
+  });
+}
+
+std::optional<JobRecord> decode_job(View value) {
+  JobRecord record;
+  const View spec = value[kSpec];
+  const View done = value[kDone];
+  if (!spec.is_map() || !done.is_list()) return std::nullopt;
+  codec::Fields fields(spec);
+  codec::read_spec(fields, record.spec);
+  if (!fields.ok()) return std::nullopt;
+  const auto state = value_of(kJobStates, value[kState]);
+  const auto started = value[kStarted].flag();
+  const auto submitted_ms = value[kSubmittedAt].count();
+  if (!state || !started || !submitted_ms) return std::nullopt;
+  record.state = *state;
+  record.started = *started;
+  record.submitted_ms = *submitted_ms;
+  if (const View hosts = value[kHosts]; hosts.is_list()) {
+    record.hosts = read_texts(hosts);
+    if (!std::is_sorted(record.hosts->begin(), record.hosts->end())) return std::nullopt;
+  }
+  if (!read_ranges(done, record.spec.tasks, record.done)) return std::nullopt;
+  return record;
+}
+
+std::string encode_finished(JobState state, uint32_t done) {
+  return build([&](Packer& packer) {
+    packer.pack_map(2);
+    pack_field(packer, kState, spelling_of(kJobStates, state));
+    pack_field(packer, kDone, uint64_t{done});
+  });
+}
+
+std::optional<FinishedRecord> decode_finished(View value) {
+  const auto state = value_of(kJobStates, value[kState]);
+  const auto done = value[kDone].count();
+  if (!state || !done) return std::nullopt;
+  return FinishedRecord{*state, static_cast<uint32_t>(*done)};
+}
+
+std::string encode_host(const HostRecord& host) {
+  return build([&](Packer& packer) {
+    packer.pack_map(5);
+    pack_field(packer, kId, host.id);
+    pack_field(packer, kAddress, host.addr);
+    pack_field(packer, kType, host.type);
+    pack_field(packer, kZone, host.zone);
+    pack_field(packer, kSpot, host.spot);
+  });
+}
+
+std::optional<HostRecord> decode_host(View value) {
+  const auto id = value[kId].text();
+  const auto address = value[kAddress].text();
+  const auto type = value[kType].text();
+  const auto zone = value[kZone].text();
+  const auto spot = value[kSpot].flag();
+  if (!id || !address || !type || !zone || !spot) return std::nullopt;
+  return HostRecord{*id, *address, *type, *zone, *spot};
+}
+
+std::string encode_leader(const LeaderRecord& record) {
+  return build([&](Packer& packer) {
+    packer.pack_map(4);
+    pack_field(packer, kNode, record.node);
+    pack_field(packer, kNonce, record.nonce);
+    pack_field(packer, kTerm, record.term);
+    pack_field(packer, kLease, record.lease);
+  });
+}
+
+std::optional<LeaderRecord> decode_leader(View value) {
+  const auto node = value[kNode].text();
+  const auto nonce = value[kNonce].count();
+  const auto term = value[kTerm].count();
+  if (!node || !nonce || !term) return std::nullopt;
+  return LeaderRecord{*node, *nonce, *term, value[kLease].count().value_or(0)};
+}
+
+}  // namespace sumacquay::wire
--- /dev/null
+++ b/src/wire/store_messages.cpp
@@ -0,0 +1,162 @@
+#include "wire/store_messages.h"
+
+#include <utility>
+
+#include "wire/codec.h"
+#include "wire/field_names.h"
+
+namespace sumacquay::wire {
+namespace {
+
+using codec::pack_field;
+using codec::pack_list;
+using codec::pack_text;
+using codec::Packer;
+
+constexpr const char* kKey = "path";
+constexpr const char* kVersion = "stamp";
+constexpr const char* kValue = "v";
+constexpr const char* kRevision = "epoch";
+constexpr const char* kLease = "charter";
+constexpr const char* kSet = "set";
+constexpr const char* kDelete = "delete";
+
+std::optional<StoreItem> read_item(View item) {
+  const auto key = item[kKey].text();
+  const auto version = item[kVersion].count();
+  if (!key || !version) return std::nullopt;
+  return StoreItem{*key, item[kValue], *version};
+}
+
+std::optional<StoreItem> read_change(View change) {
+  const auto version = change[kVersion].count();
+  if (!version) return std::nullopt;
+  if (const auto key = change[kSet].text()) return StoreItem{*key, change[kValue], *version};
+  if (const auto key = change[kDelete].text()) return StoreItem{*key, View(), *version};
+  return std::nullopt;
+}
+
+using ReadItem = std::optional<StoreItem> (*)(View);
+
+/// Reads an answer that holds a list under this name.
+std::optional<StorePage> parse_list(std::string_view body, const char* list_name, ReadItem read) {
+  StorePage page;
+  page.document = Document::parse(body);
+  if (!page.document) return std::nullopt;
+  const View root = page.document->root();
+  const View list = root[list_name];
+  const auto revision = root[kRevision].count();
+  if (!list.is_list() || !revision) return std::nullopt;
+  page.revision = *revision;
+  page.more = root[field::kMore].flag().value_or(false);
+  for (size_t i = 0; i < list.size(); ++i) {
+    auto item = read(list.at(i));
+    if (!item) return std::nullopt;
+    page.items.push_back(std::move(*item));
+  }
+  return page;
+}
+
+void pack_guards(Packer& packer, const std::vector<Guard>& guards) {
+  pack_text(packer, "guards");
+  pack_list(packer, guards.size());
+  for (const auto& guard : guards) {
+    packer.pack_map(2);
+    pack_field(packer, kKey, guard.key);
+    pack_field(packer, kVersion, guard.version);
+  }
+}
+
+void pack_change(codec::Buffer& buffer, Packer& packer, const Change& change) {
+  if (change.value.empty()) {
+    packer.pack_map(1);
+    pack_field(packer, kDelete, change.key);
+    return;
+  }
+  packer.pack_map(change.lease ? 3 : 2);
+  pack_field(packer, kSet, change.key);
+  pack_text(packer, kValue);
+  buffer.write(change.value.data(), change.value.size());  // it is encoded already
+  if (change.lease) pack_field(packer, kLease, change.lease);
+}
+
+}  // namespace
+
+std::string item_path(const std::string& key) {
+  return std::string(path::kStore) + "/" + key;
+}
+
+std::optional<StorePage> parse_item(std::string_view body) {
+  StorePage page;
+  page.document = Document::parse(body);
+  if (!page.document) return std::nullopt;
+  auto item = read_item(page.document->root());
+  if (!item) return std::nullopt;
+  page.items.push_back(std::move(*item));
+  return page;
+}
+
+std::string page_path(const std::string& prefix, const std::string& after, int limit) {
+  std::string target =
+      std::string(path::kStore) + "?under=" + prefix + "&most=" + std::to_string(limit);
+  if (!after.empty()) target += "&after=" + after;
+  return target;
+}
+
+std::optional<StorePage> parse_page(std::string_view body) {
+  return parse_list(body, "items", read_item);
+}
+
+std::string changes_path(const std::string& prefix, uint64_t after, uint64_t wait_ms) {
+  return std::string(path::kChanges) + "?under=" + prefix + "&after=" + std::to_string(after) +
+         "&block_ms=" + std::to_string(wait_ms);
+}
+
+std::optional<StorePage> parse_changes(std::string_view body) {
+  return parse_list(body, "log", read_change);
+}
+
+std::string transaction_body(const std::vector<Guard>& guards, const std::vector<Change>& changes) {
+  codec::Buffer buffer;
+  Packer packer(buffer);
+  packer.pack_map(2);
+  pack_guards(packer, guards);
+  pack_text(packer, "apply");
+  pack_list(packer, changes.size());
+  for (const auto& change : changes) pack_change(buffer, packer, change);
+  return std::string(buffer.data(), buffer.size());
+}
+
+std::optional<uint64_t> parse_revision(std::string_view body) {
+  return codec::read_root<uint64_t>(body, [](View root) { return root[kRevision].count(); });
+}
+
+std::vector<std::string> parse_failed(std::string_view body) {
+  std::vector<std::string> keys;
+  const auto document = Document::parse(body);
+  if (!document) return keys;
+  const View failed = document->root()["failed"];
+  for (size_t i = 0; i < failed.size(); ++i) keys.push_back(failed.at(i).text_or(""));
+  return keys;
+}
+
+std::string grant_body(uint64_t ttl_ms) {
+  return codec::build([&](Packer& packer) {
+    packer.pack_map(1);
+    pack_field(packer, "life_ms", ttl_ms);
+  });
+}
+
+std::optional<uint64_t> parse_lease(std::string_view body) {
+  return codec::read_root<uint64_t>(body, [](View root) { return root[kLease].count(); });
+}
+
+std::string grant_path(uint64_t lease) {
+  return std::string(path::kGrants) + "/" + std::to_string(lease);
+}
+
+std::string renew_path(uint64_t lease) {
+  return grant_path(lease) + "/renew";
+}
+
+}  // namespace sumacquay::wire
--- /dev/null
+++ b/src/wire/view.cpp
@@ -0,0 +1,29 @@
+#include "wire/view.h"
+
+#include <new>
+
+namespace sumacquay::wire {
+
+std::shared_ptr<Document> Document::parse(std::string_view bytes) {
+  constexpr size_t kMostDepth = 16;
+  auto document = std::make_shared<Document>();
+  document->bytes_ = std::string(bytes);
+  // A list's or map's header may claim 2^32 members: none can have more than there are bytes.
+  const size_t most = bytes.size();
+  const msgpack::unpack_limit limit(most, most, most, 0, 0, kMostDepth);
+  // Texts stay in `bytes_` instead of being copied.
+  const auto refer_to_bytes = [](msgpack::type::object_type, std::size_t, void*) { return true; };
+  try {
+    size_t used = 0;
+    document->handle_ = msgpack::unpack(document->bytes_.data(), document->bytes_.size(), used,
+                                        refer_to_bytes, nullptr, limit);
+    if (used != bytes.size()) return nullptr;
+  } catch (const msgpack::unpack_error&) {
+    return nullptr;
+  } catch (const std::bad_alloc&) {
+    return nullptr;
+  }
+  return document;
+}
+
+}  // namespace sumacquay::wire
--- /dev/null
+++ b/src/wire/worker_messages.cpp
@@ -0,0 +1,143 @@
+#include "wire/worker_messages.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "wire/codec.h"
+#include "wire/field_names.h"
+
+namespace sumacquay::wire {
+namespace {
+
+using codec::build;
+using codec::Fields;
+using codec::pack_field;
+using codec::Packer;
+using codec::Spellings;
+using codec::value_of;
+
+constexpr size_t kMostNameBytes = 150;
+
+constexpr Spellings<TaskState, 5> kTaskStates{{{TaskState::Fetching, "fetching"},
+                                               {TaskState::Waiting, "waiting"},
+                                               {TaskState::Running, "running"},
+                                               {TaskState::Saving, "flushing"},
+                                               {TaskState::Exited, "exited"}}};
+constexpr Spellings<ExitCause, 8> kExitCauses{{{ExitCause::Done, "done"},
+                                               {ExitCause::Stopped, "stopped"},
+                                               {ExitCause::Peers, "mates_gone"},
+                                               {ExitCause::Alone, "alone"},
+                                               {ExitCause::Error, "error"},
+                                               {ExitCause::NoRoom, "no_room"},
+                                               {ExitCause::Busy, "in_use"},
+                                               {ExitCause::Unknown, "unknown"}}};
+constexpr Spellings<Verb, 3> kVerbs{
+    {{Verb::Start, "start"}, {Verb::Stop, "kill"}, {Verb::Forget, "clear"}}};
+
+/// Whether a name can stand in a key of the state service: printable and without spaces.
+bool safe_in_keys(std::string_view name) {
+  return std::all_of(name.begin(), name.end(),
+                     [](unsigned char byte) { return byte > 32 && byte < 127; });
+}
+
+/// A task is named by its job and its number, with a slash between.
+std::string task_name(const TaskKey& key) {
+  return key.job + "/" + std::to_string(key.task);
+}
+
+std::optional<TaskKey> parse_task_name(View value) {
+  const auto name = value.text_view();
+  if (!name) return std::nullopt;
+  const auto slash = name->rfind('/');
+  if (slash == std::string_view::npos || slash == 0) return std::nullopt;
+  TaskKey key{std::string(name->substr(0, slash)), 0};
+  const char* const end = name->data() + name->size();
+  const auto [parsed_to, error] = std::from_chars(name->data() + slash + 1, end, key.task);
+  if (error != std::errc() || parsed_to != end) return std::nullopt;
+  return key;
+}
+
+/// A cause that is missing or unknown counts as an error of a task that has exited.
+ExitCause parse_exit_cause(View task, TaskState state) {
+  const auto cause = value_of(kExitCauses, task["cause"]);
+  if (cause) return *cause;
+  return state == TaskState::Exited ? ExitCause::Error : ExitCause::None;
+}
+
+std::optional<TaskReport> parse_task(View task) {
+  const auto key = parse_task_name(task[field::kTask]);
+  const auto attempt = task[field::kAttempt].count();
+  const auto state = value_of(kTaskStates, task[field::kStage]);
+  if (!key || !attempt || !state) return std::nullopt;
+  return TaskReport{*key, *attempt, *state, parse_exit_cause(task, *state)};
+}
+
+std::optional<WorkerReport> read_report(View root) {
+  Fields fields(root);
+  WorkerReport report;
+  report.machine = fields.text(field::kMachine, 1, kMostNameBytes);
+  report.addr = fields.text(field::kAddress, 1, kMostNameBytes);
+  report.type = fields.text(field::kType, 0, kMostNameBytes);
+  report.zone = fields.text(field::kZone, 0, kMostNameBytes);
+  report.spot = fields.flag(field::kSpot);
+  report.session = fields.count(field::kSession, 0, UINT64_MAX);
+  report.seq = fields.count("tally", 0, UINT64_MAX);
+  report.token = fields.count(field::kToken, 0, UINT64_MAX);
+  report.notice_s = root["warning_s"].number();
+  const View tasks = root[field::kTasks];
+  if (!fields.ok() || !tasks.is_list() || !safe_in_keys(report.machine)) return std::nullopt;
+  for (size_t i = 0; i < tasks.size(); ++i) {
+    auto task = parse_task(tasks.at(i));
+    if (!task) return std::nullopt;
+    report.tasks.push_back(std::move(*task));
+  }
+  return report;
+}
+
+void pack_command(Packer& packer, const Command& command) {
+  const bool stops = command.verb == Verb::Stop;
+  packer.pack_map(stops ? 4 : 3);
+  pack_field(packer, "verb", spelling_of(kVerbs, command.verb));
+  pack_field(packer, field::kTask, task_name(command.key));
+  pack_field(packer, field::kAttempt, command.attempt);
+  if (stops) pack_field(packer, "easing_s", command.grace_s);
+}
+
+void pack_commands(Packer& packer, const std::vector<Command>& commands) {
+  codec::pack_text(packer, "orders");
+  codec::pack_list(packer, commands.size());
+  for (const auto& command : commands) pack_command(packer, command);
+}
+
+}  // namespace
+
+std::optional<WorkerReport> parse_report(std::string_view body) {
+  return codec::read_root<WorkerReport>(body, read_report);
+}
+
+std::string report_answer(uint64_t token, const std::vector<Command>& commands) {
+  return build([&](Packer& packer) {
+    packer.pack_map(2);
+    pack_field(packer, field::kToken, token);
+    pack_commands(packer, commands);
+  });
+}
+
+std::string redirect_body(const std::string& node) {
+  return build([&](Packer& packer) {
+    packer.pack_map(node.empty() ? 0 : 1);
+    if (!node.empty()) pack_field(packer, "foreman", node);
+  });
+}
+
+std::string orders_body(uint64_t token, uint64_t session, const std::vector<Command>& commands) {
+  return build([&](Packer& packer) {
+    packer.pack_map(3);
+    pack_field(packer, field::kToken, token);
+    pack_field(packer, field::kSession, session);
+    pack_commands(packer, commands);
+  });
+}
+
+}  // namespace sumacquay::wire
