--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -3,11 +3,14 @@
 // are lost, doubled and late.
 #include <gtest/gtest.h>
 
-#include "world.h"
+#include "world/world.h"
 
 namespace sumacquay {
 namespace {
 
+using simulation::World;
+using simulation::WorldOptions;
+
 struct Sums {
   size_t starts = 0, jobs = 0, delegated = 0, terms = 0, late_reports = 0, late_writes = 0;
 };
@@ -19,17 +22,17 @@
     options.nominal_boot_s = seed % 2 ? 5 : 60;
     World world(seed, options);
     world.run(300, 250);
-    EXPECT_EQ(world.broken(), std::vector<std::string>{}) << "seed " << seed;
+    EXPECT_EQ(world.checker().violations(), std::vector<std::string>{}) << "seed " << seed;
     EXPECT_EQ(world.unfinished(), 0u) << "seed " << seed;
     // Who acts without having seen the cancellation does so for a leader's lease at most, beside
     // what its last look takes.
-    EXPECT_LE(world.ordered_after_cancel(), 3.5) << "seed " << seed;
-    sums.starts += world.starts();
-    sums.delegated += world.delegated();
+    EXPECT_LE(world.checker().ordered_after_cancel(), 3.5) << "seed " << seed;
+    sums.starts += world.checker().starts();
+    sums.delegated += world.workers().delegated();
     sums.jobs += world.submitted();
-    sums.terms += world.terms();
-    sums.late_reports += world.late_reports_to_new_leader();
-    sums.late_writes += world.late_writes_tried();
+    sums.terms += world.checker().terms();
+    sums.late_reports += world.workers().copies_heard_by_new_leader();
+    sums.late_writes += world.state().late_writes_tried();
     if (::testing::Test::HasFailure()) break;
   }
   return sums;
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -1,11 +1,17 @@
 // Troubles that meet: each scripted over fixed seeds, with proof that the meeting came about.
 #include <gtest/gtest.h>
 
-#include "world.h"
+#include <optional>
+
+#include "world/world.h"
 
 namespace sumacquay {
 namespace {
 
+using simulation::CopyDelivery;
+using simulation::World;
+using simulation::WorldOptions;
+
 constexpr uint64_t kSeeds = 8;
 
 /// A deployment at work: services and long tasks, so that cancellations have something to stop.
@@ -19,23 +25,24 @@
 /// Half of a team's limit and all of another's work.
 void submit_services(World& world, int count) {
   for (int i = 0; i < count; ++i) {
-    JobSpec s = world.any_spec();
+    JobSpec s = world.users().any_spec();
     s.kind = i % 3 == 2 ? JobKind::Array : JobKind::Service;
     s.tasks = 1 + static_cast<uint32_t>(i % 2);
     s.spread = s.one_zone = false;
     s.team = i % 2 ? "limited" : "open";
-    world.submit(s);
+    world.users().submit(s);
   }
 }
 void settle(World& world, int jobs = 6, Seconds span = 40) {
-  world.run_until([&] { return world.leader() >= 0; }, 20);
+  world.run_until([&] { return world.leader().has_value(); }, 20);
   submit_services(world, jobs);
   world.run_for(span);
 }
-std::vector<std::string> cancel_running(World& world, size_t most, int via = -1) {
+std::vector<std::string> cancel_running(World& world, size_t most,
+                                        std::optional<size_t> first = std::nullopt) {
   auto jobs = world.jobs_running();
   if (jobs.size() > most) jobs.resize(most);
-  for (const auto& id : jobs) world.cancel(id, via);
+  for (const auto& id : jobs) world.users().cancel(id, first);
   return jobs;
 }
 size_t confirmed(const World& world, const std::vector<std::string>& jobs) {
@@ -63,10 +70,10 @@
     // Silent machines are given back and gone within seconds, or kept for the length of a cut.
     mine.nominal_boot_s = seed % 2 ? 5 : 120;
     World world(seed, mine);
-    if (seed % 4 < 2) world.late_releases(1000);
+    if (seed % 4 < 2) world.faults().late_releases(1000);
     meetings += script(world);
     world.finish();
-    EXPECT_EQ(world.broken(), std::vector<std::string>{}) << "seed " << seed;
+    EXPECT_EQ(world.checker().violations(), std::vector<std::string>{}) << "seed " << seed;
     EXPECT_EQ(world.unfinished(), 0u) << "seed " << seed;
   }
   EXPECT_GE(meetings, least_meetings) << "the meeting hardly came about";
@@ -85,8 +92,8 @@
 void silence(World& world, const std::vector<std::string>& jobs, Seconds span) {
   for (const auto& id : jobs)
     for (const auto& m : world.machines_of(id)) {
-      world.deafen(m, span);
-      world.hold_orders(m, span + world.between(0, 30));
+      world.faults().deafen(m, span);
+      world.faults().hold_orders(m, span + world.between(0, 30));
     }
 }
 
@@ -95,15 +102,15 @@
 /// Cancellations in the gap: confirmed by another controller after the refused leader's last look.
 size_t gap(World& world, Seconds refused_for) {
   settle(world);
-  const int old = world.leader();
-  if (old < 0) return 0;
+  const auto old = world.leader();
+  if (!old) return 0;
   const Seconds began = world.now();
-  world.refuse(old, 200);
+  world.faults().refuse(*old, 200);
   world.run_for(0.3);
   const auto jobs = cancel_running(world, 3, world.follower());
   if (refused_for > 2) silence(world, jobs, refused_for + 0.5);
   world.run_for(refused_for);
-  world.outage(40);
+  world.faults().outage(40);
   const Seconds out = world.now();
   world.run_for(45);
   return confirmed_within(world, jobs, began, out);
@@ -123,14 +130,14 @@
 /// are deaf for less than it takes them to turn to the next node twice: their leases go on.
 size_t known_but_stop_lost(World& world, Seconds refused_after, Seconds out_after, Seconds deaf) {
   settle(world);
-  const int old = world.leader();
-  if (old < 0) return 0;
+  const auto old = world.leader();
+  if (!old) return 0;
   auto running = world.jobs_running();
   if (running.size() > 3) running.resize(3);
   silence(world, running, deaf);
-  for (const auto& id : running) world.cancel(id, world.follower());
-  world.at(refused_after, [&world, old] { world.refuse(old, 200); });
-  world.at(out_after, [&world] { world.outage(40); });
+  for (const auto& id : running) world.users().cancel(id, world.follower());
+  world.at(refused_after, [&world, old] { world.faults().refuse(*old, 200); });
+  world.at(out_after, [&world] { world.faults().outage(40); });
   world.run_for(deaf - 0.1);
   size_t met = 0;
   for (const auto& id : running) met += world.cancelled_at(id) && !world.machines_of(id).empty();
@@ -155,10 +162,10 @@
     auto running = world.jobs_running();
     if (running.size() > 3) running.resize(3);
     silence(world, running, world.between(1, 8));
-    for (const auto& id : running) world.cancel(id);
+    for (const auto& id : running) world.users().cancel(id);
     world.run_for(world.between(0.2, 0.6));
     const size_t met = confirmed(world, running);
-    world.outage(40);
+    world.faults().outage(40);
     world.run_for(45);
     return met;
   });
@@ -170,12 +177,12 @@
   meet_in_both(
       [](World& world) {
         settle(world);
-        world.late_reports(0.7, 12);
+        world.faults().late_reports(0.7, 12);
         world.run_for(4);
         cancel_running(world, 2);
-        world.end_process(std::max(world.leader(), 0), 3);
+        world.faults().end_process(world.leader_or_first(), 3);
         world.run_for(30);
-        return world.late_reports_to_new_leader();
+        return world.workers().copies_heard_by_new_leader();
       },
       30);
 }
@@ -185,14 +192,14 @@
       [](World& world) {
         settle(world);
         for (int i = 0; i < 3; ++i) {
-          world.late_reports(1, 6, true);
+          world.faults().late_reports(1, 6, CopyDelivery::ToNextLeaderOnce);
           world.run_for(5);
           cancel_running(world, 1);
           submit_services(world, 2);
-          world.end_process(std::max(world.leader(), 0), 1);
+          world.faults().end_process(world.leader_or_first(), 1);
           world.run_for(18);
         }
-        return world.late_reports_to_new_leader();
+        return world.workers().copies_heard_by_new_leader();
       },
       50);
 }
@@ -201,16 +208,16 @@
   meet_in_both(
       [](World& world) {
         settle(world);
-        world.late_reports(0.6, 40);
+        world.faults().late_reports(0.6, 40);
         for (int i = 0; i < 3; ++i) {
           for (const auto& m : world.machines())
-            if (world.chance(0.5)) world.cut(m, world.between(11, 16));
+            if (world.chance(0.5)) world.faults().cut(m, world.between(11, 16));
           world.run_for(12);
           cancel_running(world, 1);
           submit_services(world, 1);
         }
         world.run_for(20);
-        return world.late_reports_heard();
+        return world.workers().copies_heard();
       },
       200);
 }
@@ -223,17 +230,17 @@
       o,
       [](World& world) {
         settle(world, 4, 20);
-        const size_t before = world.starts();
-        world.slow_reports(70);
+        const size_t before = world.checker().starts();
+        world.faults().slow_reports(70);
         for (int i = 0; i < 20; ++i) {
-          JobSpec s = world.any_spec();
+          JobSpec s = world.users().any_spec();
           s.kind = JobKind::Array;
           s.spread = s.one_zone = false;
-          world.submit(s);
+          world.users().submit(s);
           world.run_for(world.between(1, 4));
           if (i % 5 == 4) cancel_running(world, 1);
         }
-        return world.starts() - before;
+        return world.checker().starts() - before;
       },
       20 * kSeeds);
 }
@@ -245,7 +252,7 @@
     settle(world);
     const std::string zone = world.chance(0.5) ? "east" : "west";
     const Seconds began = world.now();
-    world.cut_zone(zone, world.between(15, 45));
+    world.faults().cut_zone(zone, world.between(15, 45));
     world.run_for(world.between(0.5, 3));
     const auto jobs = cancel_running(world, 2);
     world.run_for(50);
@@ -265,7 +272,7 @@
       [&apart](World& world) -> size_t {
         // Workers of the east find a node there in time only if the leader is the one in the west.
         for (int tries = 0; tries < 12 && world.leader() != 1; ++tries) {
-          if (world.leader() >= 0) world.end_process(world.leader(), 3);
+          if (const auto leader = world.leader()) world.faults().end_process(*leader, 3);
           world.run_for(5);
         }
         if (world.leader() != 1) return 0;
@@ -276,15 +283,15 @@
           for (const auto& m : world.machines_of(id))
             if (world.zone_of(m) == "east" && (there.empty() || there.back() != id))
               there.push_back(id);
-        const size_t before = world.delegated();
-        world.cut_zone("east", 45);
+        const size_t before = world.workers().delegated();
+        world.faults().cut_zone("east", 45);
         world.run_for(10);
         cancel_running(world, 2);
         world.run_for(3);  // past the lease that the leader itself gave
         for (const auto& id : there)
           for (const auto& m : world.machines_of(id)) apart += world.zone_of(m) == "east";
         world.run_for(35);
-        return world.delegated() - before;
+        return world.workers().delegated() - before;
       },
       10 * kSeeds);
   EXPECT_GE(apart, 5 * kSeeds) << "tasks hardly outlived the leader's own answers";
@@ -293,15 +300,15 @@
 TEST(Meetings, ALeaderIsCutFromStateAndPeersWhileWorkersAndUsersReachIt) {
   meet_in_both([](World& world) -> size_t {
     settle(world);
-    const int old = world.leader();
-    if (old < 0) return 0;
-    const uint64_t term = world.highest_term();
-    world.cut_from_state(old, 40);
-    world.cut_from_peers(old, 40);
+    const auto old = world.leader();
+    if (!old) return 0;
+    const uint64_t term = world.checker().highest_term();
+    world.faults().cut_from_state(*old, 40);
+    world.faults().cut_from_peers(*old, 40);
     world.run_for(world.between(0.1, 4));
     const auto jobs = cancel_running(world, 3, old);
     world.run_for(45);
-    return world.highest_term() > term ? confirmed(world, jobs) : 0;
+    return world.checker().highest_term() > term ? confirmed(world, jobs) : 0;
   });
 }
 
@@ -310,15 +317,15 @@
     settle(world);
     size_t met = 0;
     for (int which = 1; which < 8; ++which) {
-      const int old = world.leader();
-      if (old < 0) {
+      const auto old = world.leader();
+      if (!old) {
         world.run_for(5);
         continue;
       }
       const Seconds span = world.between(4, 16);
-      if (which & 1) world.cut_from_state(old, span);
-      if (which & 2) world.cut_from_peers(old, span);
-      if (which & 4) world.cut_from_workers(old, span);
+      if (which & 1) world.faults().cut_from_state(*old, span);
+      if (which & 2) world.faults().cut_from_peers(*old, span);
+      if (which & 4) world.faults().cut_from_workers(*old, span);
       world.run_for(world.between(0.1, 3));
       const auto jobs = cancel_running(world, 1);
       submit_services(world, 1);
@@ -332,13 +339,13 @@
 TEST(Meetings, WorkersReachNoControllerWhileDirectCommandsReachThem) {
   meet_in_both([](World& world) {
     settle(world);
-    for (const auto& m : world.machines()) world.mute(m, world.between(15, 40));
+    for (const auto& m : world.machines()) world.faults().mute(m, world.between(15, 40));
     world.run_for(world.between(0.5, 8));
     const Seconds began = world.now();
     const auto jobs = cancel_running(world, 3);
     submit_services(world, 2);
     world.run_for(3);
-    if (world.chance(0.5)) world.end_process(std::max(world.leader(), 0), 2);
+    if (world.chance(0.5)) world.faults().end_process(world.leader_or_first(), 2);
     world.run_for(40);
     return confirmed_within(world, jobs, began, began + 5);
   });
@@ -357,7 +364,7 @@
         world.at(world.between(0, 4), [&world, &jobs] {
           for (const auto& id : cancel_running(world, 1)) jobs.push_back(id);
         });
-      world.end_process(std::max(world.leader(), 0), world.between(0.3, 5));
+      world.faults().end_process(world.leader_or_first(), world.between(0.3, 5));
       world.run_for(6);
       submit_services(world, 4);
       met += confirmed_within(world, jobs, began, began + 6);
@@ -379,19 +386,19 @@
         const Seconds span = world.between(3, 25);
         switch (world.any(3)) {
           case 0:
-            world.cut(m, span);
+            world.faults().cut(m, span);
             break;
           case 1:
-            world.hang(m, span);
+            world.faults().hang(m, span);
             break;
           default:
-            world.deafen(m, span);
+            world.faults().deafen(m, span);
         }
       }
-      world.cancel(id);
+      world.users().cancel(id);
     }
     world.run_for(world.between(0.1, 2));
-    world.end_process(std::max(world.leader(), 0), 3);
+    world.faults().end_process(world.leader_or_first(), 3);
     submit_services(world, 6);
     world.run_for(40);
     met += confirmed_within(world, jobs, began, began + 15);
@@ -404,11 +411,11 @@
     settle(world, 12, 60);
     const auto all = world.machines();
     for (size_t i = 0; i < all.size(); i += 2) {
-      world.cut(all[i], world.between(8, 30));
-      world.hold_orders(all[i], world.between(8, 40));
+      world.faults().cut(all[i], world.between(8, 30));
+      world.faults().hold_orders(all[i], world.between(8, 40));
     }
     const Seconds began = world.now();
-    world.end_process(std::max(world.leader(), 0), 8);
+    world.faults().end_process(world.leader_or_first(), 8);
     world.run_for(world.between(0.5, 5));
     const auto jobs = cancel_running(world, 3);
     submit_services(world, 6);
@@ -420,20 +427,20 @@
 TEST(Meetings, ControllersHandOverAndBackAllEndAndOneReturns) {
   meet_in_both([](World& world) {
     settle(world);
-    const uint64_t before = world.highest_term();
+    const uint64_t before = world.checker().highest_term();
     for (int i = 0; i < 2; ++i) {
-      world.end_process(std::max(world.leader(), 0), world.between(0.2, 4));
+      world.faults().end_process(world.leader_or_first(), world.between(0.2, 4));
       world.run_for(6);
       cancel_running(world, 1);
     }
-    const int back = static_cast<int>(world.any(3));
-    for (int c = 0; c < 3; ++c)
-      world.end_process(c, c == back ? world.between(0.2, 1) : world.between(20, 30));
+    const size_t back = world.any(3);
+    for (size_t c = 0; c < 3; ++c)
+      world.faults().end_process(c, c == back ? world.between(0.2, 1) : world.between(20, 30));
     world.run_for(6);
     cancel_running(world, 1);
     submit_services(world, 3);
     world.run_for(35);
-    return world.highest_term() - before;
+    return world.checker().highest_term() - before;
   });
 }
 
@@ -441,21 +448,22 @@
   meet_in_both(
       [](World& world) {
         settle(world);
-        const size_t before = world.terms();
+        const size_t before = world.checker().terms();
         for (int i = 0; i < 12; ++i) {
-          const int leader = world.leader() >= 0 ? world.leader() : static_cast<int>(world.any(3));
+          const auto leading = world.leader();
+          const size_t leader = leading ? *leading : world.any(3);
           if (i % 3 == 2)
-            world.stand_still(leader, world.between(3, 12));
+            world.faults().stand_still(leader, world.between(3, 12));
           else
-            world.end_process(leader, world.between(0.2, 5));
-          if (i == 6) world.outage(15);
+            world.faults().end_process(leader, world.between(0.2, 5));
+          if (i == 6) world.faults().outage(15);
           world.run_for(world.between(1, 3));
           cancel_running(world, 1);
           submit_services(world, 1);
           world.run_for(8);
         }
         world.run_for(20);
-        return world.terms() - before;
+        return world.checker().terms() - before;
       },
       8 * kSeeds);
 }
@@ -465,9 +473,9 @@
     settle(world);
     auto jobs = cancel_running(world, 1);
     world.run_for(world.between(0.05, 1));
-    for (int c = 0; c < 3; ++c) world.end_process(c, world.between(11, 25));
+    for (size_t c = 0; c < 3; ++c) world.faults().end_process(c, world.between(11, 25));
     world.run_for(12);
-    const bool none = world.leader() < 0 || world.jobs_running().empty();
+    const bool none = !world.leader() || world.jobs_running().empty();
     world.run_for(25);
     return none;
   });
@@ -476,36 +484,36 @@
 TEST(Meetings, ALeaderStandsStillAndGoesOnWhileAnotherLeads) {
   meet_in_both([](World& world) -> size_t {
     settle(world);
-    const uint64_t before = world.highest_term();
+    const uint64_t before = world.checker().highest_term();
     for (int i = 0; i < 3; ++i) {
-      world.stand_still(std::max(world.leader(), 0), world.between(2, 14));
+      world.faults().stand_still(world.leader_or_first(), world.between(2, 14));
       world.run_for(world.between(0.1, 4));
       cancel_running(world, 1);
       submit_services(world, 2);
       world.run_for(18);
     }
-    return world.highest_term() - before;
+    return world.checker().highest_term() - before;
   });
 }
 
 TEST(Meetings, ALeaderEndsWhileMachinesWithLongTasksCannotBeReachedOrDoNotHear) {
   meet_in_both([](World& world) {
     settle(world);
-    const uint64_t before = world.highest_term();
+    const uint64_t before = world.checker().highest_term();
     for (const auto& m : world.machines()) {
       const Seconds span = world.between(2, 30);
       if (world.chance(0.5))
-        world.deafen(m, span);
+        world.faults().deafen(m, span);
       else
-        world.cut(m, span);
+        world.faults().cut(m, span);
     }
     world.run_for(world.between(0.1, 2));
-    world.end_process(std::max(world.leader(), 0), 5);
+    world.faults().end_process(world.leader_or_first(), 5);
     world.run_for(5);
     cancel_running(world, 2);
     submit_services(world, 3);
     world.run_for(40);
-    return world.highest_term() - before;
+    return world.checker().highest_term() - before;
   });
 }
 
@@ -515,14 +523,14 @@
   meet_in_both([](World& world) {
     settle(world);
     const Seconds began = world.now();
-    world.slow(10);
+    world.faults().slow(10);
     std::vector<std::string> jobs = cancel_running(world, 1);
     world.run_for(world.between(2, 6));
-    world.refuse(std::max(world.leader(), 0), 60);
+    world.faults().refuse(world.leader_or_first(), 60);
     for (const auto& id : cancel_running(world, 2)) jobs.push_back(id);
     world.run_for(world.between(0.5, 5));
     const Seconds out = world.now();
-    world.outage(35);
+    world.faults().outage(35);
     cancel_running(world, 1);
     world.run_for(40);
     return confirmed_within(world, jobs, began, out);
@@ -533,14 +541,14 @@
   meet_in_both(
       [](World& world) {
         settle(world);
-        world.lost_answers(0.5, 60);
+        world.faults().lost_answers(0.5, 60);
         for (int i = 0; i < 10; ++i) {
           cancel_running(world, 1);
           submit_services(world, 2);
           world.run_for(6);
-          if (i == 5) world.end_process(std::max(world.leader(), 0), 2);
+          if (i == 5) world.faults().end_process(world.leader_or_first(), 2);
         }
-        return world.answers_lost();
+        return world.state().answers_lost();
       },
       10 * kSeeds);
 }
@@ -549,15 +557,15 @@
   meet_in_both(
       [](World& world) {
         settle(world);
-        world.late_writes(0.4, 60);
+        world.faults().late_writes(0.4, 60);
         for (int i = 0; i < 10; ++i) {
           cancel_running(world, 1);
           submit_services(world, 2);
           world.run_for(6);
-          if (i % 4 == 3) world.end_process(std::max(world.leader(), 0), 2);
+          if (i % 4 == 3) world.faults().end_process(world.leader_or_first(), 2);
         }
         world.run_for(15);
-        return world.late_writes_applied();
+        return world.state().late_writes_applied();
       },
       2 * kSeeds);
 }
@@ -571,18 +579,19 @@
   meet(
       o,
       [](World& world) {
-        world.run_until([&] { return world.leader() >= 0; }, 20);
+        world.run_until([&] { return world.leader().has_value(); }, 20);
         for (int i = 0; i < 240; ++i) {
-          JobSpec s = world.any_spec();
+          JobSpec s = world.users().any_spec();
           s.kind = JobKind::Array;
           s.tasks = 1;
           s.one_zone = s.spread = false;
-          const std::string id = world.submit(s);
-          if (i % 4 == 0) world.at(world.between(0.1, 4), [&world, id] { world.cancel(id); });
+          const std::string id = world.users().submit(s);
+          if (i % 4 == 0)
+            world.at(world.between(0.1, 4), [&world, id] { world.users().cancel(id); });
           world.run_for(0.25);
-          if (i == 120) world.end_process(std::max(world.leader(), 0), 3);
+          if (i == 120) world.faults().end_process(world.leader_or_first(), 3);
         }
-        return world.cancellations();
+        return world.checker().cancellations();
       },
       20 * kSeeds);
 }
@@ -592,35 +601,35 @@
   o.task_least = 2;
   o.task_most = 60;
   meet(o, [](World& world) {
-    world.run_until([&] { return world.leader() >= 0; }, 20);
+    world.run_until([&] { return world.leader().has_value(); }, 20);
     for (int i = 0; i < 8; ++i) {
-      JobSpec s = world.any_spec();
+      JobSpec s = world.users().any_spec();
       s.kind = JobKind::Array;
       s.tasks = 2 + static_cast<uint32_t>(i % 2);
       s.one_zone = s.spread = false;
-      world.submit(s);
+      world.users().submit(s);
     }
     world.run_for(25);
-    const uint64_t before = world.highest_term();
+    const uint64_t before = world.checker().highest_term();
     for (int i = 0; i < 3; ++i) {
-      world.end_process(std::max(world.leader(), 0), world.between(0.3, 4));
+      world.faults().end_process(world.leader_or_first(), world.between(0.3, 4));
       world.run_for(15);
     }
-    return world.highest_term() - before;
+    return world.checker().highest_term() - before;
   });
 }
 
 TEST(Meetings, JobsBoundToOneZoneLoseMachines) {
   meet_in_both([](World& world) {
-    world.run_until([&] { return world.leader() >= 0; }, 20);
+    world.run_until([&] { return world.leader().has_value(); }, 20);
     for (int i = 0; i < 6; ++i) {
-      JobSpec s = world.any_spec();
+      JobSpec s = world.users().any_spec();
       s.kind = i % 2 ? JobKind::Array : JobKind::Gang;
       s.tasks = 2 + static_cast<uint32_t>(i % 3);
       s.spread = false;
       s.one_zone = true;
       if (i % 3 == 0) s.zone = world.chance(0.5) ? "east" : "west";
-      world.submit(s);
+      world.users().submit(s);
     }
     world.run_for(20);
     size_t lost = 0;
@@ -629,13 +638,13 @@
         const auto on = world.machines_of(id);
         if (on.empty()) continue;
         if (world.chance(0.5))
-          world.lose_machine(on[0]);
+          world.faults().lose_machine(on[0]);
         else
-          world.cut(on[0], 15);
+          world.faults().cut(on[0], 15);
         ++lost;
         break;
       }
-      if (i == 2) world.end_process(std::max(world.leader(), 0), 2);
+      if (i == 2) world.faults().end_process(world.leader_or_first(), 2);
       world.run_for(14);
     }
     return lost;
@@ -652,17 +661,17 @@
   meet(
       o,
       [](World& world) {
-        world.run_until([&] { return world.leader() >= 0; }, 20);
+        world.run_until([&] { return world.leader().has_value(); }, 20);
         const auto submit = [&world](Priority priority, int jobs) {
           std::vector<std::string> ids;
           for (int i = 0; i < jobs; ++i) {
-            JobSpec s = world.any_spec();
+            JobSpec s = world.users().any_spec();
             s.kind = JobKind::Array;
             s.priority = priority;
             s.tasks = 2;
             s.team = "open";
             s.spread = s.one_zone = false;
-            ids.push_back(world.submit(s));
+            ids.push_back(world.users().submit(s));
           }
           return ids;
         };
@@ -675,9 +684,9 @@
         world.run_for(15);
         const auto urgent = submit(Priority::Production, 6);
         world.run_for(world.between(0.2, 3));
-        world.end_process(std::max(world.leader(), 0), 3);
+        world.faults().end_process(world.leader_or_first(), 3);
         const auto all = world.machines();
-        if (!all.empty()) world.cut(all[world.any(all.size())], world.between(2, 12));
+        if (!all.empty()) world.faults().cut(all[world.any(all.size())], world.between(2, 12));
         const auto begun = [&] {
           return std::all_of(urgent.begin(), urgent.end(),
                              [&](const auto& id) { return world.began_at(id).has_value(); });
@@ -697,19 +706,19 @@
   o.boot_least = 0.2;
   o.boot_most = 2;
   meet(o, [](World& world) {
-    world.run_until([&] { return world.leader() >= 0; }, 20);
+    world.run_until([&] { return world.leader().has_value(); }, 20);
     world.run_for(5);
-    const size_t before = world.starts();
-    world.slow(30);
-    world.late_writes(0.2, 30);
+    const size_t before = world.checker().starts();
+    world.faults().slow(30);
+    world.faults().late_writes(0.2, 30);
     submit_services(world, 8);
     world.run_for(world.between(1, 5));
-    world.end_process(std::max(world.leader(), 0), 4);
+    world.faults().end_process(world.leader_or_first(), 4);
     world.run_for(10);
     cancel_running(world, 2);
-    world.end_process(std::max(world.leader(), 0), 0.5);
+    world.faults().end_process(world.leader_or_first(), 0.5);
     world.run_for(30);
-    return world.starts() - before;
+    return world.checker().starts() - before;
   });
 }
 
@@ -720,19 +729,19 @@
     for (int i = 0; i < 5; ++i) {
       for (const auto& m : world.machines()) {
         const Seconds span = world.between(2, 9);
-        if (world.chance(0.7)) world.hold_orders(m, world.chance(0.5) ? span : 4 * span);
-        if (world.chance(0.3)) world.hang(m, span);
-        if (world.chance(0.4)) world.mute(m, span);
+        if (world.chance(0.7)) world.faults().hold_orders(m, world.chance(0.5) ? span : 4 * span);
+        if (world.chance(0.3)) world.faults().hang(m, span);
+        if (world.chance(0.4)) world.faults().mute(m, span);
       }
       submit_services(world, 3);
       world.run_for(world.between(1, 5));
       cancel_running(world, 2);
       world.run_for(12);
-      if (i == 1) world.end_process(std::max(world.leader(), 0), 2);
+      if (i == 1) world.faults().end_process(world.leader_or_first(), 2);
     }
     world.run_for(30);
-    done += world.late_orders_done();
-    return world.late_orders();
+    done += world.orders().late_orders_done();
+    return world.orders().late_orders();
   });
   EXPECT_GE(done, kSeeds) << "late orders were hardly ever carried out";
 }
@@ -744,19 +753,19 @@
   meet(
       o,
       [](World& world) {
-        world.run_until([&] { return world.leader() >= 0; }, 20);
+        world.run_until([&] { return world.leader().has_value(); }, 20);
         for (int i = 0; i < 40; ++i) {
-          JobSpec s = world.any_spec();
+          JobSpec s = world.users().any_spec();
           s.kind = JobKind::Array;
           s.tasks = 1;
           s.one_zone = s.spread = false;
-          const std::string id = world.submit(s);
+          const std::string id = world.users().submit(s);
           world.run_until([&] { return !world.machines_of(id).empty(); }, 20);
-          world.at(world.between(3.8, 5.4), [&world, id] { world.cancel(id); });
+          world.at(world.between(3.8, 5.4), [&world, id] { world.users().cancel(id); });
           world.run_for(1);
         }
         world.run_for(10);
-        return world.cancellations();
+        return world.checker().cancellations();
       },
       5 * kSeeds);
 }
--- /dev/null
+++ b/tests/world/checker.h
@@ -0,0 +1,76 @@
+#pragma once
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "world/event_loop.h"
+#include "world/machine.h"
+#include "world/observed_job.h"
+#include "world/options.h"
+#include "world/state_service.h"
+
+namespace sumacquay::simulation {
+
+/// Judges a deployment by the machines, the records, the answers to users and the time alone; it
+/// never looks into a controller.
+class Checker {
+ public:
+  Checker(const EventLoop& loop, const WorldOptions& options, const Fleet& fleet,
+          ObservedJobs& jobs);
+
+  /// A start has just been carried out; `ordered_at`: when the controller sent it.
+  void task_started(const SimulatedMachine& machine, const TaskKey& key, Seconds ordered_at);
+  /// A transaction under a term has been carried out.
+  void wrote_under_term(uint64_t term, uint64_t nonce);
+  void records_changed(const std::vector<StateService::Change>& changes);
+  /// A user was told the state of a job that is over.
+  void user_told(const std::string& job, JobState state);
+  /// All faults are over: from now on nobody may wait beside room that fits.
+  void faults_ended();
+  /// Called at each step.
+  void check();
+
+  const std::vector<std::string>& violations() const { return violations_; }
+  size_t starts() const { return starts_; }
+  size_t cancellations() const { return cancellations_; }
+  size_t starts_after_cancel() const { return starts_after_cancel_; }
+  Seconds ordered_after_cancel() const { return ordered_after_cancel_; }
+  uint64_t highest_term() const { return terms_.empty() ? 0 : terms_.rbegin()->first; }
+  size_t terms() const { return terms_.size(); }
+
+ private:
+  /// What the tasks on all machines take up.
+  struct Usage {
+    std::map<std::string, double> team_gpus;
+    std::map<std::string, Amounts> machine_used;
+    std::map<std::string, std::map<std::string, uint32_t>> job_zones;
+    std::set<TaskKey> present;
+  };
+
+  void violated(const std::string& rule, const TaskKey& key, const std::string& where);
+  void violated(const std::string& what);
+  void check_cancelled_and_quota();
+  void check_waiting();
+  Usage usage() const;
+  bool could_start(const std::string& id, const ObservedJob& job, const Usage& usage) const;
+  /// How many tasks of the job fit on the machines.
+  size_t room_for(const std::string& id, const JobSpec& spec, const Usage& usage) const;
+  bool may_use(const SimulatedMachine& machine, const JobSpec& spec,
+               const std::map<std::string, uint32_t>& zones) const;
+
+  const EventLoop& loop_;
+  const WorldOptions& options_;
+  const Fleet& fleet_;
+  ObservedJobs& jobs_;
+  const Amounts machine_room_;
+  std::vector<std::string> violations_;
+  std::map<uint64_t, uint64_t> terms_;  ///< the nonce of the process that wrote under each term
+  bool quiet_ = false;
+  Seconds next_wait_check_ = 0;
+  size_t starts_ = 0, cancellations_ = 0, starts_after_cancel_ = 0;
+  Seconds ordered_after_cancel_ = 0;
+};
+
+}  // namespace sumacquay::simulation
--- /dev/null
+++ b/tests/world/controller_heartbeats.cpp
@@ -0,0 +1,83 @@
+// The heartbeats between the controllers: who leads, and delegations for zones that are cut off.
+#include "world/controller_process.h"
+
+namespace sumacquay::simulation {
+
+namespace {
+/// After how many intervals between heartbeats an answer is too late to be used.
+constexpr double kAnswerDeadline = 2;
+}  // namespace
+
+wire::Heartbeat ControllerProcess::own_heartbeat() const {
+  wire::Heartbeat heartbeat;
+  heartbeat.node = node_name(controller_);
+  heartbeat.term = leadership_->highest_term();
+  heartbeat.leading = may_answer();
+  heartbeat.status = delegate_->status(env_.now());
+  return heartbeat;
+}
+
+void ControllerProcess::send_heartbeats() {
+  for (size_t peer = 0; peer < env_.controllers.size(); ++peer)
+    if (peer != controller_) send_heartbeat(peer);
+}
+
+void ControllerProcess::send_heartbeat(size_t peer) {
+  Random& random = env_.random;
+  Seconds delay = random.chance(0.02) ? random.between(0.1, 2) : random.between(0.001, 0.05);
+  const Seconds apart_until = env_.network.peers_apart_until(controller_, peer);
+  if (env_.now() < apart_until) {
+    if (random.chance(0.5)) return;
+    delay += apart_until - env_.now();  // held on its way; must do no harm
+  }
+  Environment& env = env_;
+  env.controllers.schedule_at(
+      peer, delay,
+      [&env, from = controller_, sender = weak_from_this(), heartbeat = own_heartbeat(),
+       asked_at = env.now()](ControllerProcess& receiver) {
+        const wire::Heartbeat answer = receiver.answer_heartbeat(from, heartbeat);
+        const size_t to = receiver.controller();
+        if (env.now() < env.network.peers_apart_until(from, to)) return;
+        const Seconds longest = env.random.chance(0.1) ? 2 : 0.1;
+        env.controllers.schedule_in(from, sender, env.random.between(0.001, longest),
+                                    [to, answer, asked_at](ControllerProcess& me) {
+                                      me.heartbeat_answered(to, answer, asked_at);
+                                    });
+      });
+}
+
+/// Delegations go out with answers only: they count from when they were asked for.
+wire::Heartbeat ControllerProcess::answer_heartbeat(size_t from, const wire::Heartbeat& heartbeat) {
+  hear(heartbeat);
+  wire::Heartbeat answer = own_heartbeat();
+  const std::string& zone = env_.controllers[from].settings.zone;
+  if (leads() && settings().finds_delegate(zone))
+    answer.delegation = core_->delegations().delegate(heartbeat.node, zone,
+                                                      leadership_->answers_until(), env_.now());
+  return answer;
+}
+
+void ControllerProcess::heartbeat_answered(size_t peer, const wire::Heartbeat& answer,
+                                           Seconds asked_at) {
+  if (env_.now() - asked_at > kAnswerDeadline * settings().renew_s()) return;
+  hear(answer);
+  if (answer.delegation) delegate_->delegated(*answer.delegation, asked_at, env_.now());
+  if (!core_ || answer.leading || answer.term < leadership_->term()) return;
+  // The peer follows this term: it answers no worker under an older one. Once all do, nobody else
+  // can renew a worker's lease.
+  peer_terms_[peer] = answer.term;
+  if (peer_terms_.size() + 1 == env_.controllers.size()) core_->fenced(env_.now());
+}
+
+void ControllerProcess::hear(const wire::Heartbeat& heartbeat) {
+  const auto peer = env_.controllers.index_of(heartbeat.node);
+  const bool newer = !known_leader_ || heartbeat.term >= known_leader_->term;
+  if (peer && heartbeat.leading && newer)
+    known_leader_ = KnownLeader{*peer, heartbeat.term, env_.now()};
+  leadership_->saw_term(env_.now(), heartbeat.term);
+  if (core_ && peer)
+    core_->delegations().heard(heartbeat.node, env_.controllers[*peer].settings.zone,
+                               heartbeat.status, env_.now());
+}
+
+}  // namespace sumacquay::simulation
--- /dev/null
+++ b/tests/world/controller_process.cpp
@@ -0,0 +1,405 @@
+#include "world/controller_process.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "world/cloud.h"
+#include "world/order_channel.h"
+#include "world/workers.h"
+
+namespace sumacquay::simulation {
+
+namespace {
+/// The part of a token below the term.
+constexpr int kTokenCounterBits = 20;
+/// How long to wait before the records are read once more, as a share of the workers' lease.
+constexpr double kReadRetryShare = 0.005;
+/// How long a leader that no worker reaches keeps out of elections, in leader leases.
+constexpr double kRestAfterResigning = 2;
+/// How long a heartbeat shows who leads, in intervals between heartbeats.
+constexpr double kHeartbeatsTrusted = 4;
+}  // namespace
+
+uint64_t term_of_token(uint64_t token) {
+  return token >> kTokenCounterBits;
+}
+
+void ControllerProcess::start(Environment& environment, const ControllerLinks& links,
+                              size_t controller, uint64_t nonce) {
+  environment.controllers[controller].process =
+      std::make_shared<ControllerProcess>(environment, links, controller, nonce);
+}
+
+ControllerProcess::ControllerProcess(Environment& environment, const ControllerLinks& links,
+                                     size_t controller, uint64_t nonce)
+    : env_(environment),
+      links_(links),
+      controller_(controller),
+      nonce_(nonce),
+      served_at_(environment.now()) {
+  delegate_ =
+      std::make_unique<Delegate>(nonce, settings().delegation_after_s(), settings().answers_s());
+  Leadership::Config config;
+  config.lease = settings().leader_lease_s();
+  config.renew = settings().renew_s();
+  config.grace = settings().answers_s();
+  leadership_ = std::make_unique<Leadership>(config, leadership_effects());
+}
+
+void ControllerProcess::schedule(Seconds delay, ControllerHosts::Event event) {
+  env_.controllers.schedule_in(controller_, weak_from_this(), delay, std::move(event));
+}
+
+bool ControllerProcess::leads() const {
+  return core_ && leadership_->may_act(env_.now());
+}
+
+bool ControllerProcess::may_answer() const {
+  return core_ && leadership_->may_answer(env_.now());
+}
+
+void ControllerProcess::step() {
+  if (!reading_ && env_.now() >= next_read_) {
+    reading_ = true;
+    read_records([](ControllerProcess& me, bool) {
+      me.reading_ = false;
+      me.next_read_ = me.env_.now() + me.env_.random.between(0.05, 0.2);
+    });
+  }
+  leadership_->records_known(records_.known_at());
+  leadership_->tick(env_.now(), records_.loaded(), records_.leader().version != 0,
+                    env_.random.between(0, 1));
+  resign_if_unheard();
+  if (leads()) {
+    for (const auto& action : core_->tick(env_.now()))
+      std::visit([this](const auto& what) { perform(what); }, action);
+    write_records();
+  }
+  if (env_.now() >= next_heartbeat_) {
+    next_heartbeat_ = env_.now() + settings().renew_s();
+    send_heartbeats();
+  }
+}
+
+void ControllerProcess::perform(const SendOrders& orders) {
+  links_.orders.send(*this, orders);
+}
+void ControllerProcess::perform(const Probe& probe) {
+  links_.orders.send(*this, probe);
+}
+void ControllerProcess::perform(const Rent& rent) {
+  links_.cloud.rent(*this, rent);
+}
+void ControllerProcess::perform(const Release& release) {
+  links_.cloud.release(*this, release);
+}
+
+// ---------------------------------------------------------------- leadership
+
+Leadership::Effects ControllerProcess::leadership_effects() {
+  Leadership::Effects effects;
+  effects.grant = [this](Leadership::Campaign campaign, Seconds lease) { grant(campaign, lease); };
+  effects.elect = [this](Leadership::Campaign campaign, uint64_t lease) { elect(campaign, lease); };
+  effects.renew = [this](uint64_t lease) { renew(lease); };
+  effects.changed = [this](Leadership::State from, Leadership::State to) {
+    leadership_changed(from, to);
+  };
+  return effects;
+}
+
+void ControllerProcess::grant(Leadership::Campaign campaign, Seconds lease) {
+  links_.state.request(
+      controller_, StateChannel::RequestKind::Other, links_.state.grant(lease),
+      [campaign, asked_at = env_.now()](ControllerProcess& me, const StateReply& reply) {
+        std::optional<uint64_t> granted;
+        if (reply.ok()) granted = reply.lease;
+        me.leadership_->granted(me.env_.now(), campaign, granted, asked_at);
+      });
+}
+
+void ControllerProcess::renew(uint64_t lease) {
+  links_.state.request(
+      controller_, StateChannel::RequestKind::Other, links_.state.renew(lease),
+      [lease, sent_at = env_.now()](ControllerProcess& me, const StateReply& reply) {
+        me.leadership_->renewed(me.env_.now(), lease, sent_at, reply.ok(),
+                                reply.outcome == StateOutcome::Failed);
+      },
+      settings().renew_s());
+}
+
+void ControllerProcess::revoke(uint64_t lease) {
+  links_.state.request(controller_, StateChannel::RequestKind::Other, links_.state.revoke(lease),
+                       [](ControllerProcess&, const StateReply&) {});
+}
+
+void ControllerProcess::elect(Leadership::Campaign campaign, uint64_t lease) {
+  const auto& last_term = records_.term();
+  const uint64_t term = std::max(last_term.value.term, leadership_->highest_term()) + 1;
+  const wire::LeaderRecord record{node_name(controller_), nonce_, term, lease};
+  const Seconds end = env_.now() + settings().leader_lease_s();
+  links_.state.request(
+      controller_, StateChannel::RequestKind::Transaction,
+      links_.state.transaction(
+          {{keys::kLeader, 0}, {keys::kTerm, last_term.version}},
+          {StateService::put(keys::kLeader, record, lease), StateService::put(keys::kTerm, record)},
+          WriterTerm{term, nonce_}),
+      [campaign, record, lease, end](ControllerProcess& me, const StateReply& reply) {
+        if (reply.ok()) {
+          me.records_.won_leadership(record, reply.revision);
+          return me.read_earlier_writes(campaign, record.term, end);
+        }
+        me.revoke(lease);
+        me.read_records([campaign](ControllerProcess& it, bool) {
+          it.leadership_->elected(it.env_.now(), campaign, false, 0);
+        });
+      });
+}
+
+/// Reads everything that earlier leaders wrote before this process acts on the records.
+void ControllerProcess::read_earlier_writes(Leadership::Campaign campaign, uint64_t term,
+                                            Seconds end) {
+  read_records([campaign, term, end](ControllerProcess& me, bool fresh) {
+    const Seconds now = me.env_.now();
+    if (fresh) return me.leadership_->elected(now, campaign, true, term);
+    if (now > end) return me.leadership_->elected(now, campaign, false, 0);
+    me.schedule(me.env_.options.lease_s * kReadRetryShare,
+                [campaign, term, end](ControllerProcess& it) {
+                  it.read_earlier_writes(campaign, term, end);
+                });
+  });
+}
+
+void ControllerProcess::leadership_changed(Leadership::State from, Leadership::State to) {
+  if (to == Leadership::State::Follower) return cease_leading();
+  if (to == Leadership::State::Leading && from != Leadership::State::Expired) begin_leading();
+}
+
+void ControllerProcess::cease_leading() {
+  // Reset from inside a call of the core's would pull it away under its feet.
+  schedule(0, [generation = generation_](ControllerProcess& me) {
+    if (generation + 1 == me.generation_ && me.leadership_->state() == Leadership::State::Follower)
+      me.core_.reset();
+  });
+  ++generation_;
+}
+
+void ControllerProcess::begin_leading() {
+  ++generation_;
+  writing_ = false;
+  peer_terms_.clear();
+  const Seconds now = env_.now();
+  core_ = std::make_unique<LeaderCore>(settings(), leadership_->term(), now,
+                                       now + settings().answers_s());
+  core_->set_types({machine_type(env_.options)});
+  for (const auto& [id, machine] : records_.hosts()) core_->host_stored(machine.value, now);
+  for (const auto& [id, job] : records_.live()) core_->job_stored(job.value, job.version, now);
+  send_heartbeats();
+  links_.workers.send_kept_copies();
+}
+
+void ControllerProcess::resign_if_unheard() {
+  if (!leads() || !core_->unheard(env_.now())) return;
+  const uint64_t lease = leadership_->lease();
+  leadership_->resign(env_.now(), kRestAfterResigning * settings().leader_lease_s());
+  revoke(lease);
+}
+
+// ---------------------------------------------------------------- records
+
+void ControllerProcess::read_records(ReadDone done) {
+  std::optional<uint64_t> after;
+  if (records_.loaded()) after = records_.revision();
+  links_.state.request(controller_, StateChannel::RequestKind::Other, links_.state.read(after),
+                       [asked_at = env_.now(), changes_only = after.has_value(),
+                        done = std::move(done)](ControllerProcess& me, const StateReply& reply) {
+                         const bool usable = reply.ok() && (changes_only || !me.records_.loaded());
+                         if (usable) me.records_read(reply, asked_at);
+                         if (done) done(me, usable);
+                       });
+}
+
+void ControllerProcess::records_read(const StateReply& reply, Seconds asked_at) {
+  const auto update = records_.apply(reply, asked_at);
+  if (update.leader_changed || update.first) leader_record_changed();
+  if (update.first) return all_job_records_changed();
+  for (const auto& id : update.jobs) job_record_changed(id);
+}
+
+void ControllerProcess::leader_record_changed() {
+  const auto& leader = records_.leader();
+  leadership_->saw_term(env_.now(), std::max(leader.value.term, records_.term().value.term));
+  const bool of_this_host = leader.version && leader.value.node == node_name(controller_);
+  if (!of_this_host || leader.value.nonce == nonce_ || revoked_) return;
+  // An earlier process of this host held the lease. It has ended, so nobody need wait for it.
+  revoked_ = true;
+  revoke(leader.value.lease);
+}
+
+void ControllerProcess::job_record_changed(const std::string& id) {
+  if (!core_) return;
+  const auto job = records_.live().find(id);
+  if (job != records_.live().end())
+    core_->job_stored(job->second.value, job->second.version, env_.now());
+  else
+    core_->job_finished(id);
+  core_->hurry();
+}
+
+void ControllerProcess::all_job_records_changed() {
+  if (!core_) return;
+  std::vector<std::string> finished;
+  for (const auto& [id, job] : core_->jobs())
+    if (!records_.live().count(id)) finished.push_back(id);
+  for (const auto& id : finished) core_->job_finished(id);
+  for (const auto& [id, job] : records_.live())
+    core_->job_stored(job.value, job.version, env_.now());
+  core_->hurry();
+}
+
+void ControllerProcess::wrote_job(const JobRecord& record, uint64_t version) {
+  if (records_.wrote_job(record, version)) job_record_changed(record.spec.id);
+}
+
+void ControllerProcess::write_records() {
+  if (writing_ || !leads() || !records_.loaded()) return;
+  const auto writes =
+      core_->wanted_writes(env_.now(), static_cast<size_t>(settings().state_txn_ops));
+  if (writes.empty()) return;
+  std::vector<wire::Guard> guards{{keys::kTerm, records_.term().version}};
+  std::vector<StateService::Change> changes;
+  for (const auto& write : writes) {
+    if (!write.host.empty()) {
+      const std::string key = keys::kHost + write.host;
+      changes.push_back(write.host_record ? StateService::put(key, *write.host_record)
+                                          : StateService::remove(key));
+      continue;
+    }
+    const std::string live = keys::kLive + write.job;
+    guards.push_back({live, write.version});
+    if (write.finished) {
+      const wire::FinishedRecord finished{write.record->state, write.record->done.count()};
+      changes.push_back(StateService::remove(live));
+      changes.push_back(StateService::put(keys::kFinished + write.job, finished));
+    } else {
+      changes.push_back(StateService::put(live, *write.record));
+    }
+  }
+  writing_ = true;
+  links_.state.request(
+      controller_, StateChannel::RequestKind::Transaction,
+      links_.state.transaction(guards, changes, WriterTerm{leadership_->term(), nonce_}),
+      [writes, generation = generation_](ControllerProcess& me, const StateReply& reply) {
+        if (me.current(generation)) me.records_written(writes, reply);
+      });
+}
+
+void ControllerProcess::records_written(const std::vector<RecordWrite>& writes,
+                                        const StateReply& reply) {
+  const bool committed = reply.ok();
+  if (committed)
+    for (const auto& write : writes) apply_written(write, reply.revision);
+  for (const auto& write : writes) core_->write_done(write, committed, reply.revision, env_.now());
+  if (committed) {
+    writing_ = false;
+    return core_->hurry();
+  }
+  // It failed, or nobody knows: what the records say now decides what is still to be written.
+  read_records([generation = generation_](ControllerProcess& me, bool) {
+    if (generation == me.generation_) me.writing_ = false;
+  });
+}
+
+void ControllerProcess::apply_written(const RecordWrite& write, uint64_t revision) {
+  if (!write.host.empty()) {
+    if (write.host_record)
+      records_.wrote_host(write.host, *write.host_record, revision);
+    else
+      records_.deleted_host(write.host, revision);
+  } else if (write.finished) {
+    records_.wrote_finished(write.job, {write.record->state, write.record->done.count()});
+    job_record_changed(write.job);
+  } else {
+    wrote_job(*write.record, revision);
+  }
+}
+
+// ---------------------------------------------------------------- reports
+
+ReportReply ControllerProcess::answer_report(const WorkerReport& report) {
+  leadership_->saw_term(env_.now(), term_of_token(report.token));
+  if (may_answer()) return answer_as_leader(report);
+  if (const auto reply = answer_as_delegate(report)) return *reply;
+  return redirect();
+}
+
+ReportReply ControllerProcess::answer_copy(const WorkerReport& report) {
+  leadership_->saw_term(env_.now(), term_of_token(report.token));
+  return may_answer() ? answer_as_leader(report) : redirect();
+}
+
+ReportReply ControllerProcess::answer_as_leader(const WorkerReport& report) {
+  const auto answer = core_->report(report, leadership_->may_act(env_.now()), env_.now());
+  ReportReply reply;
+  reply.status = answer.fresh ? ReportStatus::Answered : ReportStatus::Late;
+  reply.token = answer.token;
+  reply.commands = answer.commands;
+  return reply;
+}
+
+std::optional<ReportReply> ControllerProcess::answer_as_delegate(const WorkerReport& report) {
+  const bool may_be_delegate = leadership_->state() == Leadership::State::Follower &&
+                               report.zone == settings().zone &&
+                               env_.now() - served_at_ > settings().delegation_after_s();
+  if (!may_be_delegate) return std::nullopt;
+  const auto stops = delegate_->answer(
+      report, leadership_->highest_term(), records_.known_at(),
+      [this](const std::string& job) { return records_.ended(job); }, env_.now());
+  if (!stops) return std::nullopt;
+  links_.workers.answered_by_delegate();
+  ReportReply reply;
+  reply.status = ReportStatus::Answered;
+  reply.token = report.token;
+  reply.commands = *stops;
+  return reply;
+}
+
+ReportReply ControllerProcess::redirect() const {
+  ReportReply reply;
+  const auto& recorded = records_.leader().value;
+  if (recorded.term > (known_leader_ ? known_leader_->term : 0))
+    reply.leader = env_.controllers.index_of(recorded.node);
+  else if (known_leader_ &&
+           env_.now() - known_leader_->heard_at < kHeartbeatsTrusted * settings().renew_s())
+    reply.leader = known_leader_->controller;
+  return reply;
+}
+
+// ---------------------------------------------------------------- answers to the leader
+
+void ControllerProcess::orders_done(uint64_t generation, const std::string& machine,
+                                    const std::optional<WorkerReport>& report, bool executed) {
+  if (!current(generation)) return;
+  if (report) leadership_->saw_term(env_.now(), term_of_token(report->token));
+  if (core_) core_->orders_done(machine, report, executed, env_.now());
+}
+
+void ControllerProcess::probed(uint64_t generation, const std::string& machine,
+                               const std::optional<WorkerReport>& report) {
+  if (!current(generation)) return;
+  if (report) leadership_->saw_term(env_.now(), term_of_token(report->token));
+  if (core_) core_->probed(machine, report, env_.now());
+}
+
+void ControllerProcess::rent_done(uint64_t generation, const Rent& rent,
+                                  const std::vector<std::string>& machines) {
+  if (!current(generation)) return;
+  const auto outcome =
+      machines.empty() ? LeaderCore::RentOutcome::Refused : LeaderCore::RentOutcome::Rented;
+  core_->rent_done(rent, outcome, machines, env_.now());
+}
+
+void ControllerProcess::release_done(uint64_t generation, const Release& release, bool ok) {
+  if (current(generation)) core_->release_done(release, ok, env_.now());
+}
+
+}  // namespace sumacquay::simulation
--- /dev/null
+++ b/tests/world/controller_process.h
@@ -0,0 +1,154 @@
+#pragma once
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "dispatch/leader_core.h"
+#include "leadership/delegation.h"
+#include "leadership/leadership.h"
+#include "world/environment.h"
+#include "world/record_copy.h"
+#include "world/state_channel.h"
+
+namespace sumacquay::simulation {
+
+class Cloud;
+class OrderChannel;
+class Workers;
+
+/// The parts of a deployment that a controller talks to, beside the other controllers.
+struct ControllerLinks {
+  StateChannel& state;
+  OrderChannel& orders;
+  Cloud& cloud;
+  Workers& workers;
+};
+
+enum class ReportStatus {
+  Answered,    ///< by the leader or in its place
+  NotLeading,  ///< the worker is to ask another controller
+  Late,        ///< a late copy of a report
+};
+struct ReportReply {
+  ReportStatus status = ReportStatus::NotLeading;
+  std::optional<size_t> leader;  ///< another controller that is thought to lead
+  uint64_t token = 0;
+  std::vector<Command> commands;
+};
+
+/// One process of a controller: the real Leadership, LeaderCore, Delegate and Delegations with the
+/// I/O of a node around them, in virtual time.
+class ControllerProcess : public std::enable_shared_from_this<ControllerProcess> {
+ public:
+  /// Starts a process on the controller's host.
+  static void start(Environment& environment, const ControllerLinks& links, size_t controller,
+                    uint64_t nonce);
+  ControllerProcess(Environment& environment, const ControllerLinks& links, size_t controller,
+                    uint64_t nonce);
+
+  void step();
+  size_t controller() const { return controller_; }
+  const RecordCopy& records() const { return records_; }
+  /// Changes whenever the process begins or ceases to lead.
+  uint64_t generation() const { return generation_; }
+  /// May start tasks and write records.
+  bool leads() const;
+  bool may_answer() const;
+  uint64_t term() const { return leadership_->term(); }
+
+  /// Brings the copy of the records up to date; `done(process, fresh)`.
+  using ReadDone = std::function<void(ControllerProcess&, bool fresh)>;
+  void read_records(ReadDone done = nullptr);
+  /// A job's record that this process has written on behalf of a user.
+  void wrote_job(const JobRecord& record, uint64_t version);
+  void served_by_state() { served_at_ = env_.now(); }
+
+  /// The answer to a worker that asked this controller itself: also as the leader's delegate.
+  ReportReply answer_report(const WorkerReport& report);
+  /// The answer to a late copy, which nobody waits for.
+  ReportReply answer_copy(const WorkerReport& report);
+
+  // Answers to what the leader ordered. Dropped if it has ceased to lead since.
+  void orders_done(uint64_t generation, const std::string& machine,
+                   const std::optional<WorkerReport>& report, bool executed);
+  void probed(uint64_t generation, const std::string& machine,
+              const std::optional<WorkerReport>& report);
+  void rent_done(uint64_t generation, const Rent& rent, const std::vector<std::string>& machines);
+  void release_done(uint64_t generation, const Release& release, bool ok);
+
+ private:
+  /// Whom the other controllers' heartbeats name.
+  struct KnownLeader {
+    size_t controller = 0;
+    uint64_t term = 0;
+    Seconds heard_at = 0;
+  };
+
+  const ControllerHost& host() const { return env_.controllers[controller_]; }
+  const Settings& settings() const { return host().settings; }
+  void schedule(Seconds delay, ControllerHosts::Event event);
+  bool current(uint64_t generation) const { return generation == generation_ && core_; }
+
+  void perform(const SendOrders& orders);
+  void perform(const Probe& probe);
+  void perform(const Rent& rent);
+  void perform(const Release& release);
+
+  // Leadership.
+  Leadership::Effects leadership_effects();
+  void grant(Leadership::Campaign campaign, Seconds lease);
+  void renew(uint64_t lease);
+  void revoke(uint64_t lease);
+  void elect(Leadership::Campaign campaign, uint64_t lease);
+  void read_earlier_writes(Leadership::Campaign campaign, uint64_t term, Seconds end);
+  void leadership_changed(Leadership::State from, Leadership::State to);
+  void begin_leading();
+  void cease_leading();
+  void resign_if_unheard();
+
+  // Records.
+  void records_read(const StateReply& reply, Seconds asked_at);
+  void leader_record_changed();
+  void job_record_changed(const std::string& id);
+  void all_job_records_changed();
+  void write_records();
+  void records_written(const std::vector<RecordWrite>& writes, const StateReply& reply);
+  void apply_written(const RecordWrite& write, uint64_t revision);
+
+  // Heartbeats.
+  wire::Heartbeat own_heartbeat() const;
+  void send_heartbeats();
+  void send_heartbeat(size_t peer);
+  wire::Heartbeat answer_heartbeat(size_t from, const wire::Heartbeat& heartbeat);
+  void heartbeat_answered(size_t peer, const wire::Heartbeat& answer, Seconds asked_at);
+  void hear(const wire::Heartbeat& heartbeat);
+
+  // Reports.
+  std::optional<ReportReply> answer_as_delegate(const WorkerReport& report);
+  ReportReply answer_as_leader(const WorkerReport& report);
+  ReportReply redirect() const;
+
+  Environment& env_;
+  ControllerLinks links_;
+  const size_t controller_;
+  const uint64_t nonce_;
+  RecordCopy records_;
+  std::unique_ptr<Leadership> leadership_;
+  std::unique_ptr<LeaderCore> core_;  ///< while this process leads
+  std::unique_ptr<Delegate> delegate_;
+  uint64_t generation_ = 0;
+  std::map<size_t, uint64_t> peer_terms_;  ///< the terms that the others follow
+  bool writing_ = false;                   ///< a transaction of the leader is under way
+  bool reading_ = false;                   ///< the regular read of the records is under way
+  bool revoked_ = false;  ///< the lease of an earlier process on this host was revoked
+  Seconds next_read_ = 0, next_heartbeat_ = 0, served_at_ = 0;
+  std::optional<KnownLeader> known_leader_;
+};
+
+/// The term of the leader that gave out a token.
+uint64_t term_of_token(uint64_t token);
+
+}  // namespace sumacquay::simulation
--- /dev/null
+++ b/tests/world/controllers.h
@@ -0,0 +1,31 @@
+#pragma once
+#include <optional>
+
+#include "world/controller_process.h"
+#include "world/environment.h"
+
+namespace sumacquay::simulation {
+
+/// Starts, steps and ends the controllers' processes.
+class Controllers {
+ public:
+  Controllers(Environment& environment, const ControllerLinks& links)
+      : env_(environment), links_(links) {}
+
+  /// Starts a process on every host that has none.
+  void start_all();
+  /// Ends a controller's process; a new one starts after a while.
+  void restart(size_t controller, Seconds back_in);
+  void step();
+  /// The one that may act, none if nobody leads.
+  std::optional<size_t> leader() const;
+
+ private:
+  void start(size_t controller);
+
+  Environment& env_;
+  ControllerLinks links_;
+  uint64_t last_nonce_ = 0;
+};
+
+}  // namespace sumacquay::simulation
--- /dev/null
+++ b/tests/world/environment.cpp
@@ -0,0 +1,14 @@
+#include "world/environment.h"
+
+#include <utility>
+
+namespace sumacquay::simulation {
+
+Environment::Environment(uint64_t seed, WorldOptions chosen)
+    : options(std::move(chosen)),
+      random(seed),
+      controllers(loop, options),
+      network(loop, controllers),
+      checker(loop, options, fleet, jobs) {}
+
+}  // namespace sumacquay::simulation
--- /dev/null
+++ b/tests/world/faults.h
@@ -0,0 +1,72 @@
+#pragma once
+#include <string>
+
+#include "world/cloud.h"
+#include "world/controllers.h"
+#include "world/environment.h"
+#include "world/state_channel.h"
+#include "world/workers.h"
+
+namespace sumacquay::simulation {
+
+/// The faults that a test can cause. Each lasts for a span of time.
+class Faults {
+ public:
+  Faults(Environment& environment, Controllers& controllers, StateChannel& state, Cloud& cloud,
+         Workers& workers)
+      : env_(environment),
+        controllers_(controllers),
+        state_(state),
+        cloud_(cloud),
+        workers_(workers) {}
+
+  // Controllers.
+  void end_process(size_t controller, Seconds back_in);
+  void stand_still(size_t controller, Seconds span);
+  void cut_from_state(size_t controller, Seconds span);
+  void cut_from_peers(size_t controller, Seconds span);
+  void cut_from_workers(size_t controller, Seconds span);
+  /// The state service refuses this controller alone.
+  void refuse(size_t controller, Seconds span);
+
+  // The state service.
+  void outage(Seconds span) { state_.begin_outage(span); }
+  void slow(Seconds span) { state_.slow_down(span); }
+  void late_writes(double share, Seconds span) { state_.apply_writes_late(share, span); }
+  void lost_answers(double share, Seconds span) { state_.lose_answers(share, span); }
+
+  // The network and the cloud.
+  void cut_zone(const std::string& zone, Seconds span) { env_.network.cut_zone(zone, span); }
+  /// Machines that are given back go late, without an answer.
+  void late_releases(Seconds span) { cloud_.release_late(span); }
+
+  // Machines.
+  void hang(const std::string& machine, Seconds span);
+  void cut(const std::string& machine, Seconds span);
+  void deafen(const std::string& machine, Seconds span);
+  void mute(const std::string& machine, Seconds span);
+  /// Orders to the machine, or their answers, are held up until then.
+  void hold_orders(const std::string& machine, Seconds span);
+  /// The machine fails all tasks from now on.
+  void sicken(const std::string& machine);
+  void lose_machine(const std::string& machine) { env_.fleet.remove(machine); }
+  /// Copies of a share of the reports arrive late.
+  void late_reports(double share, Seconds span, CopyDelivery delivery = CopyDelivery::Later);
+  /// Half of the reports are overtaken by orders, their answers and probes.
+  void slow_reports(Seconds span) { workers_.slow_reports(span); }
+
+  /// Ends all of them. Machines that are lost or sick stay so.
+  void end_all();
+
+ private:
+  void last(Fault ControllerFaults::*fault, size_t controller, Seconds span);
+  void last(Fault MachineFaults::*fault, const std::string& machine, Seconds span);
+
+  Environment& env_;
+  Controllers& controllers_;
+  StateChannel& state_;
+  Cloud& cloud_;
+  Workers& workers_;
+};
+
+}  // namespace sumacquay::simulation
--- /dev/null
+++ b/tests/world/options.cpp
@@ -0,0 +1,43 @@
+#include "world/options.h"
+
+namespace sumacquay::simulation {
+
+std::string node_name(size_t controller) {
+  return "n" + std::to_string(controller);
+}
+
+MachineType machine_type(const WorldOptions& options) {
+  MachineType type;
+  type.name = "g";
+  type.room = {16, 4, 64};
+  type.zones = {kEast, kWest};
+  type.boot_s = options.nominal_boot_s;
+  type.price = 10;
+  type.spot_price = 3;
+  return type;
+}
+
+Settings controller_settings(const WorldOptions& options, size_t controller) {
+  Settings settings;
+  settings.report_s = 1;
+  settings.lease_s = options.lease_s;
+  settings.cancel_s = options.cancel_s;
+  settings.list_lag_s = 2;
+  settings.state_txn_ops = 12;
+  settings.zones = machine_type(options).zones;
+  TeamSettings limited;
+  limited.name = kLimitedTeam;
+  limited.gpus = 4;
+  limited.gpus_max = kLimitedTeamGpus;
+  TeamSettings open;
+  open.name = kOpenTeam;
+  settings.teams = {limited, open};
+  settings.node = node_name(controller);
+  settings.zone = options.controller_zones[controller];
+  for (size_t other = 0; other < options.controller_zones.size(); ++other)
+    if (other != controller)
+      settings.peers.push_back({node_name(other), options.controller_zones[other], {}});
+  return settings;
+}
+
+}  // namespace sumacquay::simulation
--- /dev/null
+++ b/tests/world/order_channel.cpp
@@ -0,0 +1,127 @@
+#include "world/order_channel.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "world/controller_process.h"
+
+namespace sumacquay::simulation {
+
+namespace {
+/// When the leader gives an order up, at most and as a share of the workers' lease.
+constexpr Seconds kOrderDeadline = 1.5;
+constexpr double kOrderDeadlineShare = 0.2;
+/// When the leader gives a probe up, as a share of the workers' lease.
+constexpr double kProbeDeadlineShare = 0.05;
+/// Orders that take longer than this count as late.
+constexpr Seconds kLateOrder = 2;
+constexpr Seconds kTravelLeast = 0.001, kTravelMost = 0.01;
+/// Messages that are held up somewhere for no particular reason.
+constexpr Seconds kHeldUpLeast = 0.5, kHeldUpMost = 40;
+}  // namespace
+
+void OrderChannel::send(ControllerProcess& sender, const SendOrders& orders) {
+  const Way way = draw_way(sender.controller(), env_.fleet.find(orders.machine));
+  const Answer answer = answer_once(sender, orders.machine);
+  answer(std::min(kOrderDeadline, env_.options.lease_s * kOrderDeadlineShare), std::nullopt, false);
+  if (!way.lost) deliver({orders, env_.now(), way.answer_lost, answer}, way.delay);
+}
+
+OrderChannel::Way OrderChannel::draw_way(size_t controller, const SimulatedMachine* machine) {
+  Random& random = env_.random;
+  const Seconds now = env_.now();
+  Way way;
+  way.delay = random.chance(0.01) ? random.between(kHeldUpLeast, kHeldUpMost)
+                                  : random.between(kTravelLeast, kTravelMost);
+  way.answer_lost = !machine || random.chance(0.01);
+  if (!machine) return way;
+  way.lost = machine->faults.deaf.active(now);
+  const Seconds apart_until = env_.network.machine_apart_until(controller, *machine);
+  if (now < apart_until) way.delay += apart_until - now;
+  const Fault& held = machine->faults.orders_held;
+  if (!held.active(now)) return way;
+  if (random.chance(0.5))
+    way.delay += held.end() - now;
+  else
+    way.answer_lost = true;
+  return way;
+}
+
+/// The first answer counts, also if that is the deadline's.
+OrderChannel::Answer OrderChannel::answer_once(ControllerProcess& sender,
+                                               const std::string& machine) {
+  return [this, controller = sender.controller(), process = sender.weak_from_this(),
+          generation = sender.generation(), machine, settled = std::make_shared<bool>(false)](
+             Seconds delay, std::optional<WorkerReport> report, bool executed) {
+    env_.controllers.schedule_in(
+        controller, process, delay,
+        [settled, machine, generation, report, executed](ControllerProcess& me) {
+          if (*settled) return;
+          *settled = true;
+          me.orders_done(generation, machine, report, executed);
+        });
+  };
+}
+
+void OrderChannel::deliver(const Delivery& delivery, Seconds delay) {
+  env_.loop.schedule(delay, [this, delivery] { arrive(delivery); });
+}
+
+void OrderChannel::arrive(const Delivery& delivery) {
+  const SendOrders& orders = delivery.orders;
+  const Seconds now = env_.now();
+  SimulatedMachine* machine = env_.fleet.find(orders.machine);
+  if (!machine || !machine->up(now)) return;
+  const Fault& hung = machine->faults.hung;
+  if (hung.active(now)) return deliver(delivery, hung.end() - now);
+  const bool executed = orders.token >= machine->token && orders.session == machine->session;
+  const bool late = now - delivery.sent_at > kLateOrder;
+  late_orders_ += late;
+  if (executed) {
+    machine->token = orders.token;
+    late_orders_done_ += late;
+    workers_.execute(*machine, orders.commands, delivery.sent_at);
+  }
+  const WorkerReport report = machine->report();
+  if (!delivery.answer_lost && !machine->faults.deaf.active(now))
+    delivery.answer(env_.random.between(kTravelLeast, kTravelMost), report, executed);
+}
+
+void OrderChannel::send(ControllerProcess& sender, const Probe& probe) {
+  Random& random = env_.random;
+  SimulatedMachine* machine = env_.fleet.find(probe.machine);
+  const bool reached = reaches(sender.controller(), machine);
+  if (!reached || random.chance(0.05)) arrive_late(probe);
+  std::optional<WorkerReport> report;
+  if (reached) {
+    if (probe.session == machine->session) machine->raise_token(probe.token);
+    report = machine->report();
+  }
+  const Seconds answered_in = reached ? random.between(kTravelLeast, kTravelMost)
+                                      : env_.options.lease_s * kProbeDeadlineShare;
+  env_.controllers.schedule_in(
+      sender.controller(), sender.weak_from_this(), answered_in,
+      [machine = probe.machine, report, generation = sender.generation()](ControllerProcess& me) {
+        me.probed(generation, machine, report);
+      });
+}
+
+bool OrderChannel::reaches(size_t controller, const SimulatedMachine* machine) {
+  const Seconds now = env_.now();
+  if (!machine || !machine->up(now)) return false;
+  const MachineFaults& faults = machine->faults;
+  if (faults.hung.active(now) || faults.deaf.active(now) || faults.orders_held.active(now))
+    return false;
+  if (now < env_.network.machine_apart_until(controller, *machine)) return false;
+  return !env_.random.chance(0.02);
+}
+
+void OrderChannel::arrive_late(const Probe& probe) {
+  env_.loop.schedule(env_.random.between(kHeldUpLeast, kHeldUpMost), [this, probe] {
+    SimulatedMachine* machine = env_.fleet.find(probe.machine);
+    if (machine && machine->session == probe.session) machine->raise_token(probe.token);
+  });
+}
+
+}  // namespace sumacquay::simulation
--- /dev/null
+++ b/tests/world/order_channel.h
@@ -0,0 +1,50 @@
+#pragma once
+#include <functional>
+#include <optional>
+
+#include "dispatch/leader_core.h"
+#include "world/environment.h"
+#include "world/workers.h"
+
+namespace sumacquay::simulation {
+
+/// The way of orders and probes from the leader straight to the machines, and of their answers.
+class OrderChannel {
+ public:
+  OrderChannel(Environment& environment, Workers& workers) : env_(environment), workers_(workers) {}
+
+  void send(ControllerProcess& sender, const SendOrders& orders);
+  void send(ControllerProcess& sender, const Probe& probe);
+
+  /// Orders that arrived long after they were sent, and those of them that were carried out.
+  size_t late_orders() const { return late_orders_; }
+  size_t late_orders_done() const { return late_orders_done_; }
+
+ private:
+  using Answer =
+      std::function<void(Seconds delay, std::optional<WorkerReport> report, bool executed)>;
+  /// Orders on their way to a machine.
+  struct Delivery {
+    SendOrders orders;
+    Seconds sent_at = 0;
+    bool answer_lost = false;
+    Answer answer;
+  };
+  /// How an order travels, as the faults of its way decide.
+  struct Way {
+    Seconds delay = 0;
+    bool lost = false, answer_lost = false;
+  };
+  Way draw_way(size_t controller, const SimulatedMachine* machine);
+  Answer answer_once(ControllerProcess& sender, const std::string& machine);
+  void deliver(const Delivery& delivery, Seconds delay);
+  void arrive(const Delivery& delivery);
+  bool reaches(size_t controller, const SimulatedMachine* machine);
+  void arrive_late(const Probe& probe);
+
+  Environment& env_;
+  Workers& workers_;
+  size_t late_orders_ = 0, late_orders_done_ = 0;
+};
+
+}  // namespace sumacquay::simulation
--- /dev/null
+++ b/tests/world/random.cpp
@@ -0,0 +1,17 @@
+#include "world/random.h"
+
+namespace sumacquay::simulation {
+
+bool Random::chance(double probability) {
+  return std::uniform_real_distribution<double>(0, 1)(engine_) < probability;
+}
+
+double Random::between(double least, double most) {
+  return std::uniform_real_distribution<double>(least, most)(engine_);
+}
+
+uint64_t Random::below(uint64_t count) {
+  return engine_() % count;
+}
+
+}  // namespace sumacquay::simulation
--- /dev/null
+++ b/tests/world/random_faults.cpp
@@ -0,0 +1,86 @@
+#include "world/random_faults.h"
+
+namespace sumacquay::simulation {
+
+namespace {
+/// Histories with fewer machines than this get another one.
+constexpr size_t kFewestMachines = 3;
+constexpr Seconds kReplacementBoots = 1;
+/// The ways that can be cut, as bits: state service, peers, workers.
+constexpr uint64_t kStateWay = 1, kPeersWay = 2, kWorkersWay = 4, kAllWays = 7;
+}  // namespace
+
+// The draws come in a fixed order: another one would turn each seed into another history.
+
+void RandomFaults::step() {
+  disturb_controller(pick_controller());
+  disturb_state_service();
+  disturb_network_and_cloud();
+  if (env_.fleet.size() == 0) return;
+  disturb_machine();
+  if (env_.fleet.size() < kFewestMachines) cloud_.add_machine(env_.now() + kReplacementBoots);
+}
+
+size_t RandomFaults::pick_controller() {
+  const auto leader = controllers_.leader();
+  if (leader && chance(0.7)) return *leader;
+  return env_.random.below(env_.controllers.size());
+}
+
+void RandomFaults::disturb_controller(size_t controller) {
+  if (chance(0.0015)) faults_.end_process(controller, between(0.1, 6));
+  if (chance(0.001)) faults_.stand_still(controller, between(1, 20));
+  if (chance(0.001)) faults_.refuse(controller, between(1, 30));
+  if (chance(0.001)) cut_some_ways(controller);
+  if (chance(0.0002)) end_all_controllers();
+}
+
+void RandomFaults::cut_some_ways(size_t controller) {
+  const uint64_t ways = 1 + env_.random.below(kAllWays);
+  const Seconds span = between(1, 30);
+  if (ways & kStateWay) faults_.cut_from_state(controller, span);
+  if (ways & kPeersWay) faults_.cut_from_peers(controller, span);
+  if (ways & kWorkersWay) faults_.cut_from_workers(controller, span);
+}
+
+void RandomFaults::end_all_controllers() {
+  for (size_t controller = 0; controller < env_.controllers.size(); ++controller) {
+    const Seconds back_in = between(0.2, 1);
+    const double factor = chance(0.3) ? 20 : 1;
+    faults_.end_process(controller, back_in * factor);
+  }
+}
+
+void RandomFaults::disturb_state_service() {
+  if (chance(0.0004)) faults_.outage(between(1, 40));
+  if (chance(0.0006)) faults_.slow(between(2, 20));
+  if (chance(0.0006)) faults_.late_writes(0.3, between(2, 20));
+  if (chance(0.0006)) faults_.lost_answers(0.3, between(2, 20));
+}
+
+void RandomFaults::disturb_network_and_cloud() {
+  if (chance(0.0006)) {
+    const auto delivery = chance(0.5) ? CopyDelivery::ToNextLeaderOnce : CopyDelivery::Later;
+    faults_.late_reports(0.3, between(2, 20), delivery);
+  }
+  if (chance(0.0005)) {
+    const Seconds span = between(5, 40);
+    faults_.cut_zone(chance(0.5) ? kEast : kWest, span);
+  }
+  if (chance(0.001)) faults_.late_releases(between(5, 60));
+}
+
+void RandomFaults::disturb_machine() {
+  const auto machines = env_.fleet.up(env_.now());
+  if (machines.empty()) return;
+  const std::string& machine = machines[env_.random.below(machines.size())];
+  if (chance(0.004)) faults_.hang(machine, between(1, 25));
+  if (chance(0.004)) faults_.cut(machine, between(1, 25));
+  if (chance(0.003)) faults_.deafen(machine, between(1, 25));
+  if (chance(0.001)) faults_.mute(machine, between(1, 25));
+  if (chance(0.002)) faults_.hold_orders(machine, between(1, 60));
+  if (chance(0.001)) faults_.sicken(machine);
+  if (chance(0.001)) faults_.lose_machine(machine);
+}
+
+}  // namespace sumacquay::simulation
--- /dev/null
+++ b/tests/world/record_copy.cpp
@@ -0,0 +1,106 @@
+#include "world/record_copy.h"
+
+#include <algorithm>
+
+namespace sumacquay::simulation {
+
+RecordCopy::Update RecordCopy::apply(const StateReply& reply, Seconds asked_at) {
+  Update update;
+  for (const auto& change : reply.changes) {
+    if (change.key.starts_with(keys::kLive))
+      apply_live(change, update);
+    else if (change.key.starts_with(keys::kFinished))
+      apply_finished(change, update);
+    else if (change.key.starts_with(keys::kHost))
+      apply_host(change);
+    else if (change.key == keys::kLeader)
+      apply_leader(change, update);
+    else if (change.key == keys::kTerm)
+      apply_term(change, update);
+  }
+  revision_ = std::max(revision_, reply.revision);
+  known_at_ = std::max(known_at_, asked_at);
+  update.first = !loaded_;
+  loaded_ = true;
+  return update;
+}
+
+void RecordCopy::apply_live(const StateService::Change& change, Update& update) {
+  const std::string id = change.key.substr(keys::kLive.size());
+  const auto known = live_.find(id);
+  if (known != live_.end() && known->second.version >= change.version) return;
+  if (change.deletes() || finished_.count(id))
+    live_.erase(id);
+  else
+    live_[id] = {std::get<JobRecord>(*change.value), change.version};
+  update.jobs.push_back(id);
+}
+
+void RecordCopy::apply_finished(const StateService::Change& change, Update& update) {
+  if (change.deletes()) return;
+  const std::string id = change.key.substr(keys::kFinished.size());
+  live_.erase(id);
+  finished_.emplace(id, std::get<wire::FinishedRecord>(*change.value));
+  update.jobs.push_back(id);
+}
+
+void RecordCopy::apply_host(const StateService::Change& change) {
+  const std::string id = change.key.substr(keys::kHost.size());
+  const auto known = hosts_.find(id);
+  if (known != hosts_.end() && known->second.version >= change.version) return;
+  const auto deleted = host_deleted_.find(id);
+  if (deleted != host_deleted_.end() && deleted->second >= change.version) return;
+  if (change.deletes())
+    hosts_.erase(id);
+  else
+    hosts_[id] = {std::get<HostRecord>(*change.value), change.version};
+}
+
+void RecordCopy::apply_leader(const StateService::Change& change, Update& update) {
+  if (change.version <= leader_seen_) return;
+  leader_seen_ = change.version;
+  leader_ = {};
+  if (!change.deletes()) leader_ = {std::get<wire::LeaderRecord>(*change.value), change.version};
+  update.leader_changed = true;
+}
+
+void RecordCopy::apply_term(const StateService::Change& change, Update& update) {
+  if (change.deletes() || change.version <= term_.version) return;
+  term_ = {std::get<wire::LeaderRecord>(*change.value), change.version};
+  update.leader_changed = true;
+}
+
+void RecordCopy::won_leadership(const wire::LeaderRecord& record, uint64_t revision) {
+  leader_seen_ = std::max(leader_seen_, revision);
+  leader_ = term_ = {record, revision};
+}
+
+bool RecordCopy::wrote_job(const JobRecord& record, uint64_t version) {
+  if (finished_.count(record.spec.id)) return false;
+  auto& known = live_[record.spec.id];
+  if (known.version >= version) return false;
+  known = {record, version};
+  return true;
+}
+
+void RecordCopy::wrote_finished(const std::string& id, const wire::FinishedRecord& record) {
+  live_.erase(id);
+  finished_.emplace(id, record);
+}
+
+void RecordCopy::wrote_host(const std::string& id, const HostRecord& record, uint64_t version) {
+  hosts_[id] = {record, version};
+}
+
+void RecordCopy::deleted_host(const std::string& id, uint64_t version) {
+  hosts_.erase(id);
+  host_deleted_[id] = version;
+}
+
+bool RecordCopy::ended(const std::string& id) const {
+  const auto live = live_.find(id);
+  if (live != live_.end()) return live->second.value.state != JobState::Pending;
+  return finished_.count(id) > 0;
+}
+
+}  // namespace sumacquay::simulation
--- /dev/null
+++ b/tests/world/state_channel.h
@@ -0,0 +1,88 @@
+#pragma once
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "world/environment.h"
+#include "world/state_service.h"
+
+namespace sumacquay::simulation {
+
+enum class StateOutcome {
+  Ok,
+  Failed,   ///< a guard failed or a lease has ended
+  Refused,  ///< not served
+  Unknown,  ///< no answer in time
+};
+
+struct StateReply {
+  StateOutcome outcome = StateOutcome::Unknown;
+  uint64_t revision = 0;
+  uint64_t lease = 0;
+  std::vector<StateService::Change> changes;
+
+  bool ok() const { return outcome == StateOutcome::Ok; }
+};
+
+/// The term under which a process writes.
+struct WriterTerm {
+  uint64_t term = 0, nonce = 0;
+};
+
+/// The way between the controllers and the state service, with the faults of both: delays,
+/// refusals, outages, writes that are applied late and answers that are lost.
+class StateChannel {
+ public:
+  using Operation = std::function<StateReply()>;
+  using Done = std::function<void(ControllerProcess&, const StateReply&)>;
+  /// A transaction may be applied late, or without its answer coming back.
+  enum class RequestKind { Transaction, Other };
+
+  explicit StateChannel(Environment& environment) : env_(environment) {}
+
+  /// Asks on behalf of the controller's present process. `deadline`: none: the usual one.
+  void request(size_t controller, RequestKind kind, Operation operation, Done done,
+               std::optional<Seconds> deadline = std::nullopt);
+
+  Operation transaction(std::vector<wire::Guard> guards, std::vector<StateService::Change> changes,
+                        std::optional<WriterTerm> writer = std::nullopt);
+  /// Everything, or only what has changed after a revision.
+  Operation read(std::optional<uint64_t> after);
+  Operation grant(Seconds duration);
+  Operation renew(uint64_t lease);
+  Operation revoke(uint64_t lease);
+
+  /// Ends outages and leases whose time is over.
+  void step();
+
+  void begin_outage(Seconds span);
+  void slow_down(Seconds span);
+  void apply_writes_late(double share, Seconds span);
+  void lose_answers(double share, Seconds span);
+  void end_faults();
+
+  size_t late_writes_applied() const { return late_writes_applied_; }
+  size_t late_writes_tried() const { return late_writes_tried_; }
+  size_t answers_lost() const { return answers_lost_; }
+
+ private:
+  struct Request {
+    size_t controller = 0;
+    RequestKind kind = RequestKind::Other;
+    Operation operation;
+    std::function<void(Seconds delay, StateReply)> answer;
+  };
+  bool out() const { return outage_end_ && env_.now() < *outage_end_; }
+  void arrive(const Request& request);
+  void apply_late(Operation operation);
+
+  Environment& env_;
+  StateService service_;
+  std::optional<Seconds> outage_end_;
+  Fault slow_, late_, lossy_;
+  double late_share_ = 0, lost_share_ = 0;
+  size_t late_writes_applied_ = 0, late_writes_tried_ = 0, answers_lost_ = 0;
+};
+
+}  // namespace sumacquay::simulation
--- /dev/null
+++ b/tests/world/workers.cpp
@@ -0,0 +1,205 @@
+#include "world/workers.h"
+
+#include <algorithm>
+
+namespace sumacquay::simulation {
+
+namespace {
+/// How long a worker waits for the answer to a report.
+constexpr Seconds kReportTimeout = 4;
+constexpr Seconds kReportIntervalLeast = 0.75, kReportIntervalMost = 1.25;
+/// When a worker reports to the next controller after one did not answer.
+constexpr Seconds kNextControllerDelay = 1;
+/// When a worker reports at the latest after it was told a new token or another controller.
+constexpr Seconds kPromptReport = 0.5;
+constexpr double kCopiedByChance = 0.01;
+constexpr double kReplyLost = 0.01;
+}  // namespace
+
+void Workers::step() {
+  for (auto& [id, machine] : env_.fleet.machines()) step(machine);
+}
+
+void Workers::step(SimulatedMachine& machine) {
+  const Seconds now = env_.now();
+  if (!machine.up(now)) return;
+  // A hung machine goes on within its lease at the latest: past it nothing of its tasks is left.
+  machine.expire_session(env_.options.lease_s, now);
+  if (machine.faults.hung.active(now)) return;
+  for (auto& [key, task] : machine.tasks) run_task(machine, key, task);
+  if (machine.report_sent && now - *machine.report_sent > kReportTimeout) turn_to_next(machine);
+  if (!machine.report_sent && now >= machine.next_report) send_report(machine);
+}
+
+// ---------------------------------------------------------------- tasks
+
+void Workers::run_task(SimulatedMachine& machine, const TaskKey& key, MachineTask& task) {
+  const Seconds now = env_.now();
+  if (!task.present() || now < task.next_change) return;
+  if (task.state != TaskState::Fetching) return finish_task(key, task);
+  task.state = TaskState::Running;
+  ObservedJob& job = env_.jobs.at(key.job);
+  if (!job.began_at) job.began_at = now;
+  task.next_change = now + env_.random.between(env_.options.task_least, env_.options.task_most);
+  if (!machine.sick) return;
+  task.state = TaskState::Exited;
+  task.cause = ExitCause::Error;
+}
+
+void Workers::finish_task(const TaskKey& key, MachineTask& task) {
+  ObservedJob& job = env_.jobs.at(key.job);
+  if (job.spec.kind == JobKind::Service) return;
+  task.state = TaskState::Exited;
+  task.cause = ExitCause::Done;
+  job.done.insert(key.task);
+  if (job.spec.kind != JobKind::Gang) return;
+  for (uint32_t member = 0; member < job.spec.tasks; ++member) job.done.insert(member);
+}
+
+void Workers::execute(SimulatedMachine& machine, const std::vector<Command>& commands,
+                      Seconds ordered_at) {
+  for (const auto& command : commands) {
+    if (command.verb == Verb::Start) {
+      start_task(machine, command, ordered_at);
+      continue;
+    }
+    const auto known = machine.tasks.find(command.key);
+    if (known == machine.tasks.end() || known->second.attempt != command.attempt) continue;
+    MachineTask& task = known->second;
+    if (command.verb != Verb::Stop) {
+      if (!task.present()) machine.tasks.erase(known);
+    } else if (task.present()) {
+      task.state = TaskState::Exited;
+      task.cause = ExitCause::Stopped;
+    }
+  }
+}
+
+void Workers::start_task(SimulatedMachine& machine, const Command& command, Seconds ordered_at) {
+  const auto known = machine.tasks.find(command.key);
+  if (known != machine.tasks.end() &&
+      (known->second.attempt == command.attempt || known->second.present()))
+    return;
+  const Seconds fetch = env_.random.between(env_.options.fetch_least, env_.options.fetch_most);
+  machine.tasks[command.key] = {command.attempt, TaskState::Fetching, ExitCause::None,
+                                env_.now() + fetch};
+  env_.checker.task_started(machine, command.key, ordered_at);
+}
+
+// ---------------------------------------------------------------- reports
+
+void Workers::send_report(SimulatedMachine& machine) {
+  Random& random = env_.random;
+  const Seconds now = env_.now();
+  machine.report_sent = now;
+  machine.next_report = now + random.between(kReportIntervalLeast, kReportIntervalMost);
+  const WorkerReport report = machine.report();
+  maybe_copy(report);
+  if (machine.faults.mute.active(now)) return;  // no connection comes about
+  const Seconds apart_until = env_.network.machine_apart_until(machine.controller, machine);
+  Seconds delay = random.between(0.001, 0.05);
+  if (now < apart_until) {
+    if (random.chance(0.7)) return;
+    delay += apart_until - now;  // held on its way
+  }
+  if (slow_.active(now) && random.chance(0.5)) delay += random.between(0.2, 3.5);
+  if (!env_.controllers[machine.controller].process) return turn_to_next(machine);
+  env_.controllers.schedule_at(machine.controller, delay,
+                               [this, report, sent_at = now](ControllerProcess& process) {
+                                 answer(process, report, sent_at);
+                               });
+}
+
+void Workers::answer(ControllerProcess& process, const WorkerReport& report, Seconds sent_at) {
+  const ReportReply reply = process.answer_report(report);
+  const SimulatedMachine* machine = env_.fleet.find(report.machine);
+  if (!machine || env_.random.chance(kReplyLost)) return;
+  const size_t controller = process.controller();
+  if (env_.now() < env_.network.machine_apart_until(controller, *machine)) return;
+  const Seconds longest = env_.random.chance(0.03) ? 3.9 : 0.05;
+  env_.loop.schedule(env_.random.between(0.001, longest),
+                     [this, delivery = ReplyDelivery{controller, report, reply, sent_at,
+                                                     env_.now()}] { hear_reply(delivery); });
+}
+
+void Workers::hear_reply(const ReplyDelivery& delivery) {
+  const Seconds now = env_.now();
+  SimulatedMachine* machine = env_.fleet.find(delivery.report.machine);
+  if (!machine || machine->faults.deaf.active(now)) return;
+  if (machine->report_sent != delivery.sent_at) return;
+  const Fault& hung = machine->faults.hung;
+  if (hung.active(now)) {
+    if (hung.end() - delivery.sent_at < kReportTimeout)
+      env_.loop.schedule(hung.end() - now + 0.001, [this, delivery] { hear_reply(delivery); });
+    return;
+  }
+  if (now - delivery.sent_at > kReportTimeout) return;
+  const ReportReply& reply = delivery.reply;
+  if (reply.status != ReportStatus::Answered) return turn_to(*machine, delivery);
+  machine->report_sent.reset();
+  if (machine->session != delivery.report.session || reply.token < machine->token) return;
+  machine->answered_report = delivery.sent_at;
+  if (reply.token > machine->token)
+    machine->next_report = std::min(machine->next_report, now + kPromptReport);
+  machine->token = reply.token;
+  execute(*machine, reply.commands, delivery.replied_at);
+}
+
+/// To the controller that the answer names, or to the next one.
+void Workers::turn_to(SimulatedMachine& machine, const ReplyDelivery& delivery) {
+  const auto& named = delivery.reply.leader;
+  if (!named || *named == delivery.controller) return turn_to_next(machine);
+  machine.report_sent.reset();
+  machine.controller = *named;
+  machine.next_report = env_.now() + env_.random.between(0, kPromptReport);
+}
+
+void Workers::turn_to_next(SimulatedMachine& machine) {
+  machine.report_sent.reset();
+  machine.controller = (machine.controller + 1) % env_.controllers.size();
+  machine.next_report = env_.now() + kNextControllerDelay;
+}
+
+// ---------------------------------------------------------------- late copies of reports
+
+void Workers::copy_reports(double share, Seconds span, CopyDelivery delivery) {
+  copy_share_ = share;
+  copying_.last_until(env_.now() + span);
+  copy_delivery_ = delivery;
+}
+
+void Workers::maybe_copy(const WorkerReport& report) {
+  Random& random = env_.random;
+  const bool copying = copying_.active(env_.now());
+  if (!random.chance(kCopiedByChance) && !(copying && random.chance(copy_share_))) return;
+  const ReportCopy copy{report, env_.checker.highest_term()};
+  if (copying && copy_delivery_ == CopyDelivery::ToNextLeaderOnce)
+    return kept_copies_.push_back(copy);
+  env_.loop.schedule(random.between(2, 2.5 * env_.options.lease_s),
+                     [this, copy] { send_copy(copy); });
+}
+
+void Workers::send_kept_copies() {
+  for (const auto& copy : kept_copies_) send_copy(copy);
+  kept_copies_.clear();
+}
+
+void Workers::send_copy(const ReportCopy& copy) {
+  for (size_t controller = 0; controller < env_.controllers.size(); ++controller)
+    env_.controllers.schedule_at(
+        controller, env_.random.between(0.001, 0.1),
+        [this, copy](ControllerProcess& process) { hear_copy(process, copy); });
+}
+
+void Workers::hear_copy(ControllerProcess& process, const ReportCopy& copy) {
+  ++copies_heard_;
+  if (process.may_answer() && process.term() > copy.term_at_sending) ++copies_heard_by_new_leader_;
+  process.answer_copy(copy.report);
+}
+
+void Workers::end_faults() {
+  copying_.clear();
+  slow_.clear();
+}
+
+}  // namespace sumacquay::simulation
--- /dev/null
+++ b/tests/world/world.cpp
@@ -0,0 +1,125 @@
+#include "world/world.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace sumacquay::simulation {
+
+namespace {
+constexpr Seconds kStep = 0.05;
+/// The share of the time with faults in which jobs are submitted, and how often that is.
+constexpr double kSubmittingShare = 0.7;
+constexpr double kSubmissionsPerStep = 0.02;
+}  // namespace
+
+World::World(uint64_t seed, WorldOptions options)
+    : env_(seed, std::move(options)),
+      state_(env_),
+      workers_(env_),
+      orders_(env_, workers_),
+      cloud_(env_),
+      controllers_(env_, {state_, orders_, cloud_, workers_}),
+      frontend_(env_, state_),
+      users_(env_, frontend_),
+      faults_(env_, controllers_, state_, cloud_, workers_),
+      random_faults_(env_, faults_, controllers_, cloud_) {
+  for (int i = 0; i < env_.options.machines; ++i) cloud_.add_machine(now());
+  controllers_.start_all();
+}
+
+void World::step() {
+  env_.loop.advance(kStep);
+  state_.step();
+  env_.loop.run_due();
+  controllers_.step();
+  workers_.step();
+  env_.checker.check();
+}
+
+void World::run(Seconds with_faults, Seconds quiet) {
+  while (now() < with_faults) {
+    random_faults_.step();
+    if (now() < with_faults * kSubmittingShare && chance(kSubmissionsPerStep)) users_.submit_any();
+    step();
+  }
+  end_faults();
+  while (now() < with_faults + quiet) step();
+}
+
+void World::run_for(Seconds span) {
+  const Seconds end = now() + span;
+  while (now() < end) step();
+}
+
+bool World::run_until(const std::function<bool()>& reached, Seconds most) {
+  const Seconds end = now() + most;
+  while (now() < end && !reached()) step();
+  return reached();
+}
+
+void World::at(Seconds delay, std::function<void()> event) {
+  env_.loop.schedule(delay, std::move(event));
+}
+
+void World::finish(Seconds quiet) {
+  end_faults();
+  for (const auto& [id, job] : env_.jobs)
+    if (job.spec.kind == JobKind::Service) users_.cancel(id);
+  run_for(quiet);
+}
+
+void World::end_faults() {
+  env_.checker.faults_ended();
+  faults_.end_all();
+}
+
+size_t World::follower() {
+  return (leader_or_first() + 1 + any(env_.controllers.size() - 1)) % env_.controllers.size();
+}
+
+size_t World::unfinished() const {
+  return static_cast<size_t>(
+      std::count_if(env_.jobs.begin(), env_.jobs.end(), [](const auto& item) {
+        const ObservedJob& job = item.second;
+        return job.accepted && !job.cancel_asked && !job.complete();
+      }));
+}
+
+std::optional<Seconds> World::cancelled_at(const std::string& job) const {
+  return env_.jobs.at(job).cancelled_at;
+}
+
+std::optional<Seconds> World::began_at(const std::string& job) const {
+  return env_.jobs.at(job).began_at;
+}
+
+size_t World::tasks_waiting(const std::string& job) const {
+  std::set<uint32_t> started = env_.jobs.at(job).done;
+  env_.fleet.each_present([&](const SimulatedMachine&, const TaskKey& key) {
+    if (key.job == job) started.insert(key.task);
+  });
+  return env_.jobs.at(job).spec.tasks - started.size();
+}
+
+std::vector<std::string> World::jobs_running() const {
+  std::set<std::string> running;
+  env_.fleet.each_present([&](const SimulatedMachine&, const TaskKey& key) {
+    if (!env_.jobs.at(key.job).cancel_asked) running.insert(key.job);
+  });
+  return {running.begin(), running.end()};
+}
+
+std::vector<std::string> World::machines_of(const std::string& job) const {
+  std::vector<std::string> out;
+  env_.fleet.each_present([&](const SimulatedMachine& machine, const TaskKey& key) {
+    if (key.job == job && (out.empty() || out.back() != machine.id)) out.push_back(machine.id);
+  });
+  return out;
+}
+
+const std::string& World::zone_of(const std::string& machine) const {
+  return env_.fleet.at(machine).zone;
+}
+
+}  // namespace sumacquay::simulation
--- /dev/null
+++ b/tests/world/world.h
@@ -0,0 +1,88 @@
+#pragma once
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "world/cloud.h"
+#include "world/controllers.h"
+#include "world/environment.h"
+#include "world/faults.h"
+#include "world/frontend.h"
+#include "world/order_channel.h"
+#include "world/random_faults.h"
+#include "world/state_channel.h"
+#include "world/users.h"
+#include "world/workers.h"
+
+namespace sumacquay::simulation {
+
+/// A whole deployment in virtual time: controllers that elect a leader among them, the state
+/// service, the cloud, machines with workers, users, and an independent checker.
+class World {
+ public:
+  explicit World(uint64_t seed, WorldOptions options = {});
+
+  // Time.
+  Seconds now() const { return env_.now(); }
+  /// A history: random faults and jobs, then the quiet in which all work has to end.
+  void run(Seconds with_faults, Seconds quiet);
+  void run_for(Seconds span);
+  /// Whether it was reached.
+  bool run_until(const std::function<bool()>& reached, Seconds most);
+  void at(Seconds delay, std::function<void()> event);
+  /// All faults end, services are cancelled, and the work ends.
+  void finish(Seconds quiet = 250);
+
+  // Chance.
+  bool chance(double probability) { return env_.random.chance(probability); }
+  double between(double least, double most) { return env_.random.between(least, most); }
+  uint64_t any(uint64_t count) { return env_.random.below(count); }
+
+  // The parts.
+  Users& users() { return users_; }
+  Faults& faults() { return faults_; }
+  const Checker& checker() const { return env_.checker; }
+  const StateChannel& state() const { return state_; }
+  const OrderChannel& orders() const { return orders_; }
+  const Workers& workers() const { return workers_; }
+
+  // Controllers.
+  std::optional<size_t> leader() const { return controllers_.leader(); }
+  size_t leader_or_first() const { return leader().value_or(0); }
+  /// A controller that doesn't lead.
+  size_t follower();
+
+  // Jobs and machines.
+  size_t submitted() const { return env_.jobs.size(); }
+  /// Jobs that were accepted, not cancelled, and are not done.
+  size_t unfinished() const;
+  std::optional<Seconds> cancelled_at(const std::string& job) const;
+  /// When the first of its tasks ran, none: not yet.
+  std::optional<Seconds> began_at(const std::string& job) const;
+  /// Tasks that are neither done nor on any machine.
+  size_t tasks_waiting(const std::string& job) const;
+  /// Jobs with a task on a machine, unless somebody has asked to cancel them.
+  std::vector<std::string> jobs_running() const;
+  std::vector<std::string> machines() const { return env_.fleet.up(now()); }
+  /// Machines with a task of the job on them.
+  std::vector<std::string> machines_of(const std::string& job) const;
+  const std::string& zone_of(const std::string& machine) const;
+
+ private:
+  void step();
+  void end_faults();
+
+  Environment env_;
+  StateChannel state_;
+  Workers workers_;
+  OrderChannel orders_;
+  Cloud cloud_;
+  Controllers controllers_;
+  Frontend frontend_;
+  Users users_;
+  Faults faults_;
+  RandomFaults random_faults_;
+};
+
+}  // namespace sumacquay::simulation
