--- a/src/fleet/report.h
+++ b/src/fleet/report.h
@@ -24,6 +24,12 @@
   ExitCause cause = ExitCause::None;
 };
 
+/// A token is the term of the leader that gave it, and below it a counter of the worker's own.
+inline constexpr int kTokenCounterBits = 20;
+inline uint64_t term_of_token(uint64_t token) {
+  return token >> kTokenCounterBits;
+}
+
 struct WorkerReport {
   std::string machine, addr, type, zone;
   bool spot = false;
--- /dev/null
+++ b/src/node/action_executor.cpp
@@ -0,0 +1,118 @@
+#include "node/action_executor.h"
+
+#include "node/steady_time.h"
+#include "wire/messages.h"
+
+namespace sumacquay {
+namespace {
+
+/// The part of all sockets that orders to workers may keep.
+constexpr double kWorkerSocketShare = 0.2;
+/// How long an order may take: in report periods, but at most this part of a worker's lease.
+constexpr double kOrderDeadlineReports = 1.5;
+constexpr double kOrderDeadlineLeaseShare = 0.2;
+/// How long a machine has to answer a probe / the workers' lease.
+constexpr double kProbeDeadlineLeaseShare = 0.05;
+/// How long the cloud has to answer / the workers' lease.
+constexpr double kCloudDeadlineLeaseShare = 0.5;
+
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusConflict = 409;
+constexpr int kStatusUnavailable = 503;
+
+}  // namespace
+
+ActionExecutor::ActionExecutor(asio::io_context& io, const Settings& settings, HttpClient& cloud,
+                               Leadership& leadership, ActiveCore& core)
+    : io_(io),
+      settings_(settings),
+      cloud_(cloud),
+      leadership_(leadership),
+      core_(core),
+      workers_(io, static_cast<size_t>(settings.max_sockets * kWorkerSocketShare)) {}
+
+void ActionExecutor::perform(const Action& action) {
+  std::visit([this](const auto& a) { perform(a); }, action);
+}
+
+/// A worker answers orders with its report, whether it carries them out or not.
+std::optional<WorkerReport> ActionExecutor::take_report(const HttpResult& result) {
+  if (!result.ok() && !(result.answered && result.status == kStatusConflict)) return std::nullopt;
+  const auto report = wire::parse_report(result.body);
+  if (report) leadership_.saw_term(steady_now(), term_of_token(report->token));
+  return report;
+}
+
+void ActionExecutor::perform(const SendOrders& order) {
+  const uint64_t generation = core_.generation();
+  const auto client = workers_.find_or_open(order.addr, steady_now());
+  if (!client) {
+    asio::post(io_, [this, machine = order.machine, generation] {
+      if (LeaderCore* core = core_.get(generation))
+        core->orders_done(machine, std::nullopt, false, steady_now());
+    });
+    return;
+  }
+  const Seconds deadline = std::min(settings_.report_s * kOrderDeadlineReports,
+                                    settings_.lease_s * kOrderDeadlineLeaseShare);
+  client->request("POST", wire::path::kOrders,
+                  wire::orders_body(order.token, order.session, order.commands), deadline,
+                  [this, client, machine = order.machine, generation](const HttpResult& result) {
+                    if (!core_.get(generation)) return;
+                    const auto report = take_report(result);
+                    // The core that sent the orders hears of them, also if the report's term has
+                    // just made this node step down: it is released later, by a posted handler.
+                    if (core_)
+                      core_->orders_done(machine, report, result.ok() && report, steady_now());
+                  });
+}
+
+void ActionExecutor::perform(const Probe& probe) {
+  const auto client = workers_.find_or_open(probe.addr, steady_now());
+  if (!client) return core_->not_probed(probe.machine);
+  client->request("POST", wire::path::kOrders, wire::orders_body(probe.token, probe.session, {}),
+                  settings_.lease_s * kProbeDeadlineLeaseShare,
+                  [this, client, machine = probe.machine,
+                   generation = core_.generation()](const HttpResult& result) {
+                    if (!core_.get(generation)) return;
+                    const auto report = take_report(result);
+                    if (core_) core_->probed(machine, report, steady_now());
+                  });
+}
+
+void ActionExecutor::perform(const Rent& rent) {
+  cloud_.request("POST", wire::path::kMachines,
+                 wire::rent_body(rent.request, rent.type, rent.zone, rent.spot, rent.count),
+                 settings_.lease_s * kCloudDeadlineLeaseShare,
+                 [this, rent, generation = core_.generation()](const HttpResult& result) {
+                   LeaderCore* core = core_.get(generation);
+                   if (!core) return;
+                   const RentResult rented = read_rent_answer(result);
+                   core->rent_done(rent, rented.outcome, rented.machines, steady_now());
+                 });
+}
+
+void ActionExecutor::perform(const Release& release) {
+  cloud_.request("POST", wire::path::kRelease, wire::release_body(release.machines),
+                 settings_.lease_s * kCloudDeadlineLeaseShare,
+                 [this, release, generation = core_.generation()](const HttpResult& result) {
+                   if (LeaderCore* core = core_.get(generation))
+                     core->release_done(release, result.ok(), steady_now());
+                 });
+}
+
+RentResult read_rent_answer(const HttpResult& result) {
+  RentResult rented;
+  if (result.ok()) {
+    if (auto machines = wire::parse_rented(result.body)) {
+      rented.outcome = LeaderCore::RentOutcome::Rented;
+      rented.machines = std::move(*machines);
+    }
+    return rented;
+  }
+  const bool refused = result.status == kStatusUnavailable || result.status == kStatusBadRequest;
+  if (result.answered && refused) rented.outcome = LeaderCore::RentOutcome::Refused;
+  return rented;
+}
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/node/action_executor.h
@@ -0,0 +1,50 @@
+#pragma once
+#include <asio.hpp>
+#include <string>
+
+#include "config/settings.h"
+#include "dispatch/leader_core.h"
+#include "leadership/leadership.h"
+#include "net/http.h"
+#include "node/active_core.h"
+#include "node/worker_clients.h"
+
+namespace sumacquay {
+
+/// Carries out what the leader decides: orders and probes go to workers, rents and releases to the
+/// cloud. Called by the node after each tick of the core.
+///
+/// Guarantees that the core hears the outcome of every action, unless this node has stepped down
+/// since; never from inside `perform`, but for a probe that found no client. A term in a worker's
+/// answer is passed on before the outcome, and may make this node step down.
+class ActionExecutor {
+ public:
+  ActionExecutor(asio::io_context& io, const Settings& settings, HttpClient& cloud,
+                 Leadership& leadership, ActiveCore& core);
+  void perform(const Action& action);
+  /// This node no longer leads: its connections to workers are closed.
+  void stop() { workers_.clear(); }
+
+ private:
+  void perform(const SendOrders& order);
+  void perform(const Probe& probe);
+  void perform(const Rent& rent);
+  void perform(const Release& release);
+  std::optional<WorkerReport> take_report(const HttpResult& result);
+
+  asio::io_context& io_;
+  const Settings& settings_;
+  HttpClient& cloud_;
+  Leadership& leadership_;
+  ActiveCore& core_;
+  WorkerClients workers_;
+};
+
+/// What the cloud's answer to a rent says. Without one it may still be carried out.
+struct RentResult {
+  LeaderCore::RentOutcome outcome = LeaderCore::RentOutcome::Unknown;
+  std::vector<std::string> machines;
+};
+RentResult read_rent_answer(const HttpResult& result);
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/node/heartbeat_details.cpp
@@ -0,0 +1,29 @@
+#include "node/heartbeat_details.h"
+
+namespace sumacquay {
+
+void add_counts(const LeaderCore& core, wire::Heartbeat& heartbeat) {
+  for (const auto& [id, running] : core.running_counts()) {
+    const auto job = core.jobs().find(id);
+    if (job == core.jobs().end()) continue;
+    heartbeat.counts.push_back({id, job->second.done.count(), running});
+  }
+}
+
+void add_hints(const LeaderCore& core, Seconds now, wire::Heartbeat& heartbeat) {
+  for (const auto& [id, machine] : core.machines()) {
+    for (const auto& [image, gb] : machine.images.kept())
+      heartbeat.images.push_back({id, image, gb});
+    if (machine.stage != Machine::Stage::Booting) continue;
+    ListedMachine booting;
+    booting.id = id;
+    booting.type = machine.info.type;
+    booting.zone = machine.info.zone;
+    booting.spot = machine.info.spot;
+    booting.state = ListedMachine::State::Booting;
+    booting.age_s = now - machine.first_seen;
+    heartbeat.booting.push_back(std::move(booting));
+  }
+}
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/node/heartbeat_details.h
@@ -0,0 +1,16 @@
+#pragma once
+#include "dispatch/leader_core.h"
+#include "wire/messages.h"
+
+/// What the leader's heartbeats carry beside its status, without I/O. Called by the node as it
+/// builds a heartbeat. Safety rests on none of it.
+namespace sumacquay {
+
+/// The counts that users are shown, and nothing of jobs whose records are gone.
+void add_counts(const LeaderCore& core, wire::Heartbeat& heartbeat);
+
+/// Hints for a successor: the images that machines hold, and the machines that were rented and not
+/// heard yet, with their ages.
+void add_hints(const LeaderCore& core, Seconds now, wire::Heartbeat& heartbeat);
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/node/machine_list_poller.cpp
@@ -0,0 +1,50 @@
+#include "node/machine_list_poller.h"
+
+#include "node/steady_time.h"
+#include "wire/messages.h"
+
+namespace sumacquay {
+namespace {
+
+constexpr int kMachinesPerPage = 500;
+/// How long the cloud has to answer / the workers' lease.
+constexpr double kDeadlineLeaseShare = 0.5;
+/// The pause between two lists / the time by which the cloud's list lags.
+constexpr double kPauseLagShare = 0.5;
+
+}  // namespace
+
+MachineListPoller::MachineListPoller(asio::io_context& io, const Settings& settings,
+                                     HttpClient& cloud, ActiveCore& core)
+    : settings_(settings), cloud_(cloud), core_(core), timer_(io) {}
+
+void MachineListPoller::start() {
+  read_page(core_.generation(), "", std::make_shared<Machines>());
+}
+
+void MachineListPoller::read_page(uint64_t generation, const std::string& after,
+                                  std::shared_ptr<Machines> so_far) {
+  cloud_.request("GET", wire::machines_path(after, kMachinesPerPage), "",
+                 settings_.lease_s * kDeadlineLeaseShare,
+                 [this, generation, so_far](const HttpResult& result) {
+                   LeaderCore* core = core_.get(generation);
+                   if (!core) return;
+                   const auto page = result.ok() ? wire::parse_machines(result.body) : std::nullopt;
+                   if (page) {
+                     so_far->insert(so_far->end(), page->machines.begin(), page->machines.end());
+                     if (page->more && !page->machines.empty())
+                       return read_page(generation, page->machines.back().id, so_far);
+                     core->listed(*so_far, steady_now());
+                   }
+                   read_again_later(generation);
+                 });
+}
+
+void MachineListPoller::read_again_later(uint64_t generation) {
+  timer_.expires_after(to_microseconds(settings_.list_lag_s * kPauseLagShare));
+  timer_.async_wait([this, generation](auto error) {
+    if (!error && generation == core_.generation()) start();
+  });
+}
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/node/machine_types_poller.cpp
@@ -0,0 +1,49 @@
+#include "node/machine_types_poller.h"
+
+#include "node/steady_time.h"
+#include "wire/messages.h"
+
+namespace sumacquay {
+namespace {
+
+/// How long the cloud has to answer / the workers' lease.
+constexpr double kDeadlineLeaseShare = 0.5;
+/// The pause between two reads / the workers' lease: prices move.
+constexpr double kPauseLeases = 6;
+/// Until the first read has succeeded, the shortest pause / the report period, and the random part
+/// on top: a node that has no types yet can't take submissions.
+constexpr double kFirstPauseReports = 0.3;
+constexpr double kFirstPauseJitterReports = 0.4;
+
+}  // namespace
+
+MachineTypesPoller::MachineTypesPoller(asio::io_context& io, const Settings& settings,
+                                       HttpClient& cloud, std::function<double()> random,
+                                       std::function<void()> changed)
+    : settings_(settings),
+      cloud_(cloud),
+      random_(std::move(random)),
+      changed_(std::move(changed)),
+      timer_(io) {}
+
+void MachineTypesPoller::read() {
+  cloud_.request("GET", wire::path::kTypes, "", settings_.lease_s * kDeadlineLeaseShare,
+                 [this](const HttpResult& result) {
+                   auto types = result.ok() ? wire::parse_types(result.body) : std::nullopt;
+                   if (types) {
+                     types_ = std::move(*types);
+                     changed_();
+                   }
+                   timer_.expires_after(to_microseconds(pause()));
+                   timer_.async_wait([this](auto error) {
+                     if (!error) read();
+                   });
+                 });
+}
+
+Seconds MachineTypesPoller::pause() {
+  if (!types_.empty()) return kPauseLeases * settings_.lease_s;
+  return settings_.report_s * (kFirstPauseReports + kFirstPauseJitterReports * random_());
+}
+
+}  // namespace sumacquay
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -5,91 +5,83 @@
 #include <random>
 
 #include "config/settings.h"
-#include "dispatch/leader_core.h"
 #include "frontend/frontend.h"
 #include "leadership/delegation.h"
-#include "leadership/leadership.h"
 #include "net/http.h"
+#include "node/action_executor.h"
+#include "node/active_core.h"
+#include "node/election.h"
+#include "node/machine_list_poller.h"
+#include "node/machine_types_poller.h"
+#include "node/outage_log.h"
+#include "node/record_writer.h"
+#include "node/steady_time.h"
 #include "peer/peers.h"
 #include "store/mirror.h"
 #include "store/store_client.h"
 
 namespace sumacquay {
 
-/// One controller: wires the parts together and carries out what the leader decides.
+/// One controller: connects the parts with one another, and answers workers, users and peers.
+/// Made and started by main(); everything runs on the one thread of `io`.
 class Node {
  public:
   Node(asio::io_context& io, const Settings& settings);
   void start();
 
  private:
-  Seconds now() const;
   double random();
   void tick();
   void tick_core();
-  void log_troubles();
-  void keep_records_known();
   void resign_if_unheard();
   // requests
   void on_request(const HttpRequest& request, Respond respond);
   void on_report(const HttpRequest& request, const Respond& respond);
+  void answer_as_follower(const WorkerReport& report, const Respond& respond);
+  std::string leader_to_redirect_to() const;
   bool ready() const;
   bool served() const;
+  bool may_be_delegate(const WorkerReport& report) const;
   // leadership
-  Leadership::Effects leadership_effects();
-  void elect(Leadership::Campaign campaign, uint64_t lease);
-  void take_office(Leadership::Campaign campaign, uint64_t term, Seconds end);
   void on_leadership(Leadership::State from, Leadership::State to);
-  void on_leader_record();
+  void begin_to_lead();
+  void step_down();
+  std::unique_ptr<LeaderCore> make_core() const;
+  bool leads_now() const { return core_ && leadership_.may_act(steady_now()); }
+  // records
   void on_job_record(const std::string& id);
-  bool may_be_delegate(const WorkerReport& report) const;
-  const std::string* zone_of(const std::string& node) const;
-  void hear(const wire::Heartbeat& heartbeat);
+  void on_all_job_records();
+  // heartbeats
+  Peers::Hooks peer_hooks();
+  wire::Heartbeat own_heartbeat(wire::HeartbeatPart part) const;
   wire::Heartbeat answer_heartbeat(const wire::Heartbeat& from);
+  void on_heartbeat(const wire::Heartbeat& heartbeat);
   void on_heartbeat_answer(const std::string& node, const wire::Heartbeat& heartbeat,
                            std::chrono::steady_clock::time_point asked_at);
-  wire::Heartbeat own_heartbeat(wire::HeartbeatPart part);
-  void add_counts(wire::Heartbeat& p) const;
-  void add_hints(wire::Heartbeat& p) const;
-  // the leader's hands
-  void perform(const Action& action);
-  void perform(const SendOrders& order);
-  void perform(const Probe& probe);
-  void perform(const Rent& rent);
-  void perform(const Release& release);
-  void write_records();
-  void records_written(const std::vector<RecordWrite>& writes, const TxnResult& result);
-  void list_machines();
-  void list_page(uint64_t generation, const std::string& after,
-                 std::shared_ptr<std::vector<ListedMachine>> so_far);
-  void load_types();
-  bool leads_now() const { return core_ && leadership_.may_act(now()); }
+  const std::string* zone_of(const std::string& node) const;
 
   asio::io_context& io_;
   const Settings& settings_;
   std::mt19937_64 rng_;
-  uint64_t nonce_;
+  uint64_t process_;  ///< tells this process of the node from earlier ones
   StoreClient store_;
   Mirror mirror_;
-  Leadership leadership_;
+  Election election_;
+  Leadership& leadership_;
+  ActiveCore core_;
   HttpClient cloud_;
+  MachineTypesPoller machine_types_;
+  MachineListPoller machine_list_;
+  ActionExecutor executor_;
+  RecordWriter record_writer_;
   Delegate delegate_;
   Peers peers_;
   Frontend frontend_;
+  OutageLog outage_log_;
   std::unique_ptr<HttpServer> server_;
-  asio::steady_timer tick_timer_, types_timer_, list_timer_;
-  std::vector<MachineType> types_;
-  std::unique_ptr<LeaderCore> core_;
-  uint64_t core_generation_ = 0;
-  Seconds next_core_tick_ = 0, ticked_ = 0;
-  struct WorkerClient {
-    std::shared_ptr<HttpClient> client;
-    Seconds used = 0;
-  };
-  std::shared_ptr<HttpClient> worker_client(const std::string& addr);
-  std::map<std::string, WorkerClient> workers_;  ///< by address
-  std::map<std::string, uint64_t> peer_terms_;
-  bool writing_ = false, revoked_ = false, reading_ = false, state_served_ = true;
+  asio::steady_timer tick_timer_;
+  Seconds next_core_tick_ = 0;
+  std::map<std::string, uint64_t> peer_terms_;  ///< of peers that follow this node's term
 };
 
 }  // namespace sumacquay
--- /dev/null
+++ b/src/node/record_writer.cpp
@@ -0,0 +1,63 @@
+#include "node/record_writer.h"
+
+#include <spdlog/spdlog.h>
+
+#include "dispatch/record_transaction.h"
+#include "node/steady_time.h"
+
+namespace sumacquay {
+
+RecordWriter::RecordWriter(const Settings& settings, StoreClient& store, Mirror& mirror,
+                           ActiveCore& core, std::function<void()> committed)
+    : settings_(settings),
+      store_(store),
+      mirror_(mirror),
+      core_(core),
+      committed_(std::move(committed)) {}
+
+void RecordWriter::write_wanted() {
+  if (state_ != State::Idle || !mirror_.loaded()) return;
+  const auto most_changes = static_cast<size_t>(settings_.state_txn_ops);
+  const auto writes = core_->wanted_writes(steady_now(), most_changes);
+  if (writes.empty()) return;
+  const auto transaction = record_transaction(writes, mirror_.term().version);
+  state_ = State::Writing;
+  store_.transact(Urgency::Record, transaction.guards, encode(transaction.changes),
+                  [this, writes, generation = core_.generation()](const TxnResult& result) {
+                    if (core_.get(generation)) on_answer(writes, result);
+                  });
+}
+
+void RecordWriter::on_answer(const std::vector<RecordWrite>& writes, const TxnResult& result) {
+  const bool committed = result.outcome == TxnOutcome::Committed;
+  if (committed)
+    for (const auto& write : writes) update_copy(write, result.revision);
+  if (!core_) return;
+  for (const auto& write : writes)
+    core_->write_done(write, committed, result.revision, steady_now());
+  if (!committed) return reread(result);
+  state_ = State::Idle;
+  core_->hurry();
+  committed_();
+}
+
+void RecordWriter::update_copy(const RecordWrite& write, uint64_t revision) {
+  if (!write.host.empty())
+    mirror_.wrote_host(write.host, write.host_record ? &*write.host_record : nullptr, revision);
+  else if (write.finished)
+    mirror_.wrote_finished(write.job, {write.record->state, write.record->done.count()}, revision);
+  else
+    mirror_.wrote_job(*write.record, revision);
+}
+
+/// What the records say now decides what is still to be written.
+void RecordWriter::reread(const TxnResult& result) {
+  for (const auto& key : result.failed)
+    if (key == keys::kTerm) spdlog::info("the term has changed");
+  state_ = State::Rereading;
+  mirror_.read_barrier([this, generation = core_.generation()](bool) {
+    if (generation == core_.generation()) state_ = State::Idle;
+  });
+}
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/node/record_writer.h
@@ -0,0 +1,46 @@
+#pragma once
+#include <functional>
+#include <vector>
+
+#include "config/settings.h"
+#include "node/active_core.h"
+#include "store/mirror.h"
+#include "store/store_client.h"
+
+namespace sumacquay {
+
+/// Writes the records that the leader wants written. Called by the node after each tick of the
+/// core.
+///
+/// Guarantees that one transaction at a time is under way, that what it wrote is in this node's
+/// copy of the records before the core hears of it, and that after a failure or without an answer
+/// nothing more is written before the records have been read again.
+class RecordWriter {
+ public:
+  /// `committed` is called after each transaction that was carried out.
+  RecordWriter(const Settings& settings, StoreClient& store, Mirror& mirror, ActiveCore& core,
+               std::function<void()> committed);
+  /// The caller has made sure that this node may act as the leader.
+  void write_wanted();
+  /// A new period of leading begins: answers to earlier writes no longer count.
+  void reset() { state_ = State::Idle; }
+
+ private:
+  enum class State {
+    Idle,
+    Writing,
+    Rereading,  ///< a write failed, or nobody knows: the records are read before the next
+  };
+  void on_answer(const std::vector<RecordWrite>& writes, const TxnResult& result);
+  void update_copy(const RecordWrite& write, uint64_t revision);
+  void reread(const TxnResult& result);
+
+  const Settings& settings_;
+  StoreClient& store_;
+  Mirror& mirror_;
+  ActiveCore& core_;
+  std::function<void()> committed_;
+  State state_ = State::Idle;
+};
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/node/steady_time.h
@@ -0,0 +1,21 @@
+#pragma once
+#include <chrono>
+
+#include "jobs/spec.h"
+
+/// Conversions between the steady clock and the seconds in which the parts without I/O count time.
+namespace sumacquay {
+
+inline Seconds to_seconds(std::chrono::steady_clock::time_point time) {
+  return std::chrono::duration<double>(time.time_since_epoch()).count();
+}
+
+inline Seconds steady_now() {
+  return to_seconds(std::chrono::steady_clock::now());
+}
+
+inline std::chrono::microseconds to_microseconds(Seconds span) {
+  return std::chrono::microseconds(static_cast<long long>(span * 1e6));
+}
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/node/worker_clients.h
@@ -0,0 +1,36 @@
+#pragma once
+#include <asio.hpp>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "jobs/spec.h"
+#include "net/http.h"
+
+namespace sumacquay {
+
+/// HTTP clients for workers, kept for reuse. Called by the ActionExecutor for orders and probes.
+/// Guarantees that there are never more than `limit`, so that orders to a large fleet leave sockets
+/// for all else, and that a client with a request under way is kept.
+class WorkerClients {
+ public:
+  WorkerClients(asio::io_context& io, size_t limit) : io_(io), limit_(limit) {}
+  /// The client for a worker's address, none if the address can't be used or if all clients are
+  /// busy. At the limit the idle one that has been unused longest is dropped.
+  std::shared_ptr<HttpClient> find_or_open(const std::string& address, Seconds now);
+  void clear() { clients_.clear(); }
+  size_t size() const { return clients_.size(); }
+
+ private:
+  struct PooledClient {
+    std::shared_ptr<HttpClient> client;
+    Seconds used = 0;
+  };
+  bool drop_longest_unused();
+
+  asio::io_context& io_;
+  size_t limit_;
+  std::map<std::string, PooledClient> clients_;  ///< by address
+};
+
+}  // namespace sumacquay
--- /dev/null
+++ b/tests/node_parts_test.cpp
@@ -0,0 +1,155 @@
+// The parts of a node that need no other process: the pool of workers' clients, the generations of
+// the leader's decisions, the cloud's answers to rents, and what heartbeats carry.
+#include <gtest/gtest.h>
+
+#include "node/action_executor.h"
+#include "node/active_core.h"
+#include "node/heartbeat_details.h"
+#include "node/worker_clients.h"
+
+namespace sumacquay {
+namespace {
+
+struct WorkerClientsTest : ::testing::Test {
+  asio::io_context io;
+  WorkerClients clients{io, 2};
+};
+
+TEST_F(WorkerClientsTest, AClientIsKeptForItsAddress) {
+  const auto first = clients.find_or_open("127.0.0.1:1", 10);
+  ASSERT_TRUE(first);
+  EXPECT_EQ(clients.find_or_open("127.0.0.1:1", 11), first);
+  EXPECT_NE(clients.find_or_open("127.0.0.1:2", 12), first);
+  EXPECT_EQ(clients.size(), 2u);
+}
+
+TEST_F(WorkerClientsTest, AtTheLimitTheLongestUnusedIsDropped) {
+  const auto used_again = clients.find_or_open("127.0.0.1:1", 10);
+  const std::weak_ptr<HttpClient> unused = clients.find_or_open("127.0.0.1:2", 11);
+  clients.find_or_open("127.0.0.1:1", 12);
+  EXPECT_TRUE(clients.find_or_open("127.0.0.1:3", 13));
+  EXPECT_EQ(clients.size(), 2u);
+  EXPECT_TRUE(unused.expired());
+  EXPECT_EQ(clients.find_or_open("127.0.0.1:1", 14), used_again);
+}
+
+TEST_F(WorkerClientsTest, AClientWithARequestUnderWayIsKept) {
+  const auto busy = clients.find_or_open("127.0.0.1:1", 10);
+  busy->request("POST", "/", "", 5, [](const HttpResult&) {});
+  clients.find_or_open("127.0.0.1:2", 11);
+  EXPECT_TRUE(clients.find_or_open("127.0.0.1:3", 12)) << "in place of the idle one";
+  EXPECT_EQ(clients.find_or_open("127.0.0.1:1", 13), busy);
+}
+
+TEST_F(WorkerClientsTest, ThereIsNoneWhileAllAreBusy) {
+  for (const std::string address : {"127.0.0.1:1", "127.0.0.1:2"})
+    clients.find_or_open(address, 10)->request("POST", "/", "", 5, [](const HttpResult&) {});
+  EXPECT_FALSE(clients.find_or_open("127.0.0.1:3", 11));
+  EXPECT_EQ(clients.size(), 2u);
+}
+
+TEST_F(WorkerClientsTest, ThereIsNoneForAnAddressThatCannotBeUsed) {
+  for (const std::string address : {"", "127.0.0.1", "127.0.0.1:", "127.0.0.1:x", "a name:1"})
+    EXPECT_FALSE(clients.find_or_open(address, 10)) << address;
+  EXPECT_EQ(clients.size(), 0u);
+}
+
+std::unique_ptr<LeaderCore> new_core(const Settings& settings) {
+  return std::make_unique<LeaderCore>(settings, 1, 1000, 1000);
+}
+
+TEST(ActiveCore, IsFoundByCallbacksOfItsOwnGenerationAlone) {
+  const Settings settings;
+  ActiveCore core;
+  EXPECT_FALSE(core);
+  core.begin(new_core(settings));
+  const uint64_t first = core.generation();
+  EXPECT_EQ(core.get(first), core.get());
+  EXPECT_TRUE(core.get(first));
+
+  core.end();
+  EXPECT_FALSE(core.get(first)) << "stepped down";
+  EXPECT_TRUE(core) << "kept until it is released: one of its calls may be under way";
+
+  core.begin(new_core(settings));
+  EXPECT_FALSE(core.get(first)) << "leads anew";
+  EXPECT_TRUE(core.get(core.generation()));
+  core.release();
+  EXPECT_FALSE(core);
+  EXPECT_FALSE(core.get(core.generation()));
+}
+
+HttpResult answer(int status, const std::string& body = "") {
+  HttpResult result;
+  result.answered = true;
+  result.status = status;
+  result.body = body;
+  return result;
+}
+
+TEST(RentAnswer, IsARefusalOnlyWhereTheCloudSaysSo) {
+  using Outcome = LeaderCore::RentOutcome;
+  EXPECT_EQ(read_rent_answer(answer(503)).outcome, Outcome::Refused);
+  EXPECT_EQ(read_rent_answer(answer(400)).outcome, Outcome::Refused);
+  EXPECT_EQ(read_rent_answer(answer(429)).outcome, Outcome::Unknown);
+  EXPECT_EQ(read_rent_answer(answer(500)).outcome, Outcome::Unknown);
+  EXPECT_EQ(read_rent_answer(answer(200, "not an answer")).outcome, Outcome::Unknown);
+  HttpResult none = answer(503);
+  none.answered = false;
+  EXPECT_EQ(read_rent_answer(none).outcome, Outcome::Unknown) << "it may still be carried out";
+}
+
+TEST(HeartbeatDetails, TellOfImagesAndOfMachinesThatBoot) {
+  const Settings settings;
+  const auto core = new_core(settings);
+  core->host_stored({"i-1", "10.0.0.1:9", "g", "east", false}, 1000);
+  core->image_held("i-1", "img", 7);
+  ListedMachine booting;
+  booting.id = "i-2";
+  booting.type = "g";
+  booting.zone = "west";
+  booting.spot = true;
+  booting.age_s = 3;
+  core->listed({booting}, 1000);
+
+  wire::Heartbeat heartbeat;
+  add_hints(*core, 1005, heartbeat);
+  ASSERT_EQ(heartbeat.images.size(), 1u);
+  EXPECT_EQ(heartbeat.images[0].machine, "i-1");
+  EXPECT_EQ(heartbeat.images[0].image, "img");
+  EXPECT_EQ(heartbeat.images[0].gb, 7);
+  ASSERT_EQ(heartbeat.booting.size(), 1u);
+  EXPECT_EQ(heartbeat.booting[0].id, "i-2");
+  EXPECT_EQ(heartbeat.booting[0].zone, "west");
+  EXPECT_TRUE(heartbeat.booting[0].spot);
+  EXPECT_EQ(heartbeat.booting[0].age_s, 8) << "as of now";
+}
+
+TEST(HeartbeatDetails, CountWhatRunsOfJobsThatAreKnown) {
+  const Settings settings;
+  const auto core = new_core(settings);
+  JobRecord record;
+  record.spec.id = "job-1";
+  record.spec.tasks = 3;
+  record.started = true;
+  record.done.add(0);
+  core->job_stored(record, 1, 1000);
+  WorkerReport report;
+  report.machine = "i-1";
+  report.type = "g";
+  report.zone = "east";
+  report.session = report.seq = 1;
+  for (const std::string job : {"job-1", "unknown"})
+    report.tasks.push_back({{job, 1}, 5, TaskState::Running, ExitCause::None});
+  core->report(report, true, 1000);
+
+  wire::Heartbeat heartbeat;
+  add_counts(*core, heartbeat);
+  ASSERT_EQ(heartbeat.counts.size(), 1u);
+  EXPECT_EQ(heartbeat.counts[0].job, "job-1");
+  EXPECT_EQ(heartbeat.counts[0].done, 1u);
+  EXPECT_EQ(heartbeat.counts[0].running, 1u);
+}
+
+}  // namespace
+}  // namespace sumacquay
