--- a/src/node/worker_clients.cpp
+++ b/src/node/worker_clients.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <charconv>
 #include <optional>
 
 namespace sumacquay {
@@ -11,16 +12,19 @@
 constexpr size_t kConnectionsPerWorker = 1;
 constexpr size_t kQueuedPerWorker = 4;
 
+/// An IP address and a port.
 std::optional<Endpoint> parse_address(const std::string& address) {
-  try {
-    const auto colon = address.rfind(':');
-    const Endpoint endpoint{address.substr(0, colon),
-                            static_cast<unsigned short>(std::stoul(address.substr(colon + 1)))};
-    asio::ip::make_address(endpoint.host);
-    return endpoint;
-  } catch (const std::exception&) {
-    return std::nullopt;
-  }
+  const auto colon = address.rfind(':');
+  if (colon == std::string::npos) return std::nullopt;
+  Endpoint endpoint;
+  endpoint.host = address.substr(0, colon);
+  asio::error_code not_an_ip_address;
+  asio::ip::make_address(endpoint.host, not_an_ip_address);
+  const char* const end = address.data() + address.size();
+  const auto port = std::from_chars(address.data() + colon + 1, end, endpoint.port);
+  const bool valid_port = port.ec == std::errc() && port.ptr == end && endpoint.port > 0;
+  if (not_an_ip_address || !valid_port) return std::nullopt;
+  return endpoint;
 }
 
 }  // namespace
--- a/tests/node_parts_test.cpp
+++ b/tests/node_parts_test.cpp
@@ -49,7 +49,8 @@
 }
 
 TEST_F(WorkerClientsTest, ThereIsNoneForAnAddressThatCannotBeUsed) {
-  for (const std::string address : {"", "127.0.0.1", "127.0.0.1:", "127.0.0.1:x", "a name:1"})
+  for (const std::string address : {"", "127.0.0.1", "127.0.0.1:", "127.0.0.1:x", "127.0.0.1:1x",
+                                    "127.0.0.1:0", "127.0.0.1:65537", "a name:1"})
     EXPECT_FALSE(clients.find_or_open(address, 10)) << address;
   EXPECT_EQ(clients.size(), 0u);
 }
