--- a/src/peer/peers.cpp
+++ b/src/peer/peers.cpp
@@ -7,12 +7,27 @@
 namespace sumacquay {
 namespace {
 using Clock = std::chrono::steady_clock;
-constexpr double kRecent = 4;  ///< periods for which what was heard still counts
-/// Seconds between details: what users are shown may lag by 3 s.
-constexpr double kDetails = 2.4;
-/// What helps a successor may be older.
-constexpr int kHintsBeats = 2;
-constexpr size_t kMostBody = HttpLimits{}.body_bytes;
+/// For how many periods what was heard still counts.
+constexpr double kRecentPeriods = 4;
+/// Seconds between counts: what users are shown may lag by 3 s.
+constexpr double kCountsIntervalS = 2.4;
+/// What helps a successor may be older: every how many counts it is sent.
+constexpr int kCountsPerHints = 2;
+/// How long a peer has to answer, in periods.
+constexpr double kDeadlinePeriods = 2;
+constexpr size_t kBodyLimit = HttpLimits{}.body_bytes;
+
+constexpr size_t kConnectionsPerPeer = 2;
+constexpr size_t kQueuedPerPeer = 4;
+/// A peer with so many heartbeats under way gets no more until one is answered or given up.
+constexpr size_t kHeartbeatsUnderWay = 2;
+/// Connections that the server takes: for each peer, and for others that mistake the address.
+constexpr size_t kServerConnectionsPerPeer = 4;
+constexpr size_t kServerConnectionsSpare = 8;
+
+double age_s(Clock::time_point time) {
+  return std::chrono::duration<double>(Clock::now() - time).count();
+}
 }  // namespace
 
 Peers::Peers(asio::io_context& io, const Settings& settings, double period_s, Hooks hooks)
@@ -21,35 +36,38 @@
       period_s_(period_s),
       hooks_(std::move(hooks)),
       timer_(io),
-      beats_a_detail_(std::max(1, static_cast<int>(kDetails / period_s))) {
-  for (const auto& p : settings.peers) {
-    partners_[p.node].heard = Clock::now();
-    clients_[p.node] = std::make_unique<HttpClient>(io, p.addr, 2, 4);
+      beats_per_counts_(std::max(1, static_cast<int>(kCountsIntervalS / period_s))) {
+  for (const auto& peer : settings.peers) {
+    peers_[peer.node].heard = Clock::now();
+    clients_[peer.node] =
+        std::make_unique<HttpClient>(io, peer.addr, kConnectionsPerPeer, kQueuedPerPeer);
   }
 }
 
 void Peers::start() {
   HttpLimits limits;
-  limits.connections = 4 * settings_.peers.size() + 8;
+  limits.connections = kServerConnectionsPerPeer * settings_.peers.size() + kServerConnectionsSpare;
   server_ = std::make_unique<HttpServer>(
-      io_, settings_.peer_listen, limits, [this](const HttpRequest& request, Respond respond) {
-        const auto heartbeat = request.path == wire::path::kHeartbeat
-                                   ? wire::decode_heartbeat(request.body)
-                                   : std::nullopt;
-        if (!heartbeat) return respond({400, {}, 0});
-        note(*heartbeat);
-        respond({200, wire::encode_heartbeat(hooks_.answer(*heartbeat)), 0});
-      });
+      io_, settings_.peer_listen, limits,
+      [this](const HttpRequest& request, Respond respond) { on_request(request, respond); });
   beat();
 }
 
+void Peers::on_request(const HttpRequest& request, const Respond& respond) {
+  const auto heartbeat =
+      request.path == wire::path::kHeartbeat ? wire::decode_heartbeat(request.body) : std::nullopt;
+  if (!heartbeat) return respond({400, {}, 0});
+  note(*heartbeat);
+  respond({200, wire::encode_heartbeat(hooks_.answer(*heartbeat)), 0});
+}
+
 void Peers::beat_now(wire::HeartbeatPart part) {
   const wire::Heartbeat own = hooks_.own(part);
   if (own.leading) keep_details(own);
-  const std::string body = wire::encode_heartbeat_within(own, kMostBody);
+  const std::string body = wire::encode_heartbeat_within(own, kBodyLimit);
   for (auto& [node, client] : clients_) {
-    if (client->in_progress() > 1) continue;
-    client->request("POST", wire::path::kHeartbeat, body, period_s_ * 2,
+    if (client->in_progress() >= kHeartbeatsUnderWay) continue;
+    client->request("POST", wire::path::kHeartbeat, body, period_s_ * kDeadlinePeriods,
                     [this, node = node, asked_at = Clock::now()](HttpResult r) {
                       const auto heartbeat = r.ok() ? wire::decode_heartbeat(r.body) : std::nullopt;
                       if (!heartbeat) return;
@@ -59,22 +77,22 @@
   }
 }
 
-/// Each partner that falls silent or is heard again is told once, for operators.
-void Peers::log_partners() {
-  for (auto& [node, partner] : partners_) {
-    const std::chrono::duration<double> age = Clock::now() - partner.heard;
-    const bool silent = age.count() > kRecent * period_s_;
-    if (silent == partner.silent) continue;
-    partner.silent = silent;
-    spdlog::info("partner {}: {}", node, silent ? "silent" : "heard again");
+/// Each peer that falls silent or is heard again is told once, for operators.
+void Peers::log_silent_peers() {
+  for (auto& [node, peer] : peers_) {
+    const bool silent = age_s(peer.heard) > kRecentPeriods * period_s_;
+    if (silent == peer.silent) continue;
+    peer.silent = silent;
+    spdlog::info("peer {}: {}", node, silent ? "silent" : "heard again");
   }
 }
 
 void Peers::beat() {
-  log_partners();
+  log_silent_peers();
   const int count = beats_++;
-  beat_now(count % beats_a_detail_ == 0 ? wire::HeartbeatPart::Counts : wire::HeartbeatPart::Beat);
-  if (count % (kHintsBeats * beats_a_detail_) == 0) beat_now(wire::HeartbeatPart::Hints);
+  beat_now(count % beats_per_counts_ == 0 ? wire::HeartbeatPart::Counts
+                                          : wire::HeartbeatPart::Beat);
+  if (count % (kCountsPerHints * beats_per_counts_) == 0) beat_now(wire::HeartbeatPart::Hints);
   timer_.expires_after(std::chrono::microseconds(static_cast<long long>(period_s_ * 1e6)));
   timer_.async_wait([this](auto error) {
     if (!error) beat();
@@ -82,8 +100,8 @@
 }
 
 void Peers::note(const wire::Heartbeat& heartbeat) {
-  const auto partner = partners_.find(heartbeat.node);
-  if (partner != partners_.end()) partner->second.heard = Clock::now();
+  const auto peer = peers_.find(heartbeat.node);
+  if (peer != peers_.end()) peer->second.heard = Clock::now();
   if (heartbeat.served) served_heard_ = Clock::now();
   if (!heartbeat.leading || heartbeat.term < leader_term_) return;
   leader_ = heartbeat.node;
@@ -99,25 +117,23 @@
     hints_heard_ = Clock::now();
   } else if (heartbeat.part == wire::HeartbeatPart::Counts) {
     counts_.clear();
-    for (const auto& c : heartbeat.counts) counts_[c.job] = c;
+    for (const auto& count : heartbeat.counts) counts_[count.job] = count;
   }
 }
 
 std::string Peers::leader() const {
-  const std::chrono::duration<double> age = Clock::now() - leader_heard_;
-  return age.count() < kRecent * period_s_ ? leader_ : std::string();
+  return age_s(leader_heard_) < kRecentPeriods * period_s_ ? leader_ : std::string();
 }
 
 bool Peers::others_served() const {
-  const std::chrono::duration<double> age = Clock::now() - served_heard_;
-  return age.count() < kRecent * period_s_;
+  return age_s(served_heard_) < kRecentPeriods * period_s_;
 }
 
 std::vector<ListedMachine> Peers::booting() const {
-  const std::chrono::duration<double> age = Clock::now() - hints_heard_;
-  auto out = booting_;
-  for (auto& m : out) m.age_s += age.count();
-  return out;
+  const double age = age_s(hints_heard_);
+  auto machines = booting_;
+  for (auto& machine : machines) machine.age_s += age;
+  return machines;
 }
 
 wire::RunningCount Peers::counts(const std::string& job) const {
--- a/src/peer/peers.h
+++ b/src/peer/peers.h
@@ -10,22 +10,25 @@
 
 namespace sumacquay {
 
-/// The channel among controllers: every node tells every other, at a steady pace, which term it
+/// Heartbeats among controllers: every node tells every other, at a steady pace, which term it
 /// knows; the leader adds the counts that users are shown and the images that machines hold, which
-/// would help its successor place. Nothing that safety needs rests on it,
-/// but for one answer: a node that has answered a term never acts under an older one.
+/// would help its successor place. Made by the node, which supplies what is said (`Hooks`) and asks
+/// what was heard. Nothing that safety needs rests on it, but for one answer: a node that has
+/// answered a term never acts under an older one.
 class Peers {
  public:
   struct Hooks {
     /// What this node says: its status, or also what users are shown or a successor would want.
     std::function<wire::Heartbeat(wire::HeartbeatPart)> own;
-    std::function<wire::Heartbeat(const wire::Heartbeat&)> answer;
+    std::function<wire::Heartbeat(const wire::Heartbeat& from)> answer;
+    /// A peer has answered what was sent at `asked_at`.
     std::function<void(const std::string& node, const wire::Heartbeat&,
                        std::chrono::steady_clock::time_point asked_at)>
         answered;
   };
   Peers(asio::io_context& io, const Settings& settings, double period_s, Hooks hooks);
   void start();
+  /// Sends a heartbeat to all peers at once, beside the steady ones.
   void beat_now(wire::HeartbeatPart part);
 
   /// The leader that others speak of, empty if none was heard of lately.
@@ -41,7 +44,8 @@
 
  private:
   void beat();
-  void log_partners();
+  void on_request(const HttpRequest& request, const Respond& respond);
+  void log_silent_peers();
   void note(const wire::Heartbeat& heartbeat);
   void keep_details(const wire::Heartbeat& heartbeat);
 
@@ -49,15 +53,16 @@
   const Settings& settings_;
   double period_s_;
   Hooks hooks_;
-  struct Partner {
+  struct Peer {
     std::chrono::steady_clock::time_point heard;
     bool silent = false;
   };
-  std::map<std::string, Partner> partners_;
+  std::map<std::string, Peer> peers_;  ///< by node
   std::map<std::string, std::unique_ptr<HttpClient>> clients_;
   std::unique_ptr<HttpServer> server_;
   asio::steady_timer timer_;
-  int beats_ = 0, beats_a_detail_;
+  int beats_ = 0;
+  int beats_per_counts_;
   std::string leader_;
   uint64_t leader_term_ = 0;
   std::chrono::steady_clock::time_point leader_heard_{}, served_heard_{};
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -7,133 +7,156 @@
 
 /// A node's part of the service's limits. Bursts come to one node at a time, so the parts add up to
 /// more than the whole; 429 empties the node's bucket when they do.
-constexpr double kShare = 0.85;
-constexpr size_t kMostQueued = 2000;
+constexpr double kBudgetShare = 0.85;
+constexpr size_t kQueueLimit = 2000;
+/// How long requests wait until the budget is looked at again.
+constexpr std::chrono::milliseconds kQueuePause{10};
+/// How long the service has to answer / the workers' lease.
+constexpr double kDeadlineLeaseShare = 0.15;
 /// The part of a burst that less urgent requests leave alone.
-constexpr std::array<double, 3> kReserve{0.0, 0.1, 0.3};
+constexpr std::array<double, kUrgencies> kReserve{0.0, 0.1, 0.3};
+
+constexpr size_t kUrgentConnections = 3, kUrgentQueued = 16;
+constexpr size_t kNormalConnections = 8;
+constexpr size_t kWatchConnections = 2, kWatchQueued = 4;
+
+constexpr int kStatusTooManyRequests = 429;
+constexpr int kStatusUnavailable = 503;
+
+TxnResult read_transaction_answer(const HttpResult& answer) {
+  TxnResult result;
+  if (!answer.answered) return result;
+  const auto revision = wire::parse_revision(answer.body);
+  switch (answer.status) {
+    case 200:
+      result.outcome = revision ? TxnOutcome::Committed : TxnOutcome::Unknown;
+      result.revision = revision.value_or(0);
+      break;
+    case 409:
+      result.outcome = TxnOutcome::Conflict;
+      result.failed = wire::parse_failed(answer.body);
+      break;
+    case 400:
+      result.outcome = TxnOutcome::NoLease;
+      break;
+    default:
+      result.outcome = TxnOutcome::Refused;
+  }
+  return result;
+}
 
 }  // namespace
 
 StoreClient::StoreClient(asio::io_context& io, const Settings& s)
     : io_(io),
-      deadline_s_(s.lease_s * 0.15),
-      urgent_(io, s.state, 3, 16),
-      normal_(io, s.state, 8, kMostQueued),
-      watches_(io, s.state, 2, 4),
-      requests_(s.state_rps * kShare),
-      writes_(s.state_write_rps * kShare),
+      deadline_s_(s.lease_s * kDeadlineLeaseShare),
+      urgent_(io, s.state, kUrgentConnections, kUrgentQueued),
+      normal_(io, s.state, kNormalConnections, kQueueLimit),
+      watches_(io, s.state, kWatchConnections, kWatchQueued),
+      requests_(s.state_rps * kBudgetShare),
+      writes_(s.state_write_rps * kBudgetShare),
       timer_(io),
       refilled_(Clock::now()),
       last_served_(Clock::now()) {}
 
 HttpDone StoreClient::observe(HttpDone done) {
   return [this, done = std::move(done)](HttpResult r) {
-    if (r.answered && r.status == 429) requests_.drain();
-    if (r.answered && r.status != 503 && r.status != 429) last_served_ = Clock::now();
+    if (r.answered && r.status == kStatusTooManyRequests) requests_.drain();
+    if (r.answered && r.status != kStatusUnavailable && r.status != kStatusTooManyRequests)
+      last_served_ = Clock::now();
     done(std::move(r));
   };
 }
 
-void StoreClient::send(HttpClient& client, Op op) {
-  client.request(op.method, op.target, std::move(op.body), deadline_s_,
-                 observe(std::move(op.done)));
+void StoreClient::send(HttpClient& client, Request request) {
+  client.request(request.method, request.target, std::move(request.body), deadline_s_,
+                 observe(std::move(request.done)));
 }
 
 /// A request over the limit was not executed: it waits for the budget instead of failing, which
 /// would cost a user a second and more.
-void StoreClient::send_again_if_refused(Urgency urgency, Op op) {
-  Op copy = op;
-  copy.done = [this, urgency, op = std::move(op)](HttpResult r) {
-    const std::chrono::duration<double> age = Clock::now() - op.asked_at;
-    if (!r.answered || r.status != 429 || age.count() > deadline_s_) return op.done(std::move(r));
-    queues_[static_cast<size_t>(urgency)].push_front(op);
-    arm();
+void StoreClient::send_until_accepted(Urgency urgency, Request request) {
+  Request attempt = request;
+  attempt.done = [this, urgency, request = std::move(request)](HttpResult result) {
+    const std::chrono::duration<double> age = Clock::now() - request.asked_at;
+    const bool refused = result.answered && result.status == kStatusTooManyRequests;
+    if (!refused || age.count() > deadline_s_) return request.done(std::move(result));
+    queue(urgency).push_front(request);
+    send_queued_later();
   };
-  send(normal_, std::move(copy));
+  send(normal_, std::move(attempt));
 }
 
-void StoreClient::submit(Urgency urgency, Op op) {
-  auto& queue = queues_[static_cast<size_t>(urgency)];
-  if (queue.size() >= kMostQueued) {
+void StoreClient::submit(Urgency urgency, Request request) {
+  if (queue(urgency).size() >= kQueueLimit) {
     HttpResult refused;
     refused.answered = true;
-    refused.status = 429;
-    asio::post(io_, [done = std::move(op.done), refused] { done(refused); });
+    refused.status = kStatusTooManyRequests;
+    asio::post(io_, [done = std::move(request.done), refused] { done(refused); });
     return;
   }
-  op.asked_at = Clock::now();
-  queue.push_back(std::move(op));
-  pump();
+  request.asked_at = Clock::now();
+  queue(urgency).push_back(std::move(request));
+  send_queued();
 }
 
-void StoreClient::pump() {
+void StoreClient::refill_buckets() {
   const auto now = Clock::now();
-  const double dt = std::chrono::duration<double>(now - refilled_).count();
+  const double elapsed_s = std::chrono::duration<double>(now - refilled_).count();
   refilled_ = now;
-  requests_.refill(dt);
-  writes_.refill(dt);
-  for (size_t u = 0; u < queues_.size(); ++u) {
-    auto& queue = queues_[u];
-    while (!queue.empty()) {
-      // Leadership never waits for the budget: a renewal that comes late costs far more than a 429.
-      const bool urgent = u == 0;
-      const double writes = queue.front().writes;
-      if (!urgent && (!requests_.has(1, kReserve[u]) ||
-                      (writes > 0 && !writes_.has(std::min(writes, 1.0), 0))))
-        break;
-      requests_.take(1);
-      writes_.take(writes);
-      Op op = std::move(queue.front());
-      queue.pop_front();
-      if (urgent)
-        send(urgent_, std::move(op));
-      else
-        send_again_if_refused(static_cast<Urgency>(u), std::move(op));
-    }
-  }
-  if (!queues_[1].empty() || !queues_[2].empty()) arm();
+  requests_.refill(elapsed_s);
+  writes_.refill(elapsed_s);
+}
+
+/// Leadership never waits for the budget: a renewal that comes late costs far more than a 429.
+bool StoreClient::within_budget(Urgency urgency, const Request& request) const {
+  if (urgency == Urgency::Leadership) return true;
+  if (!requests_.has(1, kReserve[static_cast<size_t>(urgency)])) return false;
+  // One write in the budget is enough for a transaction of several, which overdraws it.
+  return request.writes <= 0 || writes_.has(std::min(request.writes, 1.0), 0);
+}
+
+void StoreClient::send_first(Urgency urgency) {
+  Request request = std::move(queue(urgency).front());
+  queue(urgency).pop_front();
+  requests_.take(1);
+  writes_.take(request.writes);
+  if (urgency == Urgency::Leadership)
+    send(urgent_, std::move(request));
+  else
+    send_until_accepted(urgency, std::move(request));
+}
+
+void StoreClient::send_queued() {
+  refill_buckets();
+  for (const Urgency urgency : {Urgency::Leadership, Urgency::Record, Urgency::Rest})
+    while (!queue(urgency).empty() && within_budget(urgency, queue(urgency).front()))
+      send_first(urgency);
+  if (!queue(Urgency::Record).empty() || !queue(Urgency::Rest).empty()) send_queued_later();
 }
 
-void StoreClient::arm() {
+void StoreClient::send_queued_later() {
   if (timer_armed_) return;
   timer_armed_ = true;
-  timer_.expires_after(std::chrono::milliseconds(10));
+  timer_.expires_after(kQueuePause);
   timer_.async_wait([this](auto error) {
     timer_armed_ = false;
-    if (!error) pump();
+    if (!error) send_queued();
   });
 }
 
 void StoreClient::transact(Urgency urgency, std::vector<wire::Guard> guards,
                            std::vector<wire::Change> changes, std::function<void(TxnResult)> done) {
-  Op op{"POST", wire::path::kTransaction, wire::transaction_body(guards, changes),
-        static_cast<double>(changes.size()), nullptr};
-  op.done = [done = std::move(done)](HttpResult r) {
-    TxnResult out;
-    if (!r.answered) return done(out);
-    const auto revision = wire::parse_revision(r.body);
-    switch (r.status) {
-      case 200:
-        out.outcome = revision ? TxnOutcome::Committed : TxnOutcome::Unknown;
-        out.revision = revision.value_or(0);
-        break;
-      case 409:
-        out.outcome = TxnOutcome::Conflict;
-        out.failed = wire::parse_failed(r.body);
-        break;
-      case 400:
-        out.outcome = TxnOutcome::NoLease;
-        break;
-      default:
-        out.outcome = TxnOutcome::Refused;
-    }
-    done(std::move(out));
+  Request request{"POST", wire::path::kTransaction, wire::transaction_body(guards, changes),
+                  static_cast<double>(changes.size()), nullptr};
+  request.done = [done = std::move(done)](const HttpResult& result) {
+    done(read_transaction_answer(result));
   };
-  submit(urgency, std::move(op));
+  submit(urgency, std::move(request));
 }
 
 void StoreClient::read(Urgency urgency, const std::string& target, HttpDone done) {
-  submit(urgency, Op{"GET", target, {}, 0, std::move(done)});
+  submit(urgency, Request{"GET", target, {}, 0, std::move(done)});
 }
 
 void StoreClient::watch(const std::string& target, double wait_s, HttpDone done) {
@@ -143,10 +166,10 @@
 
 void StoreClient::grant(double ttl_s, std::function<void(std::optional<uint64_t>)> done) {
   submit(Urgency::Leadership,
-         Op{"POST", wire::path::kGrants, wire::grant_body(static_cast<uint64_t>(ttl_s * 1000)), 0,
-            [done = std::move(done)](HttpResult r) {
-              done(r.ok() ? wire::parse_lease(r.body) : std::nullopt);
-            }});
+         Request{"POST", wire::path::kGrants, wire::grant_body(static_cast<uint64_t>(ttl_s * 1000)),
+                 0, [done = std::move(done)](HttpResult r) {
+                   done(r.ok() ? wire::parse_lease(r.body) : std::nullopt);
+                 }});
 }
 
 void StoreClient::renew(uint64_t lease, double deadline_s, std::function<void(Renewal)> done) {
@@ -159,7 +182,7 @@
 }
 
 void StoreClient::revoke(uint64_t lease, HttpDone done) {
-  submit(Urgency::Leadership, Op{"DELETE", wire::grant_path(lease), {}, 0, std::move(done)});
+  submit(Urgency::Leadership, Request{"DELETE", wire::grant_path(lease), {}, 0, std::move(done)});
 }
 
 }  // namespace sumacquay
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -22,13 +22,18 @@
 struct TxnResult {
   TxnOutcome outcome = TxnOutcome::Unknown;
   uint64_t revision = 0;
-  std::vector<std::string> failed;
+  std::vector<std::string> failed;  ///< keys whose guards failed
 };
 
 /// Who goes first when the state service's limits are near.
 enum class Urgency { Leadership, Record, Rest };
+inline constexpr size_t kUrgencies = 3;
 
-/// The state service: transactions, leases, reads and watches within the node's rate budget.
+/// Client of the state service: transactions, leases, reads and watches within the node's part of
+/// the service's rate limits. Called by the mirror, the election, the writer of records and the
+/// frontend. Guarantees that leadership's requests never wait for the budget, that each `done` is
+/// called once and never from inside the call that asked, and that a refused request is told apart
+/// from one that may have been executed.
 class StoreClient {
  public:
   StoreClient(asio::io_context& io, const Settings& settings);
@@ -46,36 +51,43 @@
   std::chrono::steady_clock::time_point last_served() const { return last_served_; }
 
  private:
-  struct Op {
+  struct Request {
     std::string method, target, body;
-    double writes = 0;
+    double writes = 0;  ///< changes in it, as the limit on writes counts them
     HttpDone done;
     std::chrono::steady_clock::time_point asked_at{};
   };
-  class Bucket {
+  /// Token bucket that holds a second's worth. It may go below zero: leadership overdraws it.
+  class TokenBucket {
    public:
-    explicit Bucket(double rate) : rate_(rate), burst_(rate), level_(rate) {}
-    void refill(double dt) { level_ = std::min(burst_, level_ + rate_ * dt); }
+    explicit TokenBucket(double rate) : rate_(rate), burst_(rate), level_(rate) {}
+    void refill(double elapsed_s) { level_ = std::min(burst_, level_ + rate_ * elapsed_s); }
+    /// Whether `n` can be taken and this part of a burst still be left.
     bool has(double n, double reserve) const { return level_ >= n + reserve * burst_; }
     void take(double n) { level_ -= n; }
+    /// The service has refused a request: the node's budget was too large.
     void drain() { level_ = std::min(level_, 0.0); }
 
    private:
     double rate_, burst_, level_;
   };
 
-  void submit(Urgency urgency, Op op);
-  void pump();
-  void arm();
-  void send(HttpClient& client, Op op);
-  void send_again_if_refused(Urgency urgency, Op op);
+  void submit(Urgency urgency, Request request);
+  void refill_buckets();
+  void send_queued();
+  bool within_budget(Urgency urgency, const Request& request) const;
+  void send_first(Urgency urgency);
+  void send_queued_later();
+  void send(HttpClient& client, Request request);
+  void send_until_accepted(Urgency urgency, Request request);
+  std::deque<Request>& queue(Urgency urgency) { return queues_[static_cast<size_t>(urgency)]; }
   HttpDone observe(HttpDone done);
 
   asio::io_context& io_;
   double deadline_s_;
-  HttpClient urgent_, normal_, watches_;
-  std::array<std::deque<Op>, 3> queues_;
-  Bucket requests_, writes_;
+  HttpClient urgent_, normal_, watches_;  ///< pools of their own: none keeps another waiting
+  std::array<std::deque<Request>, kUrgencies> queues_;
+  TokenBucket requests_, writes_;
   asio::steady_timer timer_;
   bool timer_armed_ = false;
   std::chrono::steady_clock::time_point refilled_, last_served_;
