--- a/src/dispatch/record_transaction.h
+++ b/src/dispatch/record_transaction.h
@@ -3,7 +3,7 @@
 #include <variant>
 #include <vector>
 
-#include "dispatch/leader_core.h"
+#include "dispatch/record_write.h"
 #include "jobs/record.h"
 #include "wire/messages.h"
 
--- a/src/node/action_executor.h
+++ b/src/node/action_executor.h
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "config/settings.h"
+#include "dispatch/actions.h"
 #include "dispatch/leader_core.h"
 #include "leadership/leadership.h"
 #include "net/http.h"
