--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -5,7 +5,7 @@
 
 #include "config/settings.h"
 #include "net/concurrency_limit.h"
-#include "net/http.h"
+#include "net/http_server.h"
 #include "store/mirror.h"
 #include "wire/heartbeat.h"
 #include "wire/records.h"
--- /dev/null
+++ b/src/net/asio_conversions.h
@@ -0,0 +1,19 @@
+#pragma once
+#include <asio.hpp>
+#include <chrono>
+
+#include "config/settings.h"
+
+/// Our types as those of Asio.
+namespace sumacquay {
+
+inline std::chrono::milliseconds to_milliseconds(double seconds) {
+  return std::chrono::milliseconds(static_cast<long long>(seconds * 1000));
+}
+
+/// Throws std::system_error if the host is no address.
+inline asio::ip::tcp::endpoint to_tcp_endpoint(const Endpoint& endpoint) {
+  return asio::ip::tcp::endpoint(asio::ip::make_address(endpoint.host), endpoint.port);
+}
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,228 @@
+#include "net/http_client.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <utility>
+
+#include "net/asio_conversions.h"
+#include "net/http_parsing.h"
+
+namespace sumacquay {
+namespace {
+
+using asio::ip::tcp;
+
+constexpr size_t kChunkBytes = 4096;
+constexpr size_t kMostBodyBytes = 4 << 20;
+
+}  // namespace
+
+struct HttpClient::PendingRequest {
+  std::string bytes;  ///< head and body
+  HttpDone done;
+  bool finished = false;
+  std::unique_ptr<asio::steady_timer> timer;
+
+  void finish(HttpResult result) {
+    if (finished) return;
+    finished = true;
+    if (timer) timer->cancel();
+    const HttpDone callback = std::move(done);
+    callback(std::move(result));
+  }
+};
+
+/// One connection of the pool, with at most one request at a time.
+class HttpClient::Connection : public std::enable_shared_from_this<HttpClient::Connection> {
+ public:
+  Connection(HttpClient& client, asio::io_context& io)
+      : client_(&client), alive_(client.alive_), socket_(io), parser_(kMostBodyBytes) {}
+
+  /// Sends a request, over a new connection unless it has one.
+  void run(std::shared_ptr<PendingRequest> request) {
+    request_ = std::move(request);
+    parser_.reset();
+    if (state_ == State::Idle)
+      write();
+    else
+      connect();
+  }
+
+  /// The answer is complete.
+  void succeed() {
+    if (state_ == State::Closed) return;
+    HttpResult result;
+    result.answered = true;
+    result.status = parser_.status();
+    result.body = parser_.take_body();
+    finish(std::move(result), parser_.keep_alive() == KeepAlive::Yes);
+  }
+
+  /// There is no answer, and none can be told from a later one on this connection.
+  void fail() {
+    if (state_ == State::Closed) return;
+    parser_.take_body();
+    finish({}, false);
+  }
+
+  void close() {
+    state_ = State::Closed;
+    asio::error_code ignored;
+    socket_.close(ignored);
+  }
+
+  const std::shared_ptr<PendingRequest>& request() const { return request_; }
+
+  bool usable() {
+    if (state_ != State::Idle) return false;
+    // A peer that restarted has closed its side: seen here instead of as a failed request.
+    asio::error_code error;
+    socket_.non_blocking(true, error);
+    char byte;
+    socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+  }
+
+ private:
+  enum class State { New, Connecting, Busy, Idle, Closed };
+
+  void connect() {
+    state_ = State::Connecting;
+    socket_.async_connect(to_tcp_endpoint(client_->to_), [self = shared_from_this()](auto error) {
+      if (error) return self->fail();
+      asio::error_code ignored;
+      self->socket_.set_option(tcp::no_delay(true), ignored);
+      self->write();
+    });
+  }
+
+  void write() {
+    state_ = State::Busy;
+    asio::async_write(socket_, asio::buffer(request_->bytes),
+                      [self = shared_from_this(), request = request_](auto error, size_t) {
+                        if (error && self->request_ == request) self->fail();
+                      });
+    read();
+  }
+
+  void read() {
+    socket_.async_read_some(asio::buffer(chunk_), [self = shared_from_this(), request = request_](
+                                                      auto error, size_t size) {
+      if (self->state_ != State::Busy || self->request_ != request) return;
+      if (error) return self->fail();
+      self->consume(size);
+    });
+  }
+
+  void consume(size_t size) {
+    switch (parser_.parse({chunk_.data(), size})) {
+      case ParseProgress::Incomplete:
+        return read();
+      case ParseProgress::Complete:
+        return succeed();
+      case ParseProgress::TooLarge:
+      case ParseProgress::Invalid:
+        return fail();
+    }
+  }
+
+  /// Leaves the request before it calls back, since that may start the next one here.
+  void finish(HttpResult result, bool reusable) {
+    const auto request = std::exchange(request_, nullptr);
+    if (reusable)
+      state_ = State::Idle;
+    else
+      close();
+    if (*alive_) client_->release(shared_from_this(), reusable);
+    if (request) request->finish(std::move(result));
+  }
+
+  HttpClient* client_;
+  std::shared_ptr<bool> alive_;
+  tcp::socket socket_;
+  State state_ = State::New;
+  HttpResponseParser parser_;
+  std::array<char, kChunkBytes> chunk_{};
+  std::shared_ptr<PendingRequest> request_;
+};
+
+HttpClient::HttpClient(asio::io_context& io, Endpoint to, size_t max_connections, size_t max_queued)
+    : io_(io), to_(std::move(to)), max_connections_(max_connections), max_queued_(max_queued) {}
+
+HttpClient::~HttpClient() {
+  *alive_ = false;
+  for (auto& connection : busy_) connection->close();
+}
+
+void HttpClient::request(const std::string& method, const std::string& target, std::string body,
+                         double deadline_s, HttpDone done) {
+  auto request = std::make_shared<PendingRequest>();
+  request->done = std::move(done);
+  request->bytes = serialize_request(method, target, to_.text(), body);
+  if (queue_.size() >= max_queued_) {
+    asio::post(io_, [request] { request->finish({}); });
+    return;
+  }
+  request->timer = std::make_unique<asio::steady_timer>(io_, to_milliseconds(deadline_s));
+  queue_.push_back(request);
+  start_timer(request);
+  start_next();
+}
+
+void HttpClient::start_timer(const std::shared_ptr<PendingRequest>& request) {
+  request->timer->async_wait([this, alive = std::weak_ptr<bool>(alive_),
+                              weak_request = std::weak_ptr<PendingRequest>(request)](auto error) {
+    const auto request = weak_request.lock();
+    const auto still_alive = alive.lock();
+    if (error || !request || request->finished) return;
+    if (!still_alive || !*still_alive) return;
+    expire(request);
+  });
+}
+
+/// The deadline of a request has passed.
+void HttpClient::expire(const std::shared_ptr<PendingRequest>& request) {
+  const auto queued = std::find(queue_.begin(), queue_.end(), request);
+  if (queued != queue_.end()) {
+    queue_.erase(queued);
+    return request->finish({});
+  }
+  const auto sent_on = std::find_if(busy_.begin(), busy_.end(), [&](const auto& connection) {
+    return connection->request() == request;
+  });
+  if (sent_on == busy_.end()) return;
+  const auto connection = *sent_on;  // it takes itself off the list
+  connection->fail();
+}
+
+void HttpClient::start_next() {
+  while (!queue_.empty() && busy_.size() < max_connections_) {
+    const auto connection = take_connection();
+    auto request = queue_.front();
+    queue_.pop_front();
+    busy_.insert(connection);
+    connection->run(std::move(request));
+  }
+}
+
+/// An idle connection that can be used, else a new one.
+std::shared_ptr<HttpClient::Connection> HttpClient::take_connection() {
+  while (!idle_.empty()) {
+    const auto connection = idle_.back();
+    idle_.pop_back();
+    if (connection->usable()) return connection;
+    connection->close();
+  }
+  return std::make_shared<Connection>(*this, io_);
+}
+
+void HttpClient::release(const std::shared_ptr<Connection>& connection, bool reusable) {
+  busy_.erase(connection);
+  if (reusable) idle_.push_back(connection);
+  asio::post(io_, [this, alive = alive_] {
+    if (*alive) start_next();
+  });
+}
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/net/http_message.cpp
@@ -0,0 +1,62 @@
+#include "net/http_message.h"
+
+namespace sumacquay {
+namespace {
+
+constexpr const char* kContentType = "application/msgpack";
+
+const char* reason(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 201:
+      return "Created";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 413:
+      return "Payload Too Large";
+    case 421:
+      return "Misdirected Request";
+    case 422:
+      return "Unprocessable Entity";
+    case 429:
+      return "Too Many Requests";
+    case 503:
+      return "Service Unavailable";
+    default:
+      return "Status";
+  }
+}
+
+/// The header fields that tell what follows the head.
+std::string body_fields(const std::string& body) {
+  return std::string("\r\nContent-Type: ") + kContentType +
+         "\r\nContent-Length: " + std::to_string(body.size());
+}
+
+}  // namespace
+
+std::string serialize_reply(const HttpReply& reply, KeepAlive keep_alive) {
+  std::string out = "HTTP/1.1 " + std::to_string(reply.status) + " " + reason(reply.status);
+  out += body_fields(reply.body);
+  if (reply.retry_after_s > 0) out += "\r\nRetry-After: " + std::to_string(reply.retry_after_s);
+  if (keep_alive == KeepAlive::No) out += "\r\nConnection: close";
+  out += "\r\n\r\n";
+  out += reply.body;
+  return out;
+}
+
+std::string serialize_request(const std::string& method, const std::string& target,
+                              const std::string& host, const std::string& body) {
+  std::string out = method + " " + target + " HTTP/1.1\r\nHost: " + host;
+  out += body_fields(body);
+  out += "\r\n\r\n";
+  out += body;
+  return out;
+}
+
+}  // namespace sumacquay
--- a/src/peer/peers.h
+++ b/src/peer/peers.h
@@ -5,7 +5,8 @@
 #include <memory>
 
 #include "config/settings.h"
-#include "net/http.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
 #include "wire/heartbeat.h"
 
 namespace sumacquay {
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -5,7 +5,7 @@
 #include <functional>
 
 #include "config/settings.h"
-#include "net/http.h"
+#include "net/http_client.h"
 #include "wire/store_messages.h"
 
 namespace sumacquay {
