--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -1,33 +1,36 @@
 #pragma once
 #include <optional>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
-namespace sumacquay {
+#include "config/settings_error.h"
+#include "config/tuning.h"
 
-/// A settings file that can't be used; what() is one line that names the field.
-struct SettingsError : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
+/// A node's settings: the platform's TOML file, and the operators' own (tuning.h). They are read
+/// once at the start and constant from then on.
+namespace sumacquay {
 
+/// Where something listens.
 struct Endpoint {
   std::string host;
   unsigned short port = 0;
   std::string text() const { return host + ":" + std::to_string(port); }
 };
 
+/// Another controller.
 struct PeerSettings {
   std::string node;
   std::string zone;
   Endpoint addr;
 };
 
+/// A team and the limits on what its jobs take together.
 struct TeamSettings {
   std::string name;
   double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;  // 0: none
 };
 
+/// What the platform is to reach for a class of jobs.
 struct Objective {
   std::string kind;
   std::string job_class;
@@ -35,20 +38,8 @@
   double share = 0;
 };
 
-/// Operators' own settings (HCL, read by its nearest kin libconfuse). Each is a ratio to a platform
-/// figure.
-struct Tuning {
-  double leader_lease = 0.2;  ///< leader lease / worker lease
-  double renew = 0.3;         ///< renewal period / leader lease
-  double grace = 1.0;         ///< answers past the last word / Settings::answers_s at its most
-  double round = 0.1;         ///< placement round / report period
-  double suspect = 0.45;      ///< silence that makes a machine suspect / worker lease
-  double idle = 0.4;          ///< idle time before a machine is returned / its boot time
-  double headroom = 1.0;      ///< spare room / room that expected arrivals need
-  double sockets = 0.7;       ///< sockets open to users and workers / all sockets
-  int start_tries = 3;        ///< starts of a job before it backs off
-};
-
+/// Everything that a node is told when it starts. Fields that the platform's file has to set have
+/// defaults for tests alone.
 struct Settings {
   std::string node;
   std::string zone;
@@ -67,6 +58,7 @@
   double max_sockets = 600;
   Tuning tuning;
 
+  /// None if there is no such team.
   const TeamSettings* team(const std::string& name) const;
   /// For how long past the last word from the state service workers may be answered. A job may have
   /// been cancelled since, and what an answer keeps alive lasts for a worker's lease more: both
@@ -84,11 +76,9 @@
   double delegation_after_s() const { return 2.5 * renew_s(); }
 };
 
-/// Reads and checks the platform's TOML; unknown fields are ignored.
+/// Reads and checks the platform's file; throws SettingsError. Unknown fields are ignored. `source`
+/// names the file in errors.
 Settings parse_settings(const std::string& toml_text, const std::string& source);
 Settings load_settings(const std::string& path);
-/// Reads and checks the operators' HCL; an unknown field is an error, since nobody else writes it.
-Tuning parse_tuning(const std::string& hcl_text, const std::string& source);
-Tuning load_tuning(const std::string& path);
 
 }  // namespace sumacquay
--- /dev/null
+++ b/src/config/toml_table.cpp
@@ -0,0 +1,89 @@
+#include "config/toml_table.h"
+
+#include <charconv>
+#include <cmath>
+#include <optional>
+#include <utility>
+
+namespace sumacquay {
+
+TomlTable::TomlTable(const std::string& source, std::string path, const toml::table* table)
+    : source_(source), path_(std::move(path)), table_(table) {}
+
+TomlTable TomlTable::child(const char* name) const {
+  const toml::table* table = table_->get_as<toml::table>(name);
+  if (!table) refuse(name, "missing table");
+  return TomlTable(source_, path_of(name), table);
+}
+
+std::vector<TomlTable> TomlTable::children(const char* name) const {
+  std::vector<TomlTable> tables;
+  const toml::node* node = table_->get(name);
+  if (!node) return tables;
+  const toml::array* list = node->as_array();
+  if (!list) refuse(name, "must be a list of tables");
+  for (size_t i = 0; i < list->size(); ++i) {
+    const std::string path = path_of(name) + "[" + std::to_string(i) + "]";
+    const toml::table* table = (*list)[i].as_table();
+    if (!table) refuse_setting(source_, path, "must be a table");
+    tables.emplace_back(source_, path, table);
+  }
+  return tables;
+}
+
+std::string TomlTable::text(const char* name) const {
+  const auto value = table_->get_as<std::string>(name);
+  if (!value || value->get().empty()) refuse(name, "must be a text that is not empty");
+  return value->get();
+}
+
+std::string TomlTable::text_or(const char* name, const std::string& fallback) const {
+  return table_->contains(name) ? text(name) : fallback;
+}
+
+std::vector<std::string> TomlTable::texts(const char* name) const {
+  std::vector<std::string> texts;
+  const toml::array* list = table_->get_as<toml::array>(name);
+  if (!list) refuse(name, "must be a list of texts");
+  for (const auto& item : *list) {
+    if (!item.is_string()) refuse(name, "must be a list of texts");
+    texts.push_back(item.as_string()->get());
+  }
+  return texts;
+}
+
+double TomlTable::number(const char* name, SettingRange range) const {
+  const toml::node* node = table_->get(name);
+  std::optional<double> value;
+  if (node && node->is_number()) value = node->value<double>();
+  if (!value || !std::isfinite(*value)) refuse(name, "must be a number");
+  check_range(source_, path_of(name), *value, range);
+  return *value;
+}
+
+double TomlTable::number_or(const char* name, double fallback, SettingRange range) const {
+  return table_->contains(name) ? number(name, range) : fallback;
+}
+
+Endpoint TomlTable::endpoint(const char* name) const {
+  constexpr const char* kExpected = "must be address:port";
+  constexpr unsigned kMostPort = 65535;
+  const std::string value = text(name);
+  const auto colon = value.rfind(':');
+  if (colon == std::string::npos || colon == 0) refuse(name, kExpected);
+  unsigned port = 0;
+  const char* const end = value.data() + value.size();
+  const auto [parsed_to, error] = std::from_chars(value.data() + colon + 1, end, port);
+  if (error != std::errc() || parsed_to != end || port > kMostPort) refuse(name, kExpected);
+  return Endpoint{value.substr(0, colon), static_cast<unsigned short>(port)};
+}
+
+std::string TomlTable::path_of(const char* name) const {
+  return path_.empty() ? name : path_ + "." + name;
+}
+
+void TomlTable::refuse(const char* name, const std::string& why) const {
+  refuse_setting(source_, path_of(name), why);
+}
+
+}  // namespace sumacquay
