--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -4,25 +4,51 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <utility>
 
 namespace sumacquay {
 namespace {
 
-constexpr int kPage = 200;
+constexpr int kPageItems = 200;
+/// From the answer of a watch to the next watch, in seconds.
+constexpr double kWatchGap = 0.004;
+/// From a failed read to the next / a watch's wait.
+constexpr double kRetryShare = 0.03;
+/// Between barriers / the time in which the service takes one request of all nodes.
+constexpr double kBarrierGap = 8.0;
+/// The changes that were asked for are no longer kept.
+constexpr int kGone = 410;
+
+/// What is loaded, in this order. Jobs that are over are not: they are read when asked for.
 const std::vector<std::string>& load_order() {
   static const std::vector<std::string> prefixes{keys::kLeader, keys::kTerm, keys::kHost,
                                                  keys::kLive};
   return prefixes;
 }
 
+bool changes_are_gone(const HttpResult& result) {
+  return result.answered && result.status == kGone;
+}
+
+std::optional<wire::StorePage> changes_of(const HttpResult& result) {
+  return result.ok() ? wire::parse_changes(result.body) : std::nullopt;
+}
+
+/// The leader that a change of its key tells; none if the key was deleted or can't be read.
+std::optional<wire::LeaderRecord> leader_of(const wire::StoreItem& item) {
+  return item.value.missing() ? std::nullopt : wire::decode_leader(item.value);
+}
+
 }  // namespace
 
-Mirror::Mirror(asio::io_context& io, const Settings& s, StoreClient& store, size_t finished_kept)
+Mirror::Mirror(asio::io_context& io, const Settings& settings, StoreClient& store,
+               size_t finished_kept)
     : io_(io),
       store_(store),
-      wait_s_(s.lease_s),
-      barrier_gap_s_(8.0 / s.state_rps),
+      wait_s_(settings.lease_s),
+      retry_s_(settings.lease_s * kRetryShare),
+      barrier_gap_s_(kBarrierGap / settings.state_rps),
       finished_kept_(finished_kept) {}
 
 void Mirror::start() {
@@ -34,17 +60,30 @@
   state_ = next;
 }
 
-void Mirror::later(double seconds, std::function<void()> what) {
+void Mirror::later(double seconds, std::function<void()> action) {
   auto timer = std::make_shared<asio::steady_timer>(
       io_, std::chrono::microseconds(static_cast<long long>(seconds * 1e6)));
-  timer->async_wait([timer, what = std::move(what)](auto error) {
-    if (!error) what();
+  timer->async_wait([timer, action = std::move(action)](auto error) {
+    if (!error) action();
+  });
+}
+
+void Mirror::later_unless_reloaded(double seconds, std::function<void()> action) {
+  later(seconds, [this, generation = generation_, action = std::move(action)] {
+    if (generation == generation_) action();
   });
 }
 
 void Mirror::load() {
   enter(State::Loading);
   ++generation_;
+  forget_all();
+  loading_since_ = Clock::now();
+  refuse_waiting();
+  load_page({});
+}
+
+void Mirror::forget_all() {
   live_.clear();
   hosts_.clear();
   host_deleted_.clear();
@@ -52,54 +91,63 @@
   term_ = {};
   leader_seen_ = 0;
   unread_ = 0;
-  loading_since_ = std::chrono::steady_clock::now();
-  refuse_waiting();
-  load_page(0, "", 0);
 }
 
-void Mirror::load_page(size_t prefix, const std::string& after, uint64_t from) {
-  const uint64_t generation = generation_;
-  store_.read(Urgency::Record, wire::page_path(load_order()[prefix], after, kPage),
-              [this, prefix, after, from, generation](HttpResult r) {
+void Mirror::load_page(const LoadPosition& position) {
+  const std::string target =
+      wire::page_path(load_order()[position.prefix], position.after, kPageItems);
+  store_.read(Urgency::Record, target,
+              [this, position, generation = generation_](const HttpResult& result) {
                 if (generation != generation_) return;
-                const auto page = r.ok() ? wire::parse_page(r.body) : std::nullopt;
-                if (!page)
-                  return later(wait_s_ * 0.03, [this, prefix, after, from, generation] {
-                    if (generation == generation_) load_page(prefix, after, from);
-                  });
-                // Changes are followed from the first page's revision on, so none between pages is
-                // missed.
-                const uint64_t first = from ? from : page->revision;
-                for (const auto& item : page->items) apply_item(item);
-                if (page->more && !page->items.empty())
-                  return load_page(prefix, page->items.back().key, first);
-                if (prefix + 1 < load_order().size()) return load_page(prefix + 1, "", first);
-                revision_ = first;
-                known_at_ = loading_since_;
-                enter(State::Following);
-                if (listener_.leader_changed) listener_.leader_changed();
-                if (listener_.job_changed) listener_.job_changed("");
-                follow();
+                const auto page = result.ok() ? wire::parse_page(result.body) : std::nullopt;
+                if (page) return take_page(position, *page);
+                later_unless_reloaded(retry_s_, [this, position] { load_page(position); });
               });
 }
 
+void Mirror::take_page(const LoadPosition& position, const wire::StorePage& page) {
+  // Changes are followed from the first page's revision on, so none between pages is missed.
+  LoadPosition next = position;
+  if (next.first_revision == 0) next.first_revision = page.revision;
+  for (const auto& item : page.items) apply_item(item);
+  if (page.more && !page.items.empty()) {
+    next.after = page.items.back().key;
+    return load_page(next);
+  }
+  next.after.clear();
+  ++next.prefix;
+  if (next.prefix < load_order().size()) return load_page(next);
+  loading_done(next.first_revision);
+}
+
+void Mirror::loading_done(uint64_t first_revision) {
+  revision_ = first_revision;
+  known_at_ = loading_since_;
+  enter(State::Following);
+  tell_leader_changed();
+  tell_job_changed("");
+  follow();
+}
+
 void Mirror::follow() {
-  const uint64_t generation = generation_;
-  const auto asked_at = std::chrono::steady_clock::now();
-  store_.watch(wire::changes_path(keys::kRoot, revision_, static_cast<uint64_t>(wait_s_ * 1000)),
-               wait_s_, [this, generation, asked_at](HttpResult r) {
+  const auto wait_ms = static_cast<uint64_t>(wait_s_ * 1000);
+  store_.watch(wire::changes_path(keys::kRoot, revision_, wait_ms), wait_s_,
+               [this, generation = generation_, asked_at = Clock::now()](const HttpResult& result) {
                  if (generation != generation_) return;
-                 if (r.answered && r.status == 410) return load();
-                 const auto page = r.ok() ? wire::parse_changes(r.body) : std::nullopt;
-                 if (page) apply(*page, asked_at);
-                 note_read(r, page.has_value());
-                 later(page ? 0.004 : wait_s_ * 0.03, [this, generation] {
-                   if (generation == generation_) follow();
-                 });
+                 if (changes_are_gone(result)) return load();
+                 take_changes(result, asked_at);
                });
 }
 
-void Mirror::read_barrier(std::function<void(bool)> done) {
+/// Takes in what a watch brought, and watches on.
+void Mirror::take_changes(const HttpResult& result, Clock::time_point asked_at) {
+  const auto page = changes_of(result);
+  if (page) apply(*page, asked_at);
+  note_read(result, page.has_value());
+  later_unless_reloaded(page ? kWatchGap : retry_s_, [this] { follow(); });
+}
+
+void Mirror::read_barrier(BarrierDone done) {
   constexpr size_t kMostWaiting = 1000;
   if (!loaded() || waiting_.size() >= kMostWaiting) {
     asio::post(io_, [done = std::move(done)] { done(false); });
@@ -116,35 +164,39 @@
 }
 
 void Mirror::run_barrier() {
-  // Only those who asked before the request is sent are served by it.
-  auto served = std::make_shared<std::vector<std::function<void(bool)>>>(std::move(waiting_));
-  waiting_.clear();
   barrier_running_ = true;
-  const uint64_t generation = generation_;
-  const auto asked_at = std::chrono::steady_clock::now();
-  store_.read(Urgency::Rest, wire::changes_path(keys::kRoot, revision_, 0),
-              [this, served, generation, asked_at](HttpResult r) {
-                const auto page = r.ok() && generation == generation_ ? wire::parse_changes(r.body)
-                                                                      : std::nullopt;
-                if (page) apply(*page, asked_at);
-                if (r.answered && r.status == 410 && generation == generation_) load();
-                if (generation == generation_) note_read(r, page.has_value());
-                for (auto& done : *served) done(page.has_value());
-                later(barrier_gap_s_, [this] {
-                  barrier_running_ = false;
-                  if (!waiting_.empty()) run_barrier();
-                });
-              });
+  // Only those who asked before the request is sent are served by it.
+  auto served = std::make_shared<std::vector<BarrierDone>>(std::exchange(waiting_, {}));
+  store_.read(
+      Urgency::Rest, wire::changes_path(keys::kRoot, revision_, 0),
+      [this, served, generation = generation_, asked_at = Clock::now()](const HttpResult& result) {
+        if (generation != generation_) return barrier_answered(*served, false);
+        const auto page = changes_of(result);
+        if (page) apply(*page, asked_at);
+        if (changes_are_gone(result)) load();
+        if (generation == generation_) note_read(result, page.has_value());
+        barrier_answered(*served, page.has_value());
+      });
+}
+
+void Mirror::barrier_answered(const std::vector<BarrierDone>& served, bool fresh) {
+  for (const auto& done : served) done(fresh);
+  later(barrier_gap_s_, [this] {
+    barrier_running_ = false;
+    if (!waiting_.empty()) run_barrier();
+  });
 }
 
 /// The changes of a long absence can be more than an answer may hold, or than arrives in time. They
 /// would be asked for in vain until the service drops them; lists come in pages.
-void Mirror::note_read(const HttpResult& r, bool readable) {
+void Mirror::note_read(const HttpResult& result, bool readable) {
   constexpr int kMostUnread = 3;
   if (readable) unread_ = 0;
-  if (readable || (r.answered && !r.ok())) return;
-  const std::chrono::duration<double> age = std::chrono::steady_clock::now() - known_at_;
-  if (++unread_ >= kMostUnread && loaded() && age.count() > wait_s_) load_if_served();
+  const bool refused = result.answered && !result.ok();
+  if (readable || refused) return;
+  ++unread_;
+  const std::chrono::duration<double> age = Clock::now() - known_at_;
+  if (unread_ >= kMostUnread && loaded() && age.count() > wait_s_) load_if_served();
 }
 
 /// Where nothing at all is answered, an old copy is better than none.
@@ -152,70 +204,88 @@
   if (probing_) return;
   probing_ = true;
   store_.read(Urgency::Rest, wire::page_path(keys::kLeader, "", 1),
-              [this, generation = generation_](HttpResult r) {
+              [this, generation = generation_](const HttpResult& result) {
                 probing_ = false;
-                if (r.ok() && generation == generation_ && unread_ > 0) load();
+                if (result.ok() && generation == generation_ && unread_ > 0) load();
               });
 }
 
-void Mirror::apply(const wire::StorePage& page, std::chrono::steady_clock::time_point asked_at) {
-  const uint64_t before = revision_;
+void Mirror::apply(const wire::StorePage& page, Clock::time_point asked_at) {
   // Nothing says that changes come in their order: a key could come back after its deletion.
-  std::vector<const wire::StoreItem*> items;
+  std::vector<const wire::StoreItem*> newer;
   for (const auto& item : page.items)
-    if (item.version > before) items.push_back(&item);
-  std::stable_sort(items.begin(), items.end(),
-                   [](const auto* x, const auto* y) { return x->version < y->version; });
-  for (const auto* item : items) apply_item(*item);
+    if (item.version > revision_) newer.push_back(&item);
+  std::stable_sort(newer.begin(), newer.end(), [](const auto* first, const auto* second) {
+    return first->version < second->version;
+  });
+  for (const auto* item : newer) apply_item(*item);
   revision_ = std::max(revision_, page.revision);
   known_at_ = std::max(known_at_, asked_at);
 }
 
 void Mirror::apply_item(const wire::StoreItem& item) {
-  const bool gone = item.value.missing();
-  if (item.key.starts_with(keys::kLive)) {
-    const std::string id = item.key.substr(keys::kLive.size());
-    auto known = live_.find(id);
-    if (known != live_.end() && known->second.version >= item.version) return;
-    // A job that is over never comes back, whatever an older change says.
-    if (gone || finished_.count(id)) {
-      live_.erase(id);
-    } else {
-      auto record = wire::decode_job(item.value);
-      if (!record) return spdlog::error("record {} can't be read", item.key);
-      live_[id] = {std::move(*record), item.version};
-    }
-    if (loaded() && listener_.job_changed) listener_.job_changed(id);
-  } else if (item.key.starts_with(keys::kFinished)) {
-    const std::string id = item.key.substr(keys::kFinished.size());
-    const auto record = gone ? std::nullopt : wire::decode_finished(item.value);
-    if (!record) return;
-    remember_finished(id, *record);
-    if (loaded() && listener_.job_changed) listener_.job_changed(id);
-  } else if (item.key.starts_with(keys::kHost)) {
-    const std::string id = item.key.substr(keys::kHost.size());
-    auto known = hosts_.find(id);
-    if (known != hosts_.end() && known->second.version >= item.version) return;
-    const auto dead = host_deleted_.find(id);
-    if (dead != host_deleted_.end() && dead->second >= item.version) return;
-    const auto record = gone ? std::nullopt : wire::decode_host(item.value);
-    if (record)
-      hosts_[id] = {*record, item.version};
-    else
-      hosts_.erase(id);
-  } else if (item.key == keys::kLeader) {
-    if (item.version <= leader_seen_) return;
-    leader_seen_ = item.version;
-    const auto record = gone ? std::nullopt : wire::decode_leader(item.value);
-    leader_ = record ? Versioned<wire::LeaderRecord>{*record, item.version}
-                     : Versioned<wire::LeaderRecord>{};
-    if (loaded() && listener_.leader_changed) listener_.leader_changed();
-  } else if (item.key == keys::kTerm) {
-    const auto record = gone ? std::nullopt : wire::decode_leader(item.value);
-    if (!record || item.version <= term_.version) return;
-    term_ = {*record, item.version};
-    if (loaded() && listener_.leader_changed) listener_.leader_changed();
+  const auto id_after = [&](const std::string& prefix) { return item.key.substr(prefix.size()); };
+  if (item.key.starts_with(keys::kLive)) return apply_live(id_after(keys::kLive), item);
+  if (item.key.starts_with(keys::kFinished)) return apply_finished(id_after(keys::kFinished), item);
+  if (item.key.starts_with(keys::kHost)) return apply_host(id_after(keys::kHost), item);
+  if (item.key == keys::kLeader) return apply_leader(item);
+  if (item.key == keys::kTerm) return apply_term(item);
+}
+
+void Mirror::apply_live(const std::string& id, const wire::StoreItem& item) {
+  const auto known = live_.find(id);
+  if (known != live_.end() && known->second.version >= item.version) return;
+  // A job that is over never comes back, whatever an older change says.
+  if (item.value.missing() || finished_.count(id)) {
+    live_.erase(id);
+  } else {
+    auto record = wire::decode_job(item.value);
+    if (!record) return spdlog::error("record {} can't be read", item.key);
+    live_[id] = {std::move(*record), item.version};
   }
+  if (loaded()) tell_job_changed(id);
+}
+
+void Mirror::apply_finished(const std::string& id, const wire::StoreItem& item) {
+  const auto record = item.value.missing() ? std::nullopt : wire::decode_finished(item.value);
+  if (!record) return;
+  remember_finished(id, *record);
+  if (loaded()) tell_job_changed(id);
+}
+
+void Mirror::apply_host(const std::string& id, const wire::StoreItem& item) {
+  const auto known = hosts_.find(id);
+  if (known != hosts_.end() && known->second.version >= item.version) return;
+  const auto deleted = host_deleted_.find(id);
+  if (deleted != host_deleted_.end() && deleted->second >= item.version) return;
+  const auto record = item.value.missing() ? std::nullopt : wire::decode_host(item.value);
+  if (record)
+    hosts_[id] = {*record, item.version};
+  else
+    hosts_.erase(id);
+}
+
+void Mirror::apply_leader(const wire::StoreItem& item) {
+  if (item.version <= leader_seen_) return;
+  leader_seen_ = item.version;
+  leader_ = {};
+  if (const auto record = leader_of(item)) leader_ = {*record, item.version};
+  if (loaded()) tell_leader_changed();
+}
+
+void Mirror::apply_term(const wire::StoreItem& item) {
+  const auto record = leader_of(item);
+  if (!record || item.version <= term_.version) return;
+  term_ = {*record, item.version};
+  if (loaded()) tell_leader_changed();
+}
+
+void Mirror::tell_job_changed(const std::string& id) const {
+  if (listener_.job_changed) listener_.job_changed(id);
+}
+
+void Mirror::tell_leader_changed() const {
+  if (listener_.leader_changed) listener_.leader_changed();
 }
 
 void Mirror::remember_finished(const std::string& id, wire::FinishedRecord record) {
@@ -228,13 +298,13 @@
 }
 
 const Versioned<JobRecord>* Mirror::live(const std::string& id) const {
-  const auto it = live_.find(id);
-  return it == live_.end() ? nullptr : &it->second;
+  const auto found = live_.find(id);
+  return found == live_.end() ? nullptr : &found->second;
 }
 
 const wire::FinishedRecord* Mirror::finished(const std::string& id) const {
-  const auto it = finished_.find(id);
-  return it == finished_.end() ? nullptr : &it->second;
+  const auto found = finished_.find(id);
+  return found == finished_.end() ? nullptr : &found->second;
 }
 
 bool Mirror::ended(const std::string& id) const {
@@ -249,26 +319,27 @@
 }
 
 void Mirror::wrote_job(const JobRecord& record, uint64_t version) {
-  if (!ahead(version) || finished_.count(record.spec.id)) return;
-  auto& slot = live_[record.spec.id];
-  if (slot.version >= version) return;
-  slot = {record, version};
-  if (listener_.job_changed) listener_.job_changed(record.spec.id);
+  const std::string& id = record.spec.id;
+  if (!ahead(version) || finished_.count(id)) return;
+  auto& known = live_[id];
+  if (known.version >= version) return;
+  known = {record, version};
+  tell_job_changed(id);
 }
 
 void Mirror::wrote_finished(const std::string& id, wire::FinishedRecord record, uint64_t) {
   remember_finished(id, record);
-  if (listener_.job_changed) listener_.job_changed(id);
+  tell_job_changed(id);
 }
 
 void Mirror::wrote_host(const std::string& id, const HostRecord* record, uint64_t version) {
   if (!ahead(version)) return;
   if (record) {
     hosts_[id] = {*record, version};
-  } else {
-    hosts_.erase(id);
-    host_deleted_[id] = version;
+    return;
   }
+  hosts_.erase(id);
+  host_deleted_[id] = version;
 }
 
 void Mirror::wrote_leader(const wire::LeaderRecord& record, uint64_t version) {
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -14,6 +14,7 @@
 
 namespace sumacquay {
 
+/// Keys of the state service. Those that end in a slash are followed by a job's or machine's name.
 namespace keys {
 inline const std::string kRoot = "sq/";
 inline const std::string kLive = "sq/live/";
@@ -23,18 +24,23 @@
 inline const std::string kTerm = "sq/term";
 }  // namespace keys
 
+/// A record with the revision at which it was written; 0: there is none.
 template <class T>
 struct Versioned {
   T value{};
   uint64_t version = 0;
 };
 
-/// A node's copy of the state service's records, kept up by a watch. `read_barrier` is the read
-/// barrier: one request brings the copy up to date for all who wait for it.
+/// A node's copy of the state service's records, kept up by a watch. The front end answers from it,
+/// and the node rebuilds the leader's picture from it. What it holds may be old, unless a read
+/// barrier has just been passed. Not thread-safe: everything happens on the io_context.
 class Mirror {
  public:
+  using Clock = std::chrono::steady_clock;
+  using BarrierDone = std::function<void(bool fresh)>;
+
   struct Listener {
-    std::function<void(const std::string& id)> job_changed;
+    std::function<void(const std::string& id)> job_changed;  ///< empty id: any job may have
     std::function<void()> leader_changed;
   };
 
@@ -43,69 +49,116 @@
 
   Mirror(asio::io_context& io, const Settings& settings, StoreClient& store,
          size_t finished_kept = kFinishedKept);
+  /// Begins to load the copy, and then to follow the changes.
   void start();
   void set_listener(Listener listener) { listener_ = std::move(listener); }
 
+  /// Whether the copy is whole.
   bool loaded() const { return state_ == State::Following; }
   /// The copy holds everything that was written before this time.
-  std::chrono::steady_clock::time_point known_at() const { return known_at_; }
-  /// Calls back with true once the copy holds everything written before this call.
-  void read_barrier(std::function<void(bool)> done);
+  Clock::time_point known_at() const { return known_at_; }
+  /// Calls back with true once the copy holds everything written before this call, or with false if
+  /// that can't be had now. One request serves all who wait.
+  void read_barrier(BarrierDone done);
 
+  /// Jobs that are not over, by id.
   const std::unordered_map<std::string, Versioned<JobRecord>>& live() const { return live_; }
   const Versioned<JobRecord>* live(const std::string& id) const;
+  /// A job that is over, if it is still kept in memory.
   const wire::FinishedRecord* finished(const std::string& id) const;
   /// Whether the job is known to be cancelled or done.
   bool ended(const std::string& id) const;
+  /// Machines that may run something, by name.
   const std::map<std::string, Versioned<HostRecord>>& hosts() const { return hosts_; }
+  /// Who holds the lease; version 0: nobody.
   const Versioned<wire::LeaderRecord>& leader() const { return leader_; }
+  /// Who was elected last, whether or not that node still holds the lease.
   const Versioned<wire::LeaderRecord>& term() const { return term_; }
 
-  // What this node itself has written, known before the watch brings it.
+  // What this node itself has written, known before the watch brings it. A host without a record
+  // was deleted.
   void wrote_job(const JobRecord& record, uint64_t version);
   void wrote_finished(const std::string& id, wire::FinishedRecord record, uint64_t version);
   void wrote_host(const std::string& id, const HostRecord* record, uint64_t version);
   void wrote_leader(const wire::LeaderRecord& record, uint64_t version);
+  /// What this node has read of a job that the copy doesn't keep.
   void learned_finished(const std::string& id, wire::FinishedRecord record) {
     remember_finished(id, record);
   }
 
  private:
   enum class State { Loading, Following };
+
+  /// How far the loading is.
+  struct LoadPosition {
+    size_t prefix = 0;            ///< of the prefixes that are loaded, by number
+    std::string after;            ///< the last key that has come; empty: none
+    uint64_t first_revision = 0;  ///< of the first page; 0: none has come
+  };
+
   void enter(State next);
+
+  // Loading.
   void load();
-  void load_page(size_t prefix, const std::string& after, uint64_t from);
+  void forget_all();
+  void load_page(const LoadPosition& position);
+  void take_page(const LoadPosition& position, const wire::StorePage& page);
+  void loading_done(uint64_t first_revision);
+
+  // Following.
   void follow();
-  void apply(const wire::StorePage& page, std::chrono::steady_clock::time_point asked_at);
+  void take_changes(const HttpResult& result, Clock::time_point asked_at);
+  void apply(const wire::StorePage& page, Clock::time_point asked_at);
+  void note_read(const HttpResult& result, bool readable);
+  void load_if_served();
+
+  // Read barriers.
+  void run_barrier();
+  void barrier_answered(const std::vector<BarrierDone>& served, bool fresh);
+  void refuse_waiting();
+
+  // One change of a key.
   void apply_item(const wire::StoreItem& item);
+  void apply_live(const std::string& id, const wire::StoreItem& item);
+  void apply_finished(const std::string& id, const wire::StoreItem& item);
+  void apply_host(const std::string& id, const wire::StoreItem& item);
+  void apply_leader(const wire::StoreItem& item);
+  void apply_term(const wire::StoreItem& item);
   void remember_finished(const std::string& id, wire::FinishedRecord record);
   bool ahead(uint64_t version) const;
-  void refuse_waiting();
-  void note_read(const HttpResult& r, bool readable);
-  void load_if_served();
-  void run_barrier();
-  void later(double seconds, std::function<void()> what);
+  void tell_job_changed(const std::string& id) const;
+  void tell_leader_changed() const;
+
+  void later(double seconds, std::function<void()> action);
+  void later_unless_reloaded(double seconds, std::function<void()> action);
 
   asio::io_context& io_;
   StoreClient& store_;
-  double wait_s_, barrier_gap_s_;
+  double wait_s_;         ///< how long a watch waits for a change
+  double retry_s_;        ///< from a failed read to the next
+  double barrier_gap_s_;  ///< from one barrier's answer to the next barrier
   size_t finished_kept_;
   Listener listener_;
+
   State state_ = State::Loading;
   uint64_t generation_ = 0;  ///< counts loads: answers to earlier ones are dropped
-  uint64_t revision_ = 0;
-  std::chrono::steady_clock::time_point known_at_{}, loading_since_{};
+  uint64_t revision_ = 0;    ///< the copy holds all changes up to it
+  Clock::time_point known_at_{};
+  Clock::time_point loading_since_{};
+
   std::unordered_map<std::string, Versioned<JobRecord>> live_;
   std::unordered_map<std::string, wire::FinishedRecord> finished_;
-  std::deque<std::string> finished_order_;
+  std::deque<std::string> finished_order_;  ///< the oldest first
   std::map<std::string, Versioned<HostRecord>> hosts_;
-  std::map<std::string, uint64_t> host_deleted_;
-  Versioned<wire::LeaderRecord> leader_, term_;
-  uint64_t leader_seen_ = 0;
-  std::vector<std::function<void(bool)>> waiting_;
+  std::map<std::string, uint64_t> host_deleted_;  ///< when this node deleted it
+  Versioned<wire::LeaderRecord> leader_;
+  Versioned<wire::LeaderRecord> term_;
+  uint64_t leader_seen_ = 0;  ///< the newest version of the leader's key, also of its deletion
+
+  std::vector<BarrierDone> waiting_;
   bool barrier_running_ = false;
-  int unread_ = 0;  ///< reads of changes in a row that brought nothing
-  bool probing_ = false;
+  int unread_ = 0;        ///< reads of changes in a row that brought nothing
+  bool probing_ = false;  ///< whether the service answers at all
 };
 
 }  // namespace sumacquay
