--- a/tests/world/cloud.h
+++ b/tests/world/cloud.h
@@ -1,5 +1,5 @@
 #pragma once
-#include "dispatch/leader_core.h"
+#include "dispatch/actions.h"
 #include "world/environment.h"
 
 namespace sumacquay::simulation {
--- a/tests/world/controller_process.cpp
+++ b/tests/world/controller_process.cpp
@@ -10,20 +10,12 @@
 namespace sumacquay::simulation {
 
 namespace {
-/// The part of a token below the term.
-constexpr int kTokenCounterBits = 20;
 /// How long to wait before the records are read once more, as a share of the workers' lease.
 constexpr double kReadRetryShare = 0.005;
 /// How long a leader that no worker reaches keeps out of elections, in leader leases.
 constexpr double kRestAfterResigning = 2;
-/// How long a heartbeat shows who leads, in intervals between heartbeats.
-constexpr double kHeartbeatsTrusted = 4;
 }  // namespace
 
-uint64_t term_of_token(uint64_t token) {
-  return token >> kTokenCounterBits;
-}
-
 void ControllerProcess::start(Environment& environment, const ControllerLinks& links,
                               size_t controller, uint64_t nonce) {
   environment.controllers[controller].process =
@@ -204,176 +196,6 @@
   revoke(lease);
 }
 
-// ---------------------------------------------------------------- records
-
-void ControllerProcess::read_records(ReadDone done) {
-  std::optional<uint64_t> after;
-  if (records_.loaded()) after = records_.revision();
-  links_.state.request(controller_, StateChannel::RequestKind::Other, links_.state.read(after),
-                       [asked_at = env_.now(), changes_only = after.has_value(),
-                        done = std::move(done)](ControllerProcess& me, const StateReply& reply) {
-                         const bool usable = reply.ok() && (changes_only || !me.records_.loaded());
-                         if (usable) me.records_read(reply, asked_at);
-                         if (done) done(me, usable);
-                       });
-}
-
-void ControllerProcess::records_read(const StateReply& reply, Seconds asked_at) {
-  const auto update = records_.apply(reply, asked_at);
-  if (update.leader_changed || update.first) leader_record_changed();
-  if (update.first) return all_job_records_changed();
-  for (const auto& id : update.jobs) job_record_changed(id);
-}
-
-void ControllerProcess::leader_record_changed() {
-  const auto& leader = records_.leader();
-  leadership_->saw_term(env_.now(), std::max(leader.value.term, records_.term().value.term));
-  const bool of_this_host = leader.version && leader.value.node == node_name(controller_);
-  if (!of_this_host || leader.value.nonce == nonce_ || revoked_) return;
-  // An earlier process of this host held the lease. It has ended, so nobody need wait for it.
-  revoked_ = true;
-  revoke(leader.value.lease);
-}
-
-void ControllerProcess::job_record_changed(const std::string& id) {
-  if (!core_) return;
-  const auto job = records_.live().find(id);
-  if (job != records_.live().end())
-    core_->job_stored(job->second.value, job->second.version, env_.now());
-  else
-    core_->job_finished(id);
-  core_->hurry();
-}
-
-void ControllerProcess::all_job_records_changed() {
-  if (!core_) return;
-  std::vector<std::string> finished;
-  for (const auto& [id, job] : core_->jobs())
-    if (!records_.live().count(id)) finished.push_back(id);
-  for (const auto& id : finished) core_->job_finished(id);
-  for (const auto& [id, job] : records_.live())
-    core_->job_stored(job.value, job.version, env_.now());
-  core_->hurry();
-}
-
-void ControllerProcess::wrote_job(const JobRecord& record, uint64_t version) {
-  if (records_.wrote_job(record, version)) job_record_changed(record.spec.id);
-}
-
-void ControllerProcess::write_records() {
-  if (writing_ || !leads() || !records_.loaded()) return;
-  const auto writes =
-      core_->wanted_writes(env_.now(), static_cast<size_t>(settings().state_txn_ops));
-  if (writes.empty()) return;
-  std::vector<wire::Guard> guards{{keys::kTerm, records_.term().version}};
-  std::vector<StateService::Change> changes;
-  for (const auto& write : writes) {
-    if (!write.host.empty()) {
-      const std::string key = keys::kHost + write.host;
-      changes.push_back(write.host_record ? StateService::put(key, *write.host_record)
-                                          : StateService::remove(key));
-      continue;
-    }
-    const std::string live = keys::kLive + write.job;
-    guards.push_back({live, write.version});
-    if (write.finished) {
-      const wire::FinishedRecord finished{write.record->state, write.record->done.count()};
-      changes.push_back(StateService::remove(live));
-      changes.push_back(StateService::put(keys::kFinished + write.job, finished));
-    } else {
-      changes.push_back(StateService::put(live, *write.record));
-    }
-  }
-  writing_ = true;
-  links_.state.request(
-      controller_, StateChannel::RequestKind::Transaction,
-      links_.state.transaction(guards, changes, WriterTerm{leadership_->term(), nonce_}),
-      [writes, generation = generation_](ControllerProcess& me, const StateReply& reply) {
-        if (me.current(generation)) me.records_written(writes, reply);
-      });
-}
-
-void ControllerProcess::records_written(const std::vector<RecordWrite>& writes,
-                                        const StateReply& reply) {
-  const bool committed = reply.ok();
-  if (committed)
-    for (const auto& write : writes) apply_written(write, reply.revision);
-  for (const auto& write : writes) core_->write_done(write, committed, reply.revision, env_.now());
-  if (committed) {
-    writing_ = false;
-    return core_->hurry();
-  }
-  // It failed, or nobody knows: what the records say now decides what is still to be written.
-  read_records([generation = generation_](ControllerProcess& me, bool) {
-    if (generation == me.generation_) me.writing_ = false;
-  });
-}
-
-void ControllerProcess::apply_written(const RecordWrite& write, uint64_t revision) {
-  if (!write.host.empty()) {
-    if (write.host_record)
-      records_.wrote_host(write.host, *write.host_record, revision);
-    else
-      records_.deleted_host(write.host, revision);
-  } else if (write.finished) {
-    records_.wrote_finished(write.job, {write.record->state, write.record->done.count()});
-    job_record_changed(write.job);
-  } else {
-    wrote_job(*write.record, revision);
-  }
-}
-
-// ---------------------------------------------------------------- reports
-
-ReportReply ControllerProcess::answer_report(const WorkerReport& report) {
-  leadership_->saw_term(env_.now(), term_of_token(report.token));
-  if (may_answer()) return answer_as_leader(report);
-  if (const auto reply = answer_as_delegate(report)) return *reply;
-  return redirect();
-}
-
-ReportReply ControllerProcess::answer_copy(const WorkerReport& report) {
-  leadership_->saw_term(env_.now(), term_of_token(report.token));
-  return may_answer() ? answer_as_leader(report) : redirect();
-}
-
-ReportReply ControllerProcess::answer_as_leader(const WorkerReport& report) {
-  const auto answer = core_->report(report, leadership_->may_act(env_.now()), env_.now());
-  ReportReply reply;
-  reply.status = answer.fresh ? ReportStatus::Answered : ReportStatus::Late;
-  reply.token = answer.token;
-  reply.commands = answer.commands;
-  return reply;
-}
-
-std::optional<ReportReply> ControllerProcess::answer_as_delegate(const WorkerReport& report) {
-  const bool may_be_delegate = leadership_->state() == Leadership::State::Follower &&
-                               report.zone == settings().zone &&
-                               env_.now() - served_at_ > settings().delegation_after_s();
-  if (!may_be_delegate) return std::nullopt;
-  const auto stops = delegate_->answer(
-      report, leadership_->highest_term(), records_.known_at(),
-      [this](const std::string& job) { return records_.ended(job); }, env_.now());
-  if (!stops) return std::nullopt;
-  links_.workers.answered_by_delegate();
-  ReportReply reply;
-  reply.status = ReportStatus::Answered;
-  reply.token = report.token;
-  reply.commands = *stops;
-  return reply;
-}
-
-ReportReply ControllerProcess::redirect() const {
-  ReportReply reply;
-  const auto& recorded = records_.leader().value;
-  if (recorded.term > (known_leader_ ? known_leader_->term : 0))
-    reply.leader = env_.controllers.index_of(recorded.node);
-  else if (known_leader_ &&
-           env_.now() - known_leader_->heard_at < kHeartbeatsTrusted * settings().renew_s())
-    reply.leader = known_leader_->controller;
-  return reply;
-}
-
 // ---------------------------------------------------------------- answers to the leader
 
 void ControllerProcess::orders_done(uint64_t generation, const std::string& machine,
--- /dev/null
+++ b/tests/world/controller_records.cpp
@@ -0,0 +1,129 @@
+// A controller's reads of the records, and the leader's writes.
+#include <algorithm>
+#include <utility>
+
+#include "dispatch/record_transaction.h"
+#include "world/controller_process.h"
+
+namespace sumacquay::simulation {
+
+namespace {
+StateService::Change stored(const RecordChange& change) {
+  return std::visit(
+      [&change](const auto& value) {
+        if constexpr (std::is_same_v<decltype(value), const DeletedRecord&>)
+          return StateService::remove(change.key);
+        else
+          return StateService::put(change.key, value);
+      },
+      change.value);
+}
+
+std::vector<StateService::Change> stored(const std::vector<RecordChange>& changes) {
+  std::vector<StateService::Change> out;
+  for (const auto& change : changes) out.push_back(stored(change));
+  return out;
+}
+}  // namespace
+
+void ControllerProcess::read_records(ReadDone done) {
+  std::optional<uint64_t> after;
+  if (records_.loaded()) after = records_.revision();
+  links_.state.request(controller_, StateChannel::RequestKind::Other, links_.state.read(after),
+                       [asked_at = env_.now(), changes_only = after.has_value(),
+                        done = std::move(done)](ControllerProcess& me, const StateReply& reply) {
+                         const bool usable = reply.ok() && (changes_only || !me.records_.loaded());
+                         if (usable) me.records_read(reply, asked_at);
+                         if (done) done(me, usable);
+                       });
+}
+
+void ControllerProcess::records_read(const StateReply& reply, Seconds asked_at) {
+  const auto update = records_.apply(reply, asked_at);
+  if (update.leader_changed || update.first) leader_record_changed();
+  if (update.first) return all_job_records_changed();
+  for (const auto& id : update.jobs) job_record_changed(id);
+}
+
+void ControllerProcess::leader_record_changed() {
+  const auto& leader = records_.leader();
+  leadership_->saw_term(env_.now(), std::max(leader.value.term, records_.term().value.term));
+  const bool of_this_host = leader.version && leader.value.node == node_name(controller_);
+  if (!of_this_host || leader.value.nonce == nonce_ || revoked_) return;
+  // An earlier process of this host held the lease. It has ended, so nobody need wait for it.
+  revoked_ = true;
+  revoke(leader.value.lease);
+}
+
+void ControllerProcess::job_record_changed(const std::string& id) {
+  if (!core_) return;
+  const auto job = records_.live().find(id);
+  if (job != records_.live().end())
+    core_->job_stored(job->second.value, job->second.version, env_.now());
+  else
+    core_->job_finished(id);
+  core_->hurry();
+}
+
+void ControllerProcess::all_job_records_changed() {
+  if (!core_) return;
+  std::vector<std::string> finished;
+  for (const auto& [id, job] : core_->jobs())
+    if (!records_.live().count(id)) finished.push_back(id);
+  for (const auto& id : finished) core_->job_finished(id);
+  for (const auto& [id, job] : records_.live())
+    core_->job_stored(job.value, job.version, env_.now());
+  core_->hurry();
+}
+
+void ControllerProcess::wrote_job(const JobRecord& record, uint64_t version) {
+  if (records_.wrote_job(record, version)) job_record_changed(record.spec.id);
+}
+
+void ControllerProcess::write_records() {
+  if (writing_ || !leads() || !records_.loaded()) return;
+  const auto writes =
+      core_->wanted_writes(env_.now(), static_cast<size_t>(settings().state_txn_ops));
+  if (writes.empty()) return;
+  const auto transaction = record_transaction(writes, records_.term().version);
+  writing_ = true;
+  links_.state.request(
+      controller_, StateChannel::RequestKind::Transaction,
+      links_.state.transaction(transaction.guards, stored(transaction.changes),
+                               WriterTerm{leadership_->term(), nonce_}),
+      [writes, generation = generation_](ControllerProcess& me, const StateReply& reply) {
+        if (me.current(generation)) me.records_written(writes, reply);
+      });
+}
+
+void ControllerProcess::records_written(const std::vector<RecordWrite>& writes,
+                                        const StateReply& reply) {
+  const bool committed = reply.ok();
+  if (committed)
+    for (const auto& write : writes) apply_written(write, reply.revision);
+  for (const auto& write : writes) core_->write_done(write, committed, reply.revision, env_.now());
+  if (committed) {
+    writing_ = false;
+    return core_->hurry();
+  }
+  // It failed, or nobody knows: what the records say now decides what is still to be written.
+  read_records([generation = generation_](ControllerProcess& me, bool) {
+    if (generation == me.generation_) me.writing_ = false;
+  });
+}
+
+void ControllerProcess::apply_written(const RecordWrite& write, uint64_t revision) {
+  if (!write.host.empty()) {
+    if (write.host_record)
+      records_.wrote_host(write.host, *write.host_record, revision);
+    else
+      records_.deleted_host(write.host, revision);
+  } else if (write.finished) {
+    records_.wrote_finished(write.job, {write.record->state, write.record->done.count()});
+    job_record_changed(write.job);
+  } else {
+    wrote_job(*write.record, revision);
+  }
+}
+
+}  // namespace sumacquay::simulation
--- a/tests/world/order_channel.h
+++ b/tests/world/order_channel.h
@@ -2,7 +2,7 @@
 #include <functional>
 #include <optional>
 
-#include "dispatch/leader_core.h"
+#include "dispatch/actions.h"
 #include "world/environment.h"
 #include "world/workers.h"
 
