--- a/apps/sumacquay/main.cpp
+++ b/apps/sumacquay/main.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr int kUnusable = 2;  ///< status if the settings, or what they name, can't be used
+
 bool set_up_log() {
   auto logger = std::make_shared<spdlog::logger>("sumacquay",
                                                  std::make_shared<spdlog::sinks::stderr_sink_st>());
@@ -27,33 +29,38 @@
   return true;
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
+int run(int argc, char** argv) {
   CLI::App app{"Scheduler for fleets that serve language models: one controller node."};
   app.set_version_flag("--version", std::string("sumacquay ") + SUMACQUAY_VERSION);
-  std::string config, tuning;
+  std::string config;
+  std::string tuning;
   bool check = false;
   app.add_option("--config", config, "the platform's settings (TOML)")->required();
   app.add_option("--tuning", tuning, "the operators' own settings (HCL)");
   app.add_flag("--check", check, "check the settings and end");
   CLI11_PARSE(app, argc, argv);
-  if (!set_up_log()) return 2;
+  if (!set_up_log()) return kUnusable;
+  sumacquay::Settings settings = sumacquay::load_settings(config);
+  if (!tuning.empty()) settings.tuning = sumacquay::load_tuning(tuning);
+  if (check) {
+    std::cout << "settings are valid\n";
+    return 0;
+  }
+  asio::io_context io(1);
+  sumacquay::Node node(io, settings);
+  node.start();
+  spdlog::info("{} listens on {}", settings.node, settings.listen.text());
+  io.run();
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
   try {
-    sumacquay::Settings settings = sumacquay::load_settings(config);
-    if (!tuning.empty()) settings.tuning = sumacquay::load_tuning(tuning);
-    if (check) {
-      std::cout << "settings are valid\n";
-      return 0;
-    }
-    asio::io_context io(1);
-    sumacquay::Node node(io, settings);
-    node.start();
-    spdlog::info("{} listens on {}", settings.node, settings.listen.text());
-    io.run();
+    return run(argc, argv);
   } catch (const std::exception& e) {
     std::cerr << e.what() << "\n";
-    return 2;
+    return kUnusable;
   }
-  return 0;
 }
--- a/src/fleet/machine.h
+++ b/src/fleet/machine.h
@@ -106,9 +106,7 @@
   /// Since a takeover that may be so although none is known.
   bool may_hold_tasks() const { return !accounted || has_presence(); }
   bool has_presence() const {
-    for (const auto& [key, run] : runs)
-      if (run.present()) return true;
-    return false;
+    return std::any_of(runs.begin(), runs.end(), [](const auto& r) { return r.second.present(); });
   }
 };
 
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -77,9 +77,9 @@
 }
 
 void Frontend::look_up(const std::string& id, const Respond& respond,
-                       std::function<void(const Versioned<JobRecord>&)> live,
-                       std::function<void(const wire::FinishedRecord&)> finished,
-                       std::function<void()> unknown) {
+                       const std::function<void(const Versioned<JobRecord>&)>& live,
+                       const std::function<void(const wire::FinishedRecord&)>& finished,
+                       const std::function<void()>& unknown) {
   // Over is final: no read can find it changed.
   if (const auto* known = mirror_.finished(id)) return finished(*known);
   mirror_.read_barrier([=, this](bool fresh) {
@@ -88,16 +88,17 @@
     if (const auto* known = mirror_.finished(id)) return finished(*known);
     // Jobs leave the live records only for those that are over, so reading these last finds a job
     // that moves in between.
-    store_.read(Urgency::Rest, wire::item_path(keys::kFinished + id), [=, this](HttpResult r) {
-      // This node may have accepted it, and said so, since the question was asked.
-      if (const auto* record = mirror_.live(id)) return live(*record);
-      if (r.answered && r.status == 404) return unknown();
-      const auto page = r.ok() ? wire::parse_item(r.body) : std::nullopt;
-      const auto record = page ? wire::decode_finished(page->items[0].value) : std::nullopt;
-      if (!record) return later_please(respond);
-      mirror_.learned_finished(id, *record);
-      finished(*record);
-    });
+    store_.read(
+        Urgency::Rest, wire::item_path(keys::kFinished + id), [=, this](const HttpResult& r) {
+          // This node may have accepted it, and said so, since the question was asked.
+          if (const auto* record = mirror_.live(id)) return live(*record);
+          if (r.answered && r.status == 404) return unknown();
+          const auto page = r.ok() ? wire::parse_item(r.body) : std::nullopt;
+          const auto record = page ? wire::decode_finished(page->items[0].value) : std::nullopt;
+          if (!record) return later_please(respond);
+          mirror_.learned_finished(id, *record);
+          finished(*record);
+        });
   });
 }
 
@@ -128,7 +129,7 @@
         cancelled.state = JobState::Cancelled;
         const std::string key = keys::kLive + id;
         store_.transact(Urgency::Record, {{key, r.version}},
-                        {{key, wire::encode_job(cancelled), 0}}, [=, this](TxnResult t) {
+                        {{key, wire::encode_job(cancelled), 0}}, [=, this](const TxnResult& t) {
                           if (t.outcome == TxnOutcome::Committed) {
                             mirror_.wrote_job(cancelled, t.revision);
                             return answer(JobState::Cancelled);
@@ -172,7 +173,7 @@
 }
 
 void Frontend::answer_known(const std::string& id, const Respond& respond,
-                            std::function<void()> unknown) {
+                            const std::function<void()>& unknown) {
   auto answer = [=](JobState state, uint32_t running) {
     respond({200, wire::job_answer(id, shown(state, running)), 0});
   };
@@ -181,7 +182,7 @@
       [=, this](const Versioned<JobRecord>& r) {
         answer(r.value.state, sources_.counts(id).running);
       },
-      [=](const wire::FinishedRecord& r) { answer(r.state, 0); }, std::move(unknown));
+      [=](const wire::FinishedRecord& r) { answer(r.state, 0); }, unknown);
 }
 
 void Frontend::accept(const JobSpec& spec, const Respond& respond) {
@@ -189,11 +190,13 @@
   record.spec = spec;
   record.submitted_ms = sources_.time_of_day_ms();
   const std::string value = wire::encode_job(record);
-  if (value.size() > settings_.state_value_kb * 1024 * 0.5)
+  if (static_cast<double>(value.size()) > settings_.state_value_kb * 1024 * 0.5)
     return refuse_unknown(spec.id, 400, "the job's description is too large", respond);
-  const std::string live = keys::kLive + spec.id, finished = keys::kFinished + spec.id;
+  const std::string live = keys::kLive + spec.id;
+  const std::string finished = keys::kFinished + spec.id;
   store_.transact(
-      Urgency::Record, {{live, 0}, {finished, 0}}, {{live, value, 0}}, [=, this](TxnResult t) {
+      Urgency::Record, {{live, 0}, {finished, 0}}, {{live, value, 0}},
+      [=, this](const TxnResult& t) {
         if (t.outcome == TxnOutcome::Committed) {
           mirror_.wrote_job(record, t.revision);
           return respond({201, wire::job_answer(record.spec.id, ShownState::Pending), 0});
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -32,16 +32,17 @@
   void submit(const HttpRequest& request, const Respond& respond);
   void accept(const JobSpec& spec, const Respond& respond);
   void answer_known(const std::string& id, const Respond& respond);
-  void answer_known(const std::string& id, const Respond& respond, std::function<void()> unknown);
+  void answer_known(const std::string& id, const Respond& respond,
+                    const std::function<void()>& unknown);
   void refuse_unknown(const std::string& id, int status, const std::string& why,
                       const Respond& respond);
   void query(const std::string& id, const Respond& respond);
   void cancel(const std::string& id, int tries, const Respond& respond);
   /// The job's state as of now or later; `unknown` is called only if no such job was ever accepted.
   void look_up(const std::string& id, const Respond& respond,
-               std::function<void(const Versioned<JobRecord>&)> live,
-               std::function<void(const wire::FinishedRecord&)> finished,
-               std::function<void()> unknown);
+               const std::function<void(const Versioned<JobRecord>&)>& live,
+               const std::function<void(const wire::FinishedRecord&)>& finished,
+               const std::function<void()>& unknown);
   Respond limited(Respond respond);
 
   const Settings& settings_;
--- a/src/jobs/ranges.h
+++ b/src/jobs/ranges.h
@@ -16,7 +16,8 @@
 
   bool add(uint32_t n) {
     if (contains(n)) return false;
-    uint32_t first = n, last = n + 1;
+    uint32_t first = n;
+    uint32_t last = n + 1;
     auto next = spans_.find(last);
     if (next != spans_.end()) {
       last = next->second;
@@ -71,7 +72,8 @@
     uint64_t at = 0;
     Ranges r;
     for (size_t i = 0; i < lengths.size(); i += 2) {
-      const uint64_t first = at + lengths[i], last = first + lengths[i + 1];
+      const uint64_t first = at + lengths[i];
+      const uint64_t last = first + lengths[i + 1];
       if (last > most || lengths[i + 1] == 0 || (i > 0 && lengths[i] == 0)) return false;
       r.spans_[static_cast<uint32_t>(first)] = static_cast<uint32_t>(last);
       r.count_ += lengths[i + 1];
--- a/src/leadership/delegation.h
+++ b/src/leadership/delegation.h
@@ -63,8 +63,8 @@
 class Delegations {
  public:
   Delegations(uint64_t term, Seconds after) : term_(term), after_(after) {}
-  Delegation delegate(const std::string& node, const std::string& zone, Seconds until, Seconds now);
-  void heard(const std::string& node, const std::string& zone, const DelegateStatus& status,
+  Delegation delegate(const std::string& name, const std::string& zone, Seconds until, Seconds now);
+  void heard(const std::string& name, const std::string& zone, const DelegateStatus& status,
              Seconds now);
   /// The last answer that a delegate may have given to a worker of this zone.
   Seconds last_answer(const std::string& zone, Seconds now) const;
--- a/src/leadership/leadership.cpp
+++ b/src/leadership/leadership.cpp
@@ -100,7 +100,7 @@
   enter(State::Follower);
 }
 
-void Leadership::saw_term(Seconds, uint64_t term) {
+void Leadership::saw_term(Seconds /*now*/, uint64_t term) {
   highest_ = std::max(highest_, term);
   if ((state_ == State::Leading || state_ == State::Expired) && term > term_)
     enter(State::Follower);
--- a/src/provision/provision.cpp
+++ b/src/provision/provision.cpp
@@ -20,10 +20,11 @@
 /// What renting this for `tasks` costs: the part that they use, half of the part that they leave
 /// (others may use it), and the wait for boot and image on top.
 double cost(const Offer& o, const JobSpec& spec, size_t tasks) {
+  const auto wanted = static_cast<double>(tasks);
   const double each = dominant(spec.need, o.type->room);
   const double per_machine = std::max(1.0, std::floor(1 / each + 1e-9));
-  const double machines = std::ceil(static_cast<double>(tasks) / per_machine);
-  const double used = std::min(machines, tasks * each);
+  const double machines = std::ceil(wanted / per_machine);
+  const double used = std::min(machines, wanted * each);
   const double fetch = spec.image_gb / std::max(o.type->fetch_gb_per_s, 1e-3);
   constexpr double kWaitScale = 120;  // seconds of waiting that count like the price itself
   return o.price * (0.5 * used + 0.5 * machines) * (1 + (o.type->boot_s + fetch) / kWaitScale);
@@ -54,7 +55,7 @@
     gone.insert(p.task);
     ++d.zones[slots[p.slot].zone];
   }
-  std::erase_if(d.tasks, [&](uint32_t t) { return gone.count(t) > 0; });
+  std::erase_if(d.tasks, [&](uint32_t t) { return gone.contains(t); });
 }
 
 const Offer* cheapest(const Demand& d, const std::vector<Offer>& offers) {
@@ -89,6 +90,7 @@
     }
   }
   std::vector<Rental> out;
+  out.reserve(counts.size());
   for (const auto& [key, n] : counts)
     out.push_back({std::get<0>(key), std::get<1>(key), std::get<2>(key), n});
   return out;
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -38,8 +38,8 @@
  public:
   StoreClient(asio::io_context& io, const Settings& settings);
 
-  void transact(Urgency urgency, std::vector<wire::Guard> guards, std::vector<wire::Change> changes,
-                std::function<void(TxnResult)> done);
+  void transact(Urgency urgency, const std::vector<wire::Guard>& guards,
+                const std::vector<wire::Change>& changes, std::function<void(TxnResult)> done);
   void read(Urgency urgency, const std::string& target, HttpDone done);
   void watch(const std::string& target, double wait_s, HttpDone done);
   void grant(double ttl_s, std::function<void(std::optional<uint64_t>)> done);
