--- a/src/node/action_executor.cpp
+++ b/src/node/action_executor.cpp
@@ -38,7 +38,7 @@
 /// A worker answers orders with its report, whether it carries them out or not.
 std::optional<WorkerReport> ActionExecutor::take_report(const HttpResult& result) {
   if (!result.ok() && !(result.answered && result.status == kStatusConflict)) return std::nullopt;
-  const auto report = wire::parse_report(result.body);
+  auto report = wire::parse_report(result.body);
   if (report) leadership_.saw_term(steady_now(), term_of_token(report->token));
   return report;
 }
--- a/src/node/machine_list_poller.cpp
+++ b/src/node/machine_list_poller.cpp
@@ -23,7 +23,7 @@
 }
 
 void MachineListPoller::read_page(uint64_t generation, const std::string& after,
-                                  std::shared_ptr<Machines> so_far) {
+                                  const std::shared_ptr<Machines>& so_far) {
   cloud_.request("GET", wire::machines_path(after, kMachinesPerPage), "",
                  settings_.lease_s * kDeadlineLeaseShare,
                  [this, generation, so_far](const HttpResult& result) {
--- a/src/node/machine_list_poller.h
+++ b/src/node/machine_list_poller.h
@@ -22,7 +22,8 @@
 
  private:
   using Machines = std::vector<ListedMachine>;
-  void read_page(uint64_t generation, const std::string& after, std::shared_ptr<Machines> so_far);
+  void read_page(uint64_t generation, const std::string& after,
+                 const std::shared_ptr<Machines>& so_far);
   void read_again_later(uint64_t generation);
 
   const Settings& settings_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -59,10 +59,9 @@
   HttpLimits limits;
   limits.connections = static_cast<size_t>(settings_.max_sockets * settings_.tuning.sockets);
   limits.idle_s = kIdleReports * settings_.report_s;
-  server_ = std::make_unique<HttpServer>(io_, settings_.listen, limits,
-                                         [this](const HttpRequest& request, Respond respond) {
-                                           on_request(request, std::move(respond));
-                                         });
+  server_ = std::make_unique<HttpServer>(
+      io_, settings_.listen, limits,
+      [this](const HttpRequest& request, const Respond& respond) { on_request(request, respond); });
   mirror_.set_listener({[this](const std::string& id) { on_job_record(id); },
                         [this] { election_.on_leader_record(); }});
   mirror_.start();
@@ -106,7 +105,7 @@
 
 // ---------------------------------------------------------------- requests
 
-void Node::on_request(const HttpRequest& request, Respond respond) {
+void Node::on_request(const HttpRequest& request, const Respond& respond) {
   if (request.path == wire::path::kReport && request.method == "POST")
     return on_report(request, respond);
   if (request.path == wire::path::kReady)
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -36,7 +36,7 @@
   void tick_core();
   void resign_if_unheard();
   // requests
-  void on_request(const HttpRequest& request, Respond respond);
+  void on_request(const HttpRequest& request, const Respond& respond);
   void on_report(const HttpRequest& request, const Respond& respond);
   void answer_as_follower(const WorkerReport& report, const Respond& respond);
   std::string leader_to_redirect_to() const;
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -23,7 +23,7 @@
   Buffer buffer;
   Packer packer(buffer);
   fill(packer);
-  return std::string(buffer.data(), buffer.size());
+  return {buffer.data(), buffer.size()};
 }
 
 inline void pack_text(Packer& packer, std::string_view text) {
--- a/src/wire/store_messages.cpp
+++ b/src/wire/store_messages.cpp
@@ -124,7 +124,7 @@
   pack_text(packer, "apply");
   pack_list(packer, changes.size());
   for (const auto& change : changes) pack_change(buffer, packer, change);
-  return std::string(buffer.data(), buffer.size());
+  return {buffer.data(), buffer.size()};
 }
 
 std::optional<uint64_t> parse_revision(std::string_view body) {
