--- /dev/null
+++ b/src/dispatch/arrival_forecast.cpp
@@ -0,0 +1,66 @@
+#include "dispatch/arrival_forecast.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace sumacquay {
+namespace {
+
+/// Arrivals of the last so many boot times are remembered.
+constexpr double kWindowBoots = 5;
+/// Keeps a product that is whole but for rounding from being rounded up to the next number.
+constexpr double kRounding = 1e-9;
+
+}  // namespace
+
+void ArrivalForecast::add(const JobSpec& spec, Seconds accepted) {
+  JobClass& job_class = classes_[spec.job_class];
+  job_class.latest = spec;
+  job_class.arrivals.push_back({accepted, spec.tasks});
+}
+
+void ArrivalForecast::forget_old(Seconds now, Seconds longest_boot_s) {
+  const Seconds oldest = now - kWindowBoots * longest_boot_s;
+  for (auto& [name, job_class] : classes_)
+    std::erase_if(job_class.arrivals, [oldest](const Arrival& a) { return a.accepted < oldest; });
+}
+
+double ArrivalForecast::expected_tasks(const JobClass& job_class) {
+  const double tasks = std::accumulate(job_class.arrivals.begin(), job_class.arrivals.end(), 0.0,
+                                       [](double sum, const Arrival& a) { return sum + a.tasks; });
+  const double mean = tasks / kWindowBoots;
+  // Arrivals are uneven: the mean and one deviation of it.
+  if (job_class.latest.kind == JobKind::Service) return mean + std::sqrt(mean);
+  if (job_class.latest.kind == JobKind::Array && job_class.latest.spot &&
+      !job_class.arrivals.empty())
+    return std::max(tasks / static_cast<double>(job_class.arrivals.size()), mean);
+  return 0;
+}
+
+std::vector<JobSpec> ArrivalForecast::expected(double factor) const {
+  std::vector<JobSpec> out;
+  for (const auto& [name, job_class] : classes_) {
+    const double tasks = std::ceil(factor * expected_tasks(job_class) - kRounding);
+    if (tasks < 1) continue;
+    JobSpec spec = job_class.latest;
+    spec.tasks = static_cast<uint32_t>(tasks);
+    spec.kind = JobKind::Service;
+    out.push_back(std::move(spec));
+  }
+  return out;
+}
+
+std::vector<Demand> demands_of(const std::vector<JobSpec>& specs) {
+  std::vector<Demand> out;
+  for (const JobSpec& spec : specs) {
+    Demand demand;
+    demand.spec = &spec;
+    demand.tasks.resize(spec.tasks);
+    std::iota(demand.tasks.begin(), demand.tasks.end(), 0u);
+    out.push_back(std::move(demand));
+  }
+  return out;
+}
+
+}  // namespace sumacquay
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -1,5 +1,4 @@
 #pragma once
-#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -9,6 +8,7 @@
 
 #include "config/settings.h"
 #include "dispatch/actions.h"
+#include "dispatch/arrival_forecast.h"
 #include "dispatch/job_state.h"
 #include "dispatch/record_write.h"
 #include "fleet/machine.h"
@@ -144,9 +144,7 @@
   Seconds certain_end(const Machine& m, Seconds now) const;
   void provision(Seconds now, std::vector<Action>& out);
   std::vector<Offer> offers(Seconds now) const;
-  void note_arrival(const JobRecord& record);
-  void forget_arrivals(Seconds now);
-  std::vector<Demand> headroom(std::vector<JobSpec>& specs, Seconds now) const;
+  Seconds longest_boot() const;
   void return_idle(Seconds now);
   void log_fleet(Seconds now);
   // moves.cpp: replicas moved together
@@ -192,11 +190,7 @@
   std::map<std::tuple<std::string, std::string, bool>, std::pair<Seconds, int>> refused_;
   std::map<std::string, std::pair<Rent, Seconds>> open_rents_;
   std::unordered_map<std::string, Amounts> used_;  ///< by team
-  struct Arrivals {
-    JobSpec spec;                                   ///< of the last one
-    std::deque<std::pair<Seconds, uint32_t>> jobs;  ///< steady time and number of tasks
-  };
-  std::map<std::string, Arrivals> arrivals_;    ///< by class
+  ArrivalForecast arrivals_;
   std::optional<std::vector<Victim>> victims_;  ///< of this round, once anybody has asked
   std::vector<Demand> unplaced_;                ///< of the last round; used in the same tick only
   Seconds next_round_ = 0, next_provision_ = 0, next_release_ = 0, next_move_ = 0,
--- a/src/dispatch/record_writes.cpp
+++ b/src/dispatch/record_writes.cpp
@@ -51,7 +51,7 @@
   job.want_hosts = job.want_hosts && !record_covers(job);
   if (added) {
     job.done = record.done;
-    note_arrival(record);
+    arrivals_.add(record.spec, arrival(job));
     spdlog::debug("{} arrives: {} tasks of {}", record.spec.id, record.spec.tasks,
                   record.spec.job_class);
     // A report may have brought tasks of this job before its record was read.
--- a/src/dispatch/releases.cpp
+++ b/src/dispatch/releases.cpp
@@ -14,10 +14,10 @@
 }  // namespace
 
 /// Whether there is room for arrivals beside what the trial has placed.
-bool LeaderCore::spare_room(Trial& trial, Seconds now) const {
-  std::vector<JobSpec> specs;
-  const auto expected = headroom(specs, now);
-  return std::all_of(expected.begin(), expected.end(),
+bool LeaderCore::spare_room(Trial& trial, Seconds) const {
+  const auto expected = arrivals_.expected(settings_.tuning.headroom);
+  const auto demands = demands_of(expected);
+  return std::all_of(demands.begin(), demands.end(),
                      [&trial](const Demand& d) { return trial.fits(d); });
 }
 
--- a/src/dispatch/renting.cpp
+++ b/src/dispatch/renting.cpp
@@ -2,7 +2,6 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <cmath>
 
 #include "dispatch/leader_core.h"
 
@@ -12,11 +11,15 @@
 /// Seconds for which the cloud is not asked again for what it refused, doubling each time.
 constexpr double kRefusal = 5;
 constexpr int kMostRented = 12;
-/// Arrivals of the last so many boot times tell what to expect.
-constexpr double kMemory = 5;
 
 }  // namespace
 
+Seconds LeaderCore::longest_boot() const {
+  Seconds longest = 0;
+  for (const auto& t : types_) longest = std::max(longest, t.boot_s);
+  return longest;
+}
+
 std::vector<Offer> LeaderCore::offers(Seconds now) const {
   std::vector<Offer> out;
   for (const auto& t : types_)
@@ -30,54 +33,10 @@
   return out;
 }
 
-void LeaderCore::note_arrival(const JobRecord& record) {
-  Arrivals& a = arrivals_[record.spec.job_class];
-  a.spec = record.spec;
-  a.jobs.emplace_back(static_cast<double>(record.submitted_ms) / 1000 - wall_offset_,
-                      record.spec.tasks);
-}
-
-/// Arrivals count for a few boot times: when fewer come, less room is kept.
-void LeaderCore::forget_arrivals(Seconds now) {
-  double boot = 0;
-  for (const auto& t : types_) boot = std::max(boot, t.boot_s);
-  for (auto& [name, a] : arrivals_)
-    std::erase_if(a.jobs, [&](const auto& j) { return j.first < now - kMemory * boot; });
-}
-
-/// Room for what will arrive while a machine boots, at the rate of late. Services stay, so each
-/// arrival needs room of its own; of arrays, which come and go, one is expected at a time, and
-/// room is only kept for those that may use cheap machines.
-std::vector<Demand> LeaderCore::headroom(std::vector<JobSpec>& specs, Seconds) const {
-  std::vector<Demand> out;
-  specs.reserve(arrivals_.size());
-  for (const auto& [name, a] : arrivals_) {
-    double tasks = 0;
-    for (const auto& [at, n] : a.jobs) tasks += n;
-    double expected = 0;
-    // Arrivals are uneven: the mean and one deviation of it.
-    const double mean = tasks / kMemory;
-    if (a.spec.kind == JobKind::Service)
-      expected = mean + std::sqrt(mean);
-    else if (a.spec.kind == JobKind::Array && a.spec.spot && !a.jobs.empty())
-      expected = std::max(tasks / static_cast<double>(a.jobs.size()), mean);
-    const auto n = static_cast<uint32_t>(std::ceil(settings_.tuning.headroom * expected - 1e-9));
-    if (n == 0) continue;
-    specs.push_back(a.spec);
-    specs.back().tasks = n;
-    specs.back().kind = JobKind::Service;
-    Demand d;
-    d.spec = &specs.back();
-    for (uint32_t i = 0; i < n; ++i) d.tasks.push_back(i);
-    out.push_back(std::move(d));
-  }
-  return out;
-}
-
 void LeaderCore::provision(Seconds now, std::vector<Action>& out) {
   if (now < next_provision_ || types_.empty() || !picture_settled(now)) return;
   next_provision_ = now + settings_.report_s * 0.5;
-  forget_arrivals(now);
+  arrivals_.forget_old(now, longest_boot());
   for (auto& [name, open] : open_rents_) {
     if (now < open.second) continue;
     open.second = now + 1e9;
@@ -86,8 +45,8 @@
   if (!open_rents_.empty()) return;
   auto booting = picture(now, true);
   auto up = picture(now, false);
-  std::vector<JobSpec> specs;
-  for (auto& d : headroom(specs, now)) {
+  const auto expected = arrivals_.expected(settings_.tuning.headroom);
+  for (auto& d : demands_of(expected)) {
     for (const auto& p : place(d, up)) {
       ++d.zones[up[p.slot].zone];
       std::erase(d.tasks, p.task);
