--- a/src/dispatch/actions.h
+++ b/src/dispatch/actions.h
@@ -24,6 +24,9 @@
   bool spot = false;
   int count = 0;
 };
+/// What the cloud answered to a request for machines; unknown if no answer came.
+enum class RentOutcome { Rented, Refused, Unknown };
+
 struct Release {
   std::vector<std::string> machines;
 };
--- a/src/dispatch/leader_core.cpp
+++ b/src/dispatch/leader_core.cpp
@@ -20,7 +20,8 @@
       wall_offset_(wall_offset),
       awake_since_(now),
       ticked_(now),
-      delegations_(term, settings.delegation_after_s()) {}
+      delegations_(term, settings.delegation_after_s()),
+      rental_requests_(term) {}
 
 const Job* LeaderCore::find_job(const std::string& id) const {
   const auto it = jobs_.find(id);
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -11,6 +11,7 @@
 #include "dispatch/arrival_forecast.h"
 #include "dispatch/job_state.h"
 #include "dispatch/record_write.h"
+#include "dispatch/rental_requests.h"
 #include "fleet/machine.h"
 #include "jobs/record.h"
 #include "leadership/delegation.h"
@@ -56,7 +57,7 @@
   // Cloud.
   void set_types(std::vector<MachineType> types) { types_ = std::move(types); }
   void listed(const std::vector<ListedMachine>& machines, Seconds now);
-  enum class RentOutcome { Rented, Refused, Unknown };
+  using RentOutcome = sumacquay::RentOutcome;
   void rent_done(const Rent& rent, RentOutcome outcome, const std::vector<std::string>& machines,
                  Seconds now);
   void release_done(const Release& release, bool ok, Seconds now);
@@ -163,7 +164,6 @@
   Seconds silence(const Machine& m, Seconds now) const;
   bool late_with_report(const Machine& m, Seconds now) const;
   const MachineType* type(const std::string& name) const;
-  std::string name_request();
 
   /// Attempts and tokens carry the term in their upper part, so no later leader repeats one.
   static constexpr int kTermShift = 20;
@@ -174,7 +174,7 @@
   Seconds awake_since_, ticked_;
   bool fenced_ = false;
   Delegations delegations_;
-  uint64_t next_attempt_ = 1, next_request_ = 1;
+  uint64_t next_attempt_ = 1;
   size_t unaccounted_ = 0;
   std::unordered_map<std::string, Job> jobs_;
   std::map<std::string, Machine> machines_;
@@ -187,8 +187,7 @@
   std::set<std::string> lively_zones_;  ///< many of their machines were heard lately
   std::set<std::string> writing_hosts_;
   std::vector<MachineType> types_;
-  std::map<std::tuple<std::string, std::string, bool>, std::pair<Seconds, int>> refused_;
-  std::map<std::string, std::pair<Rent, Seconds>> open_rents_;
+  RentalRequests rental_requests_;
   std::unordered_map<std::string, Amounts> used_;  ///< by team
   ArrivalForecast arrivals_;
   std::optional<std::vector<Victim>> victims_;  ///< of this round, once anybody has asked
--- a/src/dispatch/releases.cpp
+++ b/src/dispatch/releases.cpp
@@ -22,7 +22,7 @@
 }
 
 void LeaderCore::return_idle(Seconds now) {
-  if (!picture_settled(now) || !open_rents_.empty()) return;
+  if (!picture_settled(now) || rental_requests_.any_open()) return;
   for (auto& [id, m] : machines_) {
     const bool idle = m.stage == Machine::Stage::Up && !m.has_presence();
     if (!idle)
--- /dev/null
+++ b/src/dispatch/rental_requests.cpp
@@ -0,0 +1,54 @@
+#include "dispatch/rental_requests.h"
+
+#include <algorithm>
+
+namespace sumacquay {
+namespace {
+
+/// The pause after the first refusal, doubled with each further one up to the limit.
+constexpr Seconds kFirstBackOff = 5;
+constexpr int kMostDoublings = 4;
+
+}  // namespace
+
+Rent RentalRequests::open(const OfferKey& offer, int count) {
+  // The term is this leader's alone, so no node ever repeats a name.
+  const std::string name = "sq-" + std::to_string(term_) + "-" + std::to_string(next_number_++);
+  Rent rent{name, offer.type, offer.zone, offer.spot, count};
+  open_[name] = {rent, std::nullopt};
+  return rent;
+}
+
+std::vector<Rent> RentalRequests::due_again(Seconds now) {
+  std::vector<Rent> out;
+  for (auto& [name, request] : open_) {
+    if (!request.repeat_at || now < *request.repeat_at) continue;
+    request.repeat_at.reset();
+    out.push_back(request.rent);
+  }
+  return out;
+}
+
+void RentalRequests::repeat(const Rent& rent, Seconds now, Seconds delay) {
+  const auto request = open_.find(rent.request);
+  if (request != open_.end()) request->second.repeat_at = now + delay;
+}
+
+bool RentalRequests::settle(const Rent& rent, size_t rented, Seconds now) {
+  if (open_.erase(rent.request) == 0) return false;
+  Refusals& refusals = refusals_[{rent.type, rent.zone, rent.spot}];
+  if (static_cast<int>(rented) >= rent.count) {
+    refusals.in_a_row = 0;
+    return true;
+  }
+  refusals.until = now + kFirstBackOff * (1 << std::min(refusals.in_a_row, kMostDoublings));
+  ++refusals.in_a_row;
+  return true;
+}
+
+bool RentalRequests::backing_off(const OfferKey& offer, Seconds now) const {
+  const auto refusals = refusals_.find(offer);
+  return refusals != refusals_.end() && now < refusals->second.until;
+}
+
+}  // namespace sumacquay
