--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -12,6 +12,7 @@
 #include "dispatch/job_state.h"
 #include "dispatch/record_write.h"
 #include "dispatch/rental_requests.h"
+#include "dispatch/zone_reachability.h"
 #include "fleet/machine.h"
 #include "jobs/record.h"
 #include "leadership/delegation.h"
@@ -182,9 +183,7 @@
   /// By type: when the last rented of those that this leader saw boot was rented.
   std::map<std::string, Seconds> newest_up_;
   std::set<std::string> hosts_to_delete_;
-  /// Zones that seem cut off, and when a machine there last showed anything.
-  std::map<std::string, Seconds> cut_zones_;
-  std::set<std::string> lively_zones_;  ///< many of their machines were heard lately
+  ZoneReachability zone_reachability_;
   std::set<std::string> writing_hosts_;
   std::vector<MachineType> types_;
   RentalRequests rental_requests_;
--- a/src/dispatch/machine_lifecycle.cpp
+++ b/src/dispatch/machine_lifecycle.cpp
@@ -14,19 +14,15 @@
 /// that was rented later is up, the second if none is, for then it may be that all are slow.
 constexpr double kOverdue = 1.8;
 constexpr double kAllSlow = 3.5;
-/// Machines that are never silent together by chance, the silence of all that shows it / report
-/// period, and the time that workers need to find a new leader / their lease.
-constexpr size_t kSeveral = 3;
+/// The silence of all machines that shows this node to be cut off / report period.
 constexpr double kAllSilent = 2.5;
+/// The time that workers need to find a new leader / their lease.
 constexpr double kFindLeader = 0.3;
-/// Where so many of a zone's machines were heard within so much of a report period, the zone is not
-/// cut off: in one that is, fewer were by the time the first machine is late and has not answered.
-constexpr double kLively = 0.25;
-constexpr double kLately = 0.5;
-/// The part of a zone's machines whose silence shows that the zone is cut off, and how long they
-/// must have been silent / the silence after which a machine is given up.
-constexpr double kMostOfZone = 0.5;
-constexpr double kShortlySilent = 0.6;
+/// A machine counts as heard recently within so much of a report period.
+constexpr double kRecently = 0.5;
+/// A machine counts as silent, when zones are judged, after this part of the silence after which it
+/// is given up.
+constexpr double kSilentEarly = 0.6;
 
 }  // namespace
 
@@ -64,7 +60,7 @@
     ++up;
     newest = std::max(newest, m.last_report);
   }
-  return up >= kSeveral && now - newest > kAllSilent * settings_.report_s + 0.5;
+  return up >= kTooManyForChance && now - newest > kAllSilent * settings_.report_s + 0.5;
 }
 
 /// When the worker's lease has ended for certain, counted from the last answer that anybody could
@@ -96,45 +92,22 @@
     if (m.info.zone == zone) m.zone_back = now;
 }
 
-/// Zones that are cut off, or seem so: most of a zone's machines don't fall silent together by
-/// themselves. What runs there goes on, so nothing of it is given up, and nothing rented there
-/// would be heard. Any number of machines that is silent without its zone is taken for dead.
 void LeaderCore::find_cut_zones(Seconds now) {
-  struct Count {
-    size_t up = 0, silent = 0, heard = 0;
-  };
-  std::map<std::string, Count> zones;
+  std::map<std::string, ZoneReachability::Count> zones;
   const Seconds suspect = settings_.tuning.suspect * settings_.lease_s;
   for (const auto& [id, m] : machines_) {
     if (m.stage != Machine::Stage::Up) continue;
-    Count& c = zones[m.info.zone];
-    ++c.up;
-    if (silence(m, now) > suspect * kShortlySilent) ++c.silent;
-    if (silence(m, now) < kLately * settings_.report_s) ++c.heard;
-  }
-  // A zone without any machine left shows nothing either way: after a while it is tried again, or
-  // it would stay closed to renting for ever.
-  for (auto& [zone, last_shown] : cut_zones_)
-    if (zones.count(zone)) last_shown = now;
-  std::erase_if(cut_zones_, [&](const auto& cut) { return now - cut.second > settings_.lease_s; });
-  lively_zones_.clear();
-  for (const auto& [zone, c] : zones)
-    if (c.up >= kSeveral && static_cast<double>(c.heard) > kLively * c.up)
-      lively_zones_.insert(zone);
-  for (const auto& [zone, c] : zones) {
-    const bool cut = c.up >= kSeveral && static_cast<double>(c.silent) > kMostOfZone * c.up;
-    if (cut != (cut_zones_.count(zone) > 0))
-      spdlog::info("zone {}: {} of {} machines silent, {}", zone, c.silent, c.up,
-                   cut ? "taken for cut off" : "no longer taken for cut off");
-    if (cut)
-      cut_zones_[zone] = now;
-    else if (cut_zones_.erase(zone) > 0)
-      expect_back(zone, now);
+    ZoneReachability::Count& count = zones[m.info.zone];
+    ++count.up;
+    if (silence(m, now) > suspect * kSilentEarly) ++count.silent;
+    if (silence(m, now) < kRecently * settings_.report_s) ++count.heard_recently;
   }
+  for (const auto& zone : zone_reachability_.update(zones, now, settings_.lease_s))
+    expect_back(zone, now);
 }
 
 bool LeaderCore::give_up_on(const Machine& m, Seconds now) const {
-  const bool zone_cut = cut_zones_.count(m.info.zone) > 0;
+  const bool zone_cut = zone_reachability_.cut_off(m.info.zone);
   const MachineType* t = type(m.info.type);
   const double boot = t ? t->boot_s : 60;
   switch (m.stage) {
@@ -155,7 +128,8 @@
       // left once the cloud has taken it back.
       if (zone_cut || !m.may_hold_tasks()) return false;
       return silence(m, now) > settings_.tuning.suspect * settings_.lease_s ||
-             (m.unanswered && late_with_report(m, now) && lively_zones_.count(m.info.zone) > 0);
+             (m.unanswered && late_with_report(m, now) &&
+              zone_reachability_.reachable(m.info.zone));
     }
     case Machine::Stage::Returning:
       return false;
--- a/src/dispatch/renting.cpp
+++ b/src/dispatch/renting.cpp
@@ -25,7 +25,7 @@
     for (const auto& zone : t.zones)
       for (bool spot : {false, true})
         out.push_back({&t, zone, spot, spot ? t.spot_price : t.price,
-                       cut_zones_.count(zone) > 0 ||
+                       zone_reachability_.cut_off(zone) ||
                            rental_requests_.backing_off({t.name, zone, spot}, now)});
   return out;
 }
