--- a/src/dispatch/job_state.h
+++ b/src/dispatch/job_state.h
@@ -5,13 +5,19 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "jobs/record.h"
 
 namespace sumacquay {
 
+/// A start of a task on a machine where the task is or may be.
+struct TaskPlacement {
+  std::string machine;
+  uint64_t attempt = 0;
+  auto operator<=>(const TaskPlacement&) const = default;
+};
+
 /// A job as the leader sees it.
 struct Job {
   JobRecord stored;  ///< what the state service holds
@@ -25,7 +31,7 @@
   Ranges done;                  ///< at least stored.done
   Seconds progress_since = -1;  ///< done numbers not yet stored since
   /// Where each task is or may be; doubt counts as presence.
-  std::map<uint32_t, std::set<std::pair<std::string, uint64_t>>> at;
+  std::map<uint32_t, std::set<TaskPlacement>> at;
   uint64_t gang_attempt = 0;
   std::set<std::string> failed_on;
   int failures = 0;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -134,7 +134,7 @@
     ASSERT_EQ(at.size(), 1u);
     ASSERT_EQ(at.begin()->second.size(), 1u);
     EXPECT_EQ(started_.count(job(i)) > 0, dies(i)) << job(i);
-    EXPECT_EQ(gone_.count(at.begin()->second.begin()->first), 0u);
+    EXPECT_EQ(gone_.count(at.begin()->second.begin()->machine), 0u);
   }
   const auto& after = core_->work();
   EXPECT_GT(after.rounds, before.rounds);
