--- a/src/dispatch/job_state.h
+++ b/src/dispatch/job_state.h
@@ -28,8 +28,8 @@
   /// What every write of this version of the record leaves of its hosts. One without an answer may
   /// be applied minutes later, and what was started on a host that it drops would be forgotten.
   std::optional<std::vector<std::string>> narrowed;
-  Ranges done;                  ///< at least stored.done
-  Seconds progress_since = -1;  ///< done numbers not yet stored since
+  Ranges done;                            ///< at least stored.done
+  std::optional<Seconds> progress_since;  ///< when `done` came to hold numbers that aren't stored
   /// Where each task is or may be; doubt counts as presence.
   std::map<uint32_t, std::set<TaskPlacement>> at;
   uint64_t gang_attempt = 0;
--- a/src/dispatch/record_writes.cpp
+++ b/src/dispatch/record_writes.cpp
@@ -93,7 +93,7 @@
   // know what may still take room and count against a limit.
   if (job.stored.state != JobState::Pending && nowhere(job)) return WriteUrgency::Finished;
   // Progress of an array is written in batches, as far as its record has room for it.
-  const bool due = now >= job.progress_since + settings_.report_s;
+  const bool due = !job.progress_since || now >= *job.progress_since + settings_.report_s;
   if (job.done.count() != job.stored.done.count() && due &&
       !(recordable(job.done) == job.stored.done))
     return WriteUrgency::Progress;
@@ -193,7 +193,7 @@
   if (!committed) return;
   if (w.finished) return job_finished(w.job);
   job_stored(*w.record, version, now);
-  if (job.done == job.stored.done) job.progress_since = -1;
+  if (job.done == job.stored.done) job.progress_since.reset();
 }
 
 }  // namespace sumacquay
--- a/src/dispatch/releases.cpp
+++ b/src/dispatch/releases.cpp
@@ -26,15 +26,15 @@
   for (auto& [id, m] : machines_) {
     const bool idle = m.stage == Machine::Stage::Up && !m.has_presence();
     if (!idle)
-      m.idle_since = -1;
-    else if (m.idle_since < 0)
+      m.idle_since.reset();
+    else if (!m.idle_since)
       m.idle_since = now;
   }
   auto others = picture(now, false);
   for (auto& s : others) {
     Machine& m = machines_.at(s.machine);
     const MachineType* t = type(m.info.type);
-    if (m.idle_since < 0 || !t || now - m.idle_since < settings_.tuning.idle * t->boot_s) continue;
+    if (!m.idle_since || !t || now - *m.idle_since < settings_.tuning.idle * t->boot_s) continue;
     const bool usable = std::exchange(s.usable, false);
     Trial without(others);
     if (m.sick || m.taken_at || spare_room(without, now))
--- a/src/dispatch/task_runs.cpp
+++ b/src/dispatch/task_runs.cpp
@@ -84,7 +84,7 @@
     // The tasks of a gang complete together.
     for (uint32_t t = gang ? 0 : key.task.task; t < (gang ? job->spec().tasks : key.task.task + 1);
          ++t)
-      if (t < job->spec().tasks && job->done.add(t) && job->progress_since < 0)
+      if (t < job->spec().tasks && job->done.add(t) && !job->progress_since)
         job->progress_since = now;
     return;
   }
@@ -145,7 +145,7 @@
 }
 
 void LeaderCore::unwant(Run& run, bool graceful, Seconds now) {
-  if (!run.wanted && run.stop_since >= 0) {
+  if (!run.wanted && run.stop_since) {
     run.graceful = run.graceful && graceful;
     return;
   }
--- a/src/fleet/machine.h
+++ b/src/fleet/machine.h
@@ -13,6 +13,9 @@
 
 namespace sumacquay {
 
+/// The time of something that has not happened: earlier than all others.
+constexpr Seconds kNever = -std::numeric_limits<Seconds>::infinity();
+
 /// One start of one task.
 struct RunKey {
   TaskKey task;
@@ -31,7 +34,7 @@
   bool settled = false;   ///< exit: has been taken into account
   Seconds placed_at = 0;
   Seconds running_since = -1;
-  Seconds stop_since = -1;
+  std::optional<Seconds> stop_since;
   bool stop_sent = false;
   Amounts need;
   std::string image;
@@ -80,22 +83,22 @@
   uint64_t counter = 0;    ///< low part of the token in force at this worker
   bool proven = false;     ///< has shown the token in force
   bool accounted = false;  ///< since the takeover: told what it has, or certainly has nothing
-  Seconds last_heard = -std::numeric_limits<Seconds>::infinity();
+  Seconds last_heard = kNever;
   /// When a report of its own came; answers to orders don't count, and show no lease renewed.
-  Seconds last_report = -std::numeric_limits<Seconds>::infinity();
-  Seconds zone_back = -std::numeric_limits<Seconds>::infinity();  ///< when its zone was heard again
-  Seconds answered = -std::numeric_limits<Seconds>::infinity();   ///< last answer that may renew
-  bool old_answers = true;  ///< an earlier leader may have answered it until the fence
+  Seconds last_report = kNever;
+  Seconds zone_back = kNever;  ///< when its zone was heard again
+  Seconds answered = kNever;   ///< last answer that may renew
+  bool old_answers = true;     ///< an earlier leader may have answered it until the fence
   bool order_in_flight = false;
   Seconds next_order = 0, next_greeting = 0;
   bool probing = false;     ///< asked whether it is there
   bool unanswered = false;  ///< it has not answered that
 
   Seconds first_seen = 0;
-  Seconds up_since = -std::numeric_limits<Seconds>::infinity();  ///< if this leader saw it boot
+  Seconds up_since = kNever;  ///< if this leader saw it boot
   bool listed_failed = false;
   std::optional<Seconds> taken_at;  ///< spot notice: when the cloud takes it
-  Seconds idle_since = -1;
+  std::optional<Seconds> idle_since;
   bool sick = false;                 ///< fails what it starts: gets nothing new and is returned
   std::set<std::string> error_jobs;  ///< jobs that failed here since one last succeeded
   Images images;
