--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -92,6 +92,9 @@
   void use_image(Machine& m, const std::string& image, double gb);
   void settle_exit(Machine& m, const RunKey& key, Run& run, Seconds now);
   void count_failure(Machine& m, Job& job, Seconds now);
+  /// The only place that changes a machine's stage.
+  void set_stage(Machine& m, Machine::Stage next);
+  /// The only place that changes a run's phase.
   void set_phase(Machine& m, const RunKey& key, Run& run, Run::Phase next, Seconds now);
   void add_presence(Machine& m, const RunKey& key);
   void drop_presence(Machine& m, const RunKey& key);
--- a/src/dispatch/machine_lifecycle.cpp
+++ b/src/dispatch/machine_lifecycle.cpp
@@ -26,6 +26,12 @@
 
 }  // namespace
 
+void LeaderCore::set_stage(Machine& m, Machine::Stage next) {
+  if (m.stage == next) return;
+  spdlog::debug("{}: stage {} -> {}", m.info.id, name(m.stage), name(next));
+  m.stage = next;
+}
+
 void LeaderCore::listed(const std::vector<ListedMachine>& list, Seconds now) {
   for (const auto& l : list) {
     const auto gone = returned_.find(l.id);
@@ -78,7 +84,7 @@
     if (!returning && m.stage != Machine::Stage::Up) continue;
     if (now <= certain_end(m, now)) continue;
     spdlog::info("{} expired with {} tasks", id, m.runs.size());
-    if (!returning) m.stage = Machine::Stage::Expired;
+    if (!returning) set_stage(m, Machine::Stage::Expired);
     m.proven = false;
     remove_all_runs(m);
     account(m);
--- a/src/dispatch/record_writes.cpp
+++ b/src/dispatch/record_writes.cpp
@@ -78,7 +78,7 @@
 void LeaderCore::host_stored(const HostRecord& host, Seconds now) {
   Machine& m = machines_[host.id];
   m.info = host;
-  m.stage = Machine::Stage::Up;
+  set_stage(m, Machine::Stage::Up);
   m.recorded = true;
   m.first_seen = m.last_report = now;  // until its worker has found this leader
   ++unaccounted_;
--- a/src/dispatch/releases.cpp
+++ b/src/dispatch/releases.cpp
@@ -38,7 +38,7 @@
     const bool usable = std::exchange(s.usable, false);
     Trial without(others);
     if (m.sick || m.taken_at || spare_room(without, now))
-      m.stage = Machine::Stage::Returning;
+      set_stage(m, Machine::Stage::Returning);
     else
       s.usable = usable;
   }
@@ -50,9 +50,9 @@
   find_cut_zones(now);
   for (auto& [id, m] : machines_)
     if (give_up_on(m, now)) {
-      spdlog::info("gives {} back: stage {}, silent {:.1f} s", id, static_cast<int>(m.stage),
+      spdlog::info("gives {} back: stage {}, silent {:.1f} s", id, name(m.stage),
                    now - m.last_heard);
-      m.stage = Machine::Stage::Returning;
+      set_stage(m, Machine::Stage::Returning);
     }
   return_idle(now);
   Release release;
--- a/src/dispatch/reports.cpp
+++ b/src/dispatch/reports.cpp
@@ -132,7 +132,7 @@
     newest = std::max(newest, m.first_seen);
   }
   if (m.stage == Machine::Stage::Booting || m.stage == Machine::Stage::Expired)
-    m.stage = Machine::Stage::Up;
+    set_stage(m, Machine::Stage::Up);
   m.taken_at = r.notice_s ? std::optional<Seconds>(now + *r.notice_s) : std::nullopt;
   const bool ours = r.token >= token(m);
   if (ours && !m.order_in_flight) m.proven = true;
--- a/src/dispatch/task_runs.cpp
+++ b/src/dispatch/task_runs.cpp
@@ -57,7 +57,7 @@
 void LeaderCore::set_phase(Machine& m, const RunKey& key, Run& run, Run::Phase next, Seconds now) {
   if (run.phase == next) return;
   spdlog::debug("{}/{} try {} on {}: phase {} -> {}", key.task.job, key.task.task, key.attempt,
-                m.info.id, static_cast<int>(run.phase), static_cast<int>(next));
+                m.info.id, name(run.phase), name(next));
   run.phase = next;
   run.sent = true;
   if (next == Run::Phase::Running || next == Run::Phase::Waiting) {
--- a/src/fleet/machine.h
+++ b/src/fleet/machine.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -115,4 +116,8 @@
   }
 };
 
+/// For logs.
+std::string_view name(Run::Phase phase);
+std::string_view name(Machine::Stage stage);
+
 }  // namespace sumacquay
