--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -112,6 +112,10 @@
   const Job* find_job(const std::string& id) const;
   Job* find_job(const std::string& id);
   enum class WriteUrgency { Start, Done, Progress, Finished, None };  ///< the most urgent first
+  class WriteBatch;
+  void add_host_writes(WriteBatch& batch);
+  bool add_job_writes(WriteBatch& batch, Seconds now);
+  void add_host_deletions(WriteBatch& batch);
   WriteUrgency write_urgency(const Job& job, Seconds now) const;
   RecordWrite write_for(const Job& job) const;
   Ranges recordable(const Ranges& done) const;
--- a/src/dispatch/record_writes.cpp
+++ b/src/dispatch/record_writes.cpp
@@ -15,10 +15,21 @@
 /// The same for the names of its machines, and what a name takes beside its letters.
 constexpr double kHostsShare = 0.2;
 constexpr size_t kTextBytes = 2;
-/// What a record takes beside its done numbers, and the size of a transaction, well under the limit
-/// of 64 KiB.
+/// What a record takes beside its done numbers and hosts.
 constexpr size_t kRecordBytes = 1200;
-constexpr size_t kMostBytes = 48 * 1024;
+/// A job's record is written in place, or moved: one deleted, another written.
+constexpr size_t kMostChangesOfAJob = 2;
+
+size_t bytes_of(const std::vector<std::string>& hosts) {
+  size_t bytes = 0;
+  for (const auto& id : hosts) bytes += id.size() + kTextBytes;
+  return bytes;
+}
+
+size_t bytes_of(const JobRecord& record) {
+  return kRecordBytes + record.done.spans() * kSpanBytes +
+         (record.hosts ? bytes_of(*record.hosts) : 0);
+}
 
 void narrow(Job& job, const std::optional<std::vector<std::string>>& hosts) {
   if (!hosts) return;
@@ -41,6 +52,27 @@
 
 }  // namespace
 
+/// The writes of one transaction. Its size is kept well under the limit of 64 KiB.
+class LeaderCore::WriteBatch {
+ public:
+  explicit WriteBatch(size_t most_changes) : most_changes_(most_changes) {}
+  bool fits(size_t changes) const { return changes_ + changes <= most_changes_; }
+  bool full() const { return bytes_ > kMostBytes; }
+  void add(RecordWrite write) {
+    changes_ += write.changes();
+    if (write.record) bytes_ += bytes_of(*write.record);
+    writes_.push_back(std::move(write));
+  }
+  std::vector<RecordWrite> take() { return std::move(writes_); }
+
+ private:
+  static constexpr size_t kMostBytes = 48 * 1024;
+  size_t most_changes_;
+  size_t changes_ = 0;
+  size_t bytes_ = 0;
+  std::vector<RecordWrite> writes_;
+};
+
 void LeaderCore::job_stored(const JobRecord& record, uint64_t version, Seconds now) {
   auto [it, added] = jobs_.try_emplace(record.spec.id);
   Job& job = it->second;
@@ -117,10 +149,9 @@
     const auto m = machines_.find(id);
     if (m != machines_.end() && !m->second.accounted) hosts.insert(id);
   }
-  size_t bytes = 0;
-  for (const auto& id : hosts) bytes += id.size() + kTextBytes;
-  if (bytes > settings_.state_value_kb * 1024 * kHostsShare) return std::nullopt;
-  return std::vector<std::string>(hosts.begin(), hosts.end());
+  std::vector<std::string> sorted(hosts.begin(), hosts.end());
+  if (bytes_of(sorted) > settings_.state_value_kb * 1024 * kHostsShare) return std::nullopt;
+  return sorted;
 }
 
 RecordWrite LeaderCore::write_for(const Job& job) const {
@@ -137,44 +168,54 @@
 }
 
 std::vector<RecordWrite> LeaderCore::wanted_writes(Seconds now, size_t most_changes) {
-  std::vector<RecordWrite> out;
-  size_t changes = 0, bytes = 0;
+  WriteBatch batch(most_changes);
+  add_host_writes(batch);
+  if (add_job_writes(batch, now)) add_host_deletions(batch);
+  return batch.take();
+}
+
+/// Machines that are to get their first start: it waits for their records.
+void LeaderCore::add_host_writes(WriteBatch& batch) {
   for (auto& [id, m] : machines_) {
-    if (!m.recording || m.recorded || writing_hosts_.count(id) || changes >= most_changes) continue;
-    RecordWrite w;
-    w.host = id;
-    w.host_record = m.info;
-    writing_hosts_.insert(id);
-    out.push_back(std::move(w));
-    ++changes;
+    if (!m.recording || m.recorded || !batch.fits(1) || !writing_hosts_.insert(id).second) continue;
+    RecordWrite write;
+    write.host = id;
+    write.host_record = m.info;
+    batch.add(std::move(write));
   }
-  // Starts wait for some of them and users for others; what is merely tidied up comes last.
-  std::vector<std::pair<WriteUrgency, Job*>> order;
+}
+
+/// Starts wait for some of them and users for others; what is merely tidied up comes last. False if
+/// the batch is full before all are in it.
+bool LeaderCore::add_job_writes(WriteBatch& batch, Seconds now) {
+  struct Candidate {
+    WriteUrgency urgency;
+    Job* job;
+  };
+  std::vector<Candidate> order;
   for (auto& [id, job] : jobs_)
     if (const auto urgency = write_urgency(job, now); urgency != WriteUrgency::None)
-      order.emplace_back(urgency, &job);
+      order.push_back({urgency, &job});
   std::stable_sort(order.begin(), order.end(),
-                   [](const auto& a, const auto& b) { return a.first < b.first; });
-  for (auto& [urgency, job] : order) {
-    if (changes + 2 > most_changes || bytes > kMostBytes) return out;
-    RecordWrite w = write_for(*job);
-    job->writing = true;
-    narrow(*job, w.record->hosts);
-    changes += w.changes();
-    bytes += kRecordBytes + w.record->done.spans() * kSpanBytes;
-    for (const auto& id : w.record->hosts.value_or(std::vector<std::string>{}))
-      bytes += id.size() + kTextBytes;
-    out.push_back(std::move(w));
+                   [](const Candidate& a, const Candidate& b) { return a.urgency < b.urgency; });
+  for (const Candidate& candidate : order) {
+    if (!batch.fits(kMostChangesOfAJob) || batch.full()) return false;
+    RecordWrite write = write_for(*candidate.job);
+    candidate.job->writing = true;
+    narrow(*candidate.job, write.record->hosts);
+    batch.add(std::move(write));
   }
+  return true;
+}
+
+void LeaderCore::add_host_deletions(WriteBatch& batch) {
   for (const auto& id : hosts_to_delete_) {
-    if (changes >= most_changes) return out;
+    if (!batch.fits(1)) return;
     if (!writing_hosts_.insert(id).second) continue;
-    RecordWrite w;
-    w.host = id;
-    out.push_back(std::move(w));
-    ++changes;
+    RecordWrite write;
+    write.host = id;
+    batch.add(std::move(write));
   }
-  return out;
 }
 
 void LeaderCore::write_done(const RecordWrite& w, bool committed, uint64_t version, Seconds now) {
