--- a/src/dispatch/commands.cpp
+++ b/src/dispatch/commands.cpp
@@ -59,7 +59,7 @@
              (!run.wanted && run.present() && run.phase != Run::Phase::Ordered && !run.stop_sent);
     });
     if (!news) continue;
-    SendOrders order{id, m.info.addr, token(m), std::max<uint64_t>(m.session, 1),
+    SendOrders order{id, m.info.addr, token(m), std::max<uint64_t>(m.latest.session, 1),
                      commands_for(m, false)};
     for (auto& [key, run] : m.runs)
       if (!run.wanted && run.present()) run.stop_sent = true;
--- a/src/dispatch/machine_lifecycle.cpp
+++ b/src/dispatch/machine_lifecycle.cpp
@@ -161,7 +161,7 @@
     if (!greet && !late) continue;
     if (greet) m.next_greeting = now + settings_.report_s;
     m.probing = true;
-    out.push_back(Probe{id, m.info.addr, token(m), std::max<uint64_t>(m.session, 1)});
+    out.push_back(Probe{id, m.info.addr, token(m), std::max<uint64_t>(m.latest.session, 1)});
   }
 }
 
--- a/src/dispatch/reports.cpp
+++ b/src/dispatch/reports.cpp
@@ -52,15 +52,12 @@
   if (returned_.count(r.machine)) return {};  // held on its way until the machine was gone
   Machine& m = machine_of(r, now);
   ReportAnswer answer;
-  const auto at = std::make_pair(r.session, r.seq);
-  if (at <= std::make_pair(m.report_session, m.report_seq)) return answer;
-  if (r.session < m.session) return answer;
-  m.report_session = r.session;
-  m.report_seq = r.seq;
+  if (r.sequence() <= m.latest_own || r.session < m.latest.session) return answer;
+  m.latest_own = r.sequence();
   answer.fresh = true;
   m.answered = now;
   m.last_report = now;
-  const bool newest = at > std::make_pair(m.session, m.seq), no_orders_out = !m.order_in_flight;
+  const bool newest = r.sequence() > m.latest, no_orders_out = !m.order_in_flight;
   if (newest) take_in(m, r, no_orders_out, now);
   if (newest && may_act && m.proven && no_orders_out)
     answer.commands = commands_for(m, true);
@@ -89,8 +86,7 @@
     for (auto& [key, run] : m.runs) run.stop_sent = false;
   }
   if (!r || r->machine != id) return;
-  if (std::make_pair(r->session, r->seq) > std::make_pair(m.session, m.seq))
-    take_in(m, *r, false, now);
+  if (r->sequence() > m.latest) take_in(m, *r, false, now);
 }
 
 void LeaderCore::probed(const std::string& id, const std::optional<WorkerReport>& r, Seconds now) {
@@ -102,8 +98,7 @@
     m.unanswered = late_with_report(m, now);
     return;
   }
-  if (std::make_pair(r->session, r->seq) > std::make_pair(m.session, m.seq))
-    take_in(m, *r, false, now);
+  if (r->sequence() > m.latest) take_in(m, *r, false, now);
 }
 
 void LeaderCore::not_probed(const std::string& id) {
@@ -112,18 +107,16 @@
 }
 
 void LeaderCore::take_in(Machine& m, const WorkerReport& r, bool absence_counts, Seconds now) {
-  if (r.session > m.session) {
+  if (r.session > m.latest.session) {
     // A new session begins with nothing: the old one's tasks ended with its lease.
     remove_all_runs(m);
     m.error_jobs.clear();
     m.proven = false;
-    m.session = r.session;
     // Its lease counts from when it began. Learnt from an answer to an order or a probe, the last
     // answer to a report would say that it is over while new tasks run.
     m.answered = std::max(m.answered, now);
   }
-  m.seq = r.seq;
-  m.token_seen = std::max(m.token_seen, r.token);
+  m.latest = r.sequence();
   m.last_heard = now;
   m.unanswered = false;
   if (m.stage == Machine::Stage::Booting) {
--- a/src/fleet/machine.h
+++ b/src/fleet/machine.h
@@ -6,7 +6,6 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 #include "fleet/report.h"
@@ -44,28 +43,34 @@
   bool present() const { return phase != Phase::Exited; }
 };
 
+/// An image on a machine.
+struct CachedImage {
+  std::string image;
+  double gb = 0;
+};
+
 /// The images a machine has as far as can be told: it reports none, but keeps the most recently
 /// used ones that fit its disk.
-class Images {
+class ImageCache {
  public:
   void use(const std::string& image, double gb, double room_gb) {
-    std::erase_if(kept_, [&](const auto& i) { return i.first == image; });
-    kept_.emplace_back(image, gb);
+    std::erase_if(kept_, [&](const CachedImage& i) { return i.image == image; });
+    kept_.push_back({image, gb});
     double sum = 0;
-    for (const auto& i : kept_) sum += i.second;
+    for (const CachedImage& i : kept_) sum += i.gb;
     while (kept_.size() > 1 && sum > room_gb) {
-      sum -= kept_.front().second;
+      sum -= kept_.front().gb;
       kept_.erase(kept_.begin());
     }
   }
   bool has(const std::string& image) const {
-    return std::any_of(kept_.begin(), kept_.end(), [&](const auto& i) { return i.first == image; });
+    return std::any_of(kept_.begin(), kept_.end(),
+                       [&](const CachedImage& i) { return i.image == image; });
   }
-  void clear() { kept_.clear(); }
-  const std::vector<std::pair<std::string, double>>& kept() const { return kept_; }
+  const std::vector<CachedImage>& kept() const { return kept_; }
 
  private:
-  std::vector<std::pair<std::string, double>> kept_;  ///< the most recently used last
+  std::vector<CachedImage> kept_;  ///< the most recently used last
 };
 
 /// A machine as the leader knows it.
@@ -80,10 +85,11 @@
   Stage stage = Stage::Booting;
   bool recorded = false, recording = false;  ///< its record is durable / being written
 
-  uint64_t session = 0, seq = 0, report_seq = 0, report_session = 0, token_seen = 0;
-  uint64_t counter = 0;    ///< low part of the token in force at this worker
-  bool proven = false;     ///< has shown the token in force
-  bool accounted = false;  ///< since the takeover: told what it has, or certainly has nothing
+  ReportSequence latest;      ///< of all reports that were applied
+  ReportSequence latest_own;  ///< of those that the worker sent by itself
+  uint64_t counter = 0;       ///< low part of the token in force at this worker
+  bool proven = false;        ///< has shown the token in force
+  bool accounted = false;     ///< since the takeover: told what it has, or certainly has nothing
   Seconds last_heard = kNever;
   /// When a report of its own came; answers to orders don't count, and show no lease renewed.
   Seconds last_report = kNever;
@@ -102,7 +108,7 @@
   std::optional<Seconds> idle_since;
   bool sick = false;                 ///< fails what it starts: gets nothing new and is returned
   std::set<std::string> error_jobs;  ///< jobs that failed here since one last succeeded
-  Images images;
+  ImageCache images;
   bool draining = false;  ///< its tasks are moved elsewhere: gets nothing new
 
   std::map<RunKey, Run> runs;
--- a/src/fleet/report.h
+++ b/src/fleet/report.h
@@ -30,12 +30,22 @@
   return token >> kTokenCounterBits;
 }
 
+/// The order of a worker's reports: those of a later session are newer than all of an earlier one.
+struct ReportSequence {
+  uint64_t session = 0;
+  uint64_t number = 0;
+  auto operator<=>(const ReportSequence&) const = default;
+};
+
+/// What a worker says of itself, in a report of its own or in the answer to an order or a probe.
 struct WorkerReport {
   std::string machine, addr, type, zone;
   bool spot = false;
   uint64_t session = 0, seq = 0, token = 0;
   std::optional<double> notice_s;
   std::vector<TaskReport> tasks;
+
+  ReportSequence sequence() const { return {session, seq}; }
 };
 
 enum class Verb { Start, Stop, Forget };
