--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -87,6 +87,10 @@
   Machine& machine_of(const WorkerReport& report, Seconds now);
   uint64_t token(const Machine& m) const { return (term_ << kTermShift) | m.counter; }
   void take_in(Machine& m, const WorkerReport& r, bool absence_counts, Seconds now);
+  void begin_session(Machine& m, Seconds now);
+  void mark_up(Machine& m, Seconds now);
+  void remove_unlisted(Machine& m, const WorkerReport& r, Seconds now);
+  void accept_worker(Machine& m, Seconds now);
   void take_in_task(Machine& m, const TaskReport& t, Seconds now);
   void adopt(Machine& m, const RunKey& key, Run& run, Job& job, Seconds now);
   void use_image(Machine& m, const std::string& image, double gb);
@@ -166,6 +170,8 @@
   void care_for_machines(Seconds now, std::vector<Action>& out);
   void find_cut_zones(Seconds now);
   void expect_back(const std::string& zone, Seconds now);
+  bool boot_failed(const Machine& m, Seconds now) const;
+  bool seems_dead(const Machine& m, Seconds now) const;
   bool give_up_on(const Machine& m, Seconds now) const;
   void order_starts(Seconds now, std::vector<Action>& out);
   void probe(Seconds now, std::vector<Action>& out);
--- a/src/dispatch/machine_lifecycle.cpp
+++ b/src/dispatch/machine_lifecycle.cpp
@@ -14,6 +14,8 @@
 /// that was rented later is up, the second if none is, for then it may be that all are slow.
 constexpr double kOverdue = 1.8;
 constexpr double kAllSlow = 3.5;
+/// The boot time of a type that the cloud's catalog doesn't list.
+constexpr Seconds kUnknownTypeBoot = 60;
 /// The silence of all machines that shows this node to be cut off / report period.
 constexpr double kAllSilent = 2.5;
 /// The time that workers need to find a new leader / their lease.
@@ -112,31 +114,36 @@
     expect_back(zone, now);
 }
 
-bool LeaderCore::give_up_on(const Machine& m, Seconds now) const {
-  const bool zone_cut = zone_reachability_.cut_off(m.info.zone);
+/// Whether a machine that boots will never come up.
+bool LeaderCore::boot_failed(const Machine& m, Seconds now) const {
+  if (m.listed_failed) return true;
+  if (zone_reachability_.cut_off(m.info.zone)) return false;
   const MachineType* t = type(m.info.type);
-  const double boot = t ? t->boot_s : 60;
+  const auto newest = newest_up_.find(m.info.type);
+  const bool overtaken = newest != newest_up_.end() && newest->second > m.first_seen;
+  return now - m.first_seen >
+         (overtaken ? kOverdue : kAllSlow) * (t ? t->boot_s : kUnknownTypeBoot);
+}
+
+/// Whether a machine is dead, as far as its silence tells. One that has been silent for long is
+/// dead more often than cut off; so is one that is late and does not answer while many others of
+/// its zone are heard. An order that went unanswered is no reason to wait for the lease: nothing of
+/// the machine is left once the cloud has taken it back.
+bool LeaderCore::seems_dead(const Machine& m, Seconds now) const {
+  if (zone_reachability_.cut_off(m.info.zone) || !m.may_hold_tasks()) return false;
+  if (silence(m, now) > settings_.tuning.suspect * settings_.lease_s) return true;
+  return m.unanswered && late_with_report(m, now) && zone_reachability_.reachable(m.info.zone);
+}
+
+/// Whether a machine is to be returned although it isn't idle.
+bool LeaderCore::give_up_on(const Machine& m, Seconds now) const {
   switch (m.stage) {
-    case Machine::Stage::Booting: {
-      const auto newest = newest_up_.find(m.info.type);
-      const bool passed = newest != newest_up_.end() && newest->second > m.first_seen;
-      if (m.listed_failed) return true;
-      return !zone_cut && now - m.first_seen > (passed ? kOverdue : kAllSlow) * boot;
-    }
+    case Machine::Stage::Booting:
+      return boot_failed(m, now);
     case Machine::Stage::Expired:
       return now - m.last_heard > settings_.lease_s;
-    case Machine::Stage::Up: {
-      if (m.listed_failed) return true;
-      if (m.sick && !m.has_presence()) return true;
-      // A machine that has been silent for long is dead more often than cut off; so is one that is
-      // late and does not answer while many others of its zone are heard.
-      // An order that went unanswered is no reason to wait for the lease: nothing of the machine is
-      // left once the cloud has taken it back.
-      if (zone_cut || !m.may_hold_tasks()) return false;
-      return silence(m, now) > settings_.tuning.suspect * settings_.lease_s ||
-             (m.unanswered && late_with_report(m, now) &&
-              zone_reachability_.reachable(m.info.zone));
-    }
+    case Machine::Stage::Up:
+      return m.listed_failed || (m.sick && !m.has_presence()) || seems_dead(m, now);
     case Machine::Stage::Returning:
       return false;
   }
--- a/src/dispatch/reports.cpp
+++ b/src/dispatch/reports.cpp
@@ -106,19 +106,17 @@
   if (it != machines_.end()) it->second.probing = false;
 }
 
-void LeaderCore::take_in(Machine& m, const WorkerReport& r, bool absence_counts, Seconds now) {
-  if (r.session > m.latest.session) {
-    // A new session begins with nothing: the old one's tasks ended with its lease.
-    remove_all_runs(m);
-    m.error_jobs.clear();
-    m.proven = false;
-    // Its lease counts from when it began. Learnt from an answer to an order or a probe, the last
-    // answer to a report would say that it is over while new tasks run.
-    m.answered = std::max(m.answered, now);
-  }
-  m.latest = r.sequence();
-  m.last_heard = now;
-  m.unanswered = false;
+/// A new session begins with nothing: the old one's tasks ended with its lease.
+void LeaderCore::begin_session(Machine& m, Seconds now) {
+  remove_all_runs(m);
+  m.error_jobs.clear();
+  m.proven = false;
+  // Its lease counts from when it began. Learnt from an answer to an order or a probe, the last
+  // answer to a report would say that it is over while new tasks run.
+  m.answered = std::max(m.answered, now);
+}
+
+void LeaderCore::mark_up(Machine& m, Seconds now) {
   if (m.stage == Machine::Stage::Booting) {
     m.up_since = now;
     auto& newest = newest_up_[m.info.type];
@@ -126,31 +124,50 @@
   }
   if (m.stage == Machine::Stage::Booting || m.stage == Machine::Stage::Expired)
     set_stage(m, Machine::Stage::Up);
+}
+
+/// What a worker that has shown the token in force does not list is gone, but for starts that may
+/// still be on their way to it.
+void LeaderCore::remove_unlisted(Machine& m, const WorkerReport& r, Seconds now) {
+  std::set<RunKey> listed;
+  for (const auto& t : r.tasks) listed.insert({t.key, t.attempt});
+  std::vector<RunKey> gone;
+  for (const auto& [key, run] : m.runs)
+    if (!listed.count(key) && !(run.phase == Run::Phase::Ordered && run.wanted))
+      gone.push_back(key);
+  for (const auto& key : gone) {
+    const auto run = m.runs.find(key);
+    if (run == m.runs.end()) continue;
+    const bool present = run->second.present();
+    remove_run(m, key);
+    if (present) stop_gang_of(key.task, now);
+  }
+}
+
+/// The worker follows this leader: an earlier one's answers are dropped from here on.
+void LeaderCore::accept_worker(Machine& m, Seconds now) {
+  // The last answer of an earlier leader can't have been later.
+  if (m.old_answers) m.answered = std::max(m.answered, now);
+  m.old_answers = false;
+  account(m);
+}
+
+/// Called with reports that are newer than all that were applied. Whatever a report lists is
+/// present; what it leaves out is gone only if `absence_counts`, which an answer to an order or a
+/// probe may not tell.
+void LeaderCore::take_in(Machine& m, const WorkerReport& r, bool absence_counts, Seconds now) {
+  if (r.session > m.latest.session) begin_session(m, now);
+  m.latest = r.sequence();
+  m.last_heard = now;
+  m.unanswered = false;
+  mark_up(m, now);
   m.taken_at = r.notice_s ? std::optional<Seconds>(now + *r.notice_s) : std::nullopt;
-  const bool ours = r.token >= token(m);
-  if (ours && !m.order_in_flight) m.proven = true;
+  const bool current_token = r.token >= token(m);
+  if (current_token && !m.order_in_flight) m.proven = true;
   for (const auto& t : r.tasks) take_in_task(m, t, now);
-  if (ours && absence_counts) {
-    std::set<RunKey> listed;
-    for (const auto& t : r.tasks) listed.insert({t.key, t.attempt});
-    std::vector<RunKey> gone;
-    for (const auto& [key, run] : m.runs)
-      if (!listed.count(key) && !(run.phase == Run::Phase::Ordered && run.wanted))
-        gone.push_back(key);
-    for (const auto& key : gone) {
-      const auto run = m.runs.find(key);
-      if (run == m.runs.end()) continue;
-      const bool present = run->second.present();
-      remove_run(m, key);
-      if (present) stop_gang_of(key.task, now);
-    }
-  }
-  if (ours) {
-    // An earlier leader's answers are dropped from here on; its last one can't have been later.
-    if (m.old_answers) m.answered = std::max(m.answered, now);
-    m.old_answers = false;
-    account(m);
-  }
+  if (!current_token) return;
+  if (absence_counts) remove_unlisted(m, r, now);
+  accept_worker(m, now);
 }
 
 void LeaderCore::take_in_task(Machine& m, const TaskReport& t, Seconds now) {
