--- a/src/dispatch/commands.cpp
+++ b/src/dispatch/commands.cpp
@@ -12,7 +12,8 @@
 }  // namespace
 
 bool LeaderCore::startable(const Machine& m, const RunKey& key, const Run& run) const {
-  if (!run.wanted || run.phase != Run::Phase::Ordered || !m.recorded) return false;
+  if (!run.wanted || run.phase != Run::Phase::Ordered || m.record != Machine::Record::Durable)
+    return false;
   const Job* job = find_job(key.task.job);
   return job && job->runnable() && job->covers(m.info.id);
 }
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -9,6 +9,7 @@
 #include "config/settings.h"
 #include "dispatch/actions.h"
 #include "dispatch/arrival_forecast.h"
+#include "dispatch/host_record_writes.h"
 #include "dispatch/job_state.h"
 #include "dispatch/record_write.h"
 #include "dispatch/rental_requests.h"
@@ -195,9 +196,8 @@
   std::map<std::string, Seconds> returned_;  ///< machines the cloud took back: they are gone
   /// By type: when the last rented of those that this leader saw boot was rented.
   std::map<std::string, Seconds> newest_up_;
-  std::set<std::string> hosts_to_delete_;
   ZoneReachability zone_reachability_;
-  std::set<std::string> writing_hosts_;
+  HostRecordWrites host_record_writes_;
   std::vector<MachineType> types_;
   RentalRequests rental_requests_;
   std::unordered_map<std::string, Amounts> used_;  ///< by team
--- a/src/dispatch/record_writes.cpp
+++ b/src/dispatch/record_writes.cpp
@@ -111,7 +111,7 @@
   Machine& m = machines_[host.id];
   m.info = host;
   set_stage(m, Machine::Stage::Up);
-  m.recorded = true;
+  m.record = Machine::Record::Durable;
   m.first_seen = m.last_report = now;  // until its worker has found this leader
   ++unaccounted_;
 }
@@ -177,7 +177,8 @@
 /// Machines that are to get their first start: it waits for their records.
 void LeaderCore::add_host_writes(WriteBatch& batch) {
   for (auto& [id, m] : machines_) {
-    if (!m.recording || m.recorded || !batch.fits(1) || !writing_hosts_.insert(id).second) continue;
+    if (m.record != Machine::Record::Wanted || !batch.fits(1)) continue;
+    if (!host_record_writes_.begin(id)) continue;
     RecordWrite write;
     write.host = id;
     write.host_record = m.info;
@@ -209,9 +210,9 @@
 }
 
 void LeaderCore::add_host_deletions(WriteBatch& batch) {
-  for (const auto& id : hosts_to_delete_) {
+  for (const auto& id : host_record_writes_.to_delete()) {
     if (!batch.fits(1)) return;
-    if (!writing_hosts_.insert(id).second) continue;
+    if (!host_record_writes_.begin(id)) continue;
     RecordWrite write;
     write.host = id;
     batch.add(std::move(write));
@@ -220,11 +221,11 @@
 
 void LeaderCore::write_done(const RecordWrite& w, bool committed, uint64_t version, Seconds now) {
   if (!w.host.empty()) {
-    writing_hosts_.erase(w.host);
+    host_record_writes_.end(w.host);
     if (!committed) return;
-    if (!w.host_record) hosts_to_delete_.erase(w.host);
+    if (!w.host_record) host_record_writes_.deleted(w.host);
     const auto m = machines_.find(w.host);
-    if (m != machines_.end() && w.host_record) m->second.recorded = true;
+    if (m != machines_.end() && w.host_record) m->second.record = Machine::Record::Durable;
     return;
   }
   const auto it = jobs_.find(w.job);
--- a/src/dispatch/releases.cpp
+++ b/src/dispatch/releases.cpp
@@ -74,7 +74,7 @@
     Machine& m = it->second;
     remove_all_runs(m);
     account(m);
-    if (m.recorded || m.recording) hosts_to_delete_.insert(id);
+    if (m.record != Machine::Record::None) host_record_writes_.want_deletion(id);
     returned_[id] = now;
     machines_.erase(it);
   }
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -220,7 +220,7 @@
     run.need = job.spec().need;
     run.image = job.spec().image;
     run.image_gb = job.spec().image_gb;
-    m.recording = true;
+    m.want_record();
     if (!job.covers(m.info.id)) job.want_hosts = true;
     add_presence(m, key);
     used_[job.spec().team] += run.need;
--- a/src/fleet/machine.h
+++ b/src/fleet/machine.h
@@ -81,9 +81,11 @@
     Expired,    ///< its worker's lease has certainly ended: nothing runs there
     Returning,  ///< the cloud was asked to take it back
   };
+  /// Its record in the state service. Nothing is started on a machine before its record is durable.
+  enum class Record { None, Wanted, Durable };
   HostRecord info;
   Stage stage = Stage::Booting;
-  bool recorded = false, recording = false;  ///< its record is durable / being written
+  Record record = Record::None;
 
   ReportSequence latest;      ///< of all reports that were applied
   ReportSequence latest_own;  ///< of those that the worker sent by itself
@@ -113,6 +115,10 @@
 
   std::map<RunKey, Run> runs;
 
+  /// Something is to be started here.
+  void want_record() {
+    if (record == Record::None) record = Record::Wanted;
+  }
   /// Since a takeover that may be so although none is known.
   bool may_hold_tasks() const { return !accounted || has_presence(); }
   bool has_presence() const {
--- /dev/null
+++ b/tests/host_record_writes_test.cpp
@@ -0,0 +1,40 @@
+#include "dispatch/host_record_writes.h"
+
+#include <gtest/gtest.h>
+
+#include "fleet/machine.h"
+
+namespace sumacquay {
+namespace {
+
+TEST(HostRecordWrites, OneWriteOfARecordIsUnderWayAtATime) {
+  HostRecordWrites writes;
+  EXPECT_TRUE(writes.begin("i-1"));
+  EXPECT_FALSE(writes.begin("i-1"));
+  EXPECT_TRUE(writes.begin("i-2"));
+  writes.end("i-1");
+  EXPECT_TRUE(writes.begin("i-1"));
+}
+
+TEST(HostRecordWrites, ADeletionIsWantedUntilItWasCarriedOut) {
+  HostRecordWrites writes;
+  writes.want_deletion("i-1");
+  EXPECT_TRUE(writes.begin("i-1"));
+  writes.end("i-1");
+  EXPECT_EQ(writes.to_delete(), std::set<std::string>{"i-1"}) << "the write was lost";
+  writes.deleted("i-1");
+  EXPECT_TRUE(writes.to_delete().empty());
+}
+
+TEST(Machine, ADurableRecordIsNotWantedAgain) {
+  Machine machine;
+  EXPECT_EQ(machine.record, Machine::Record::None);
+  machine.want_record();
+  EXPECT_EQ(machine.record, Machine::Record::Wanted);
+  machine.record = Machine::Record::Durable;
+  machine.want_record();
+  EXPECT_EQ(machine.record, Machine::Record::Durable);
+}
+
+}  // namespace
+}  // namespace sumacquay
