--- a/src/dispatch/moves.cpp
+++ b/src/dispatch/moves.cpp
@@ -40,7 +40,8 @@
     if (!run.present()) continue;
     Job* job = find_job(key.task.job);
     if (!job || job->spec().kind != JobKind::Service || !run.wanted) return false;
-    if (run.phase != Run::Phase::Running || now - run.running_since < kSettled) return false;
+    if (run.phase != Run::Phase::Running || now - run.running_since.value_or(now) < kSettled)
+      return false;
     Demand d;
     d.spec = &job->spec();
     d.tasks = {key.task.task};
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -230,9 +230,9 @@
 /// What stopping a task throws away: progress that was not saved, or the time it has waited for its
 /// image. A gang loses that on all its machines.
 Seconds LeaderCore::loss_of(const Job& job, const Run& run, Seconds now) const {
-  const bool running = run.running_since >= 0;
-  const Seconds spent = now - (running ? run.running_since : run.placed_at);
-  const Seconds lost = running && job.spec().saves() ? std::min(spent, job.spec().save_s) : spent;
+  const Seconds spent = now - run.running_since.value_or(run.placed_at);
+  const Seconds lost =
+      run.running_since && job.spec().saves() ? std::min(spent, job.spec().save_s) : spent;
   return job.spec().kind == JobKind::Gang ? lost * job.spec().tasks : lost;
 }
 
@@ -321,7 +321,8 @@
   const auto avoid = d.avoid;
   if (!hurry)
     d.avoid = [&](const Slot& s) {
-      return avoid(s) || (s.of->stage == Machine::Stage::Up && s.of->up_since < arrival(job));
+      return avoid(s) ||
+             (s.of->stage == Machine::Stage::Up && s.of->up_since.value_or(kNever) < arrival(job));
     };
   hold(d, slots, picture(now, true));
   d.avoid = avoid;
--- a/src/dispatch/task_runs.cpp
+++ b/src/dispatch/task_runs.cpp
@@ -62,7 +62,7 @@
   run.sent = true;
   if (next == Run::Phase::Running || next == Run::Phase::Waiting) {
     use_image(m, run.image, run.image_gb);
-    if (run.running_since < 0) run.running_since = now;
+    if (!run.running_since) run.running_since = now;
   }
   if (next == Run::Phase::Exited) {
     drop_presence(m, key);
--- a/src/fleet/machine.h
+++ b/src/fleet/machine.h
@@ -33,7 +33,7 @@
   bool graceful = false;  ///< stop: lets it save first
   bool settled = false;   ///< exit: has been taken into account
   Seconds placed_at = 0;
-  Seconds running_since = -1;
+  std::optional<Seconds> running_since;
   std::optional<Seconds> stop_since;
   bool stop_sent = false;
   Amounts need;
@@ -104,7 +104,7 @@
   bool unanswered = false;  ///< it has not answered that
 
   Seconds first_seen = 0;
-  Seconds up_since = kNever;  ///< if this leader saw it boot
+  std::optional<Seconds> up_since;  ///< if this leader saw it boot
   bool listed_failed = false;
   std::optional<Seconds> taken_at;  ///< spot notice: when the cloud takes it
   std::optional<Seconds> idle_since;
