--- a/src/dispatch/actions.h
+++ b/src/dispatch/actions.h
@@ -8,6 +8,7 @@
 
 namespace sumacquay {
 
+/// Commands for a worker. Refused there if the token or the session is not the newest.
 struct SendOrders {
   std::string machine, addr;
   uint64_t token = 0, session = 0;
@@ -19,6 +20,7 @@
   std::string machine, addr;
   uint64_t token = 0, session = 0;
 };
+/// A request for machines. Sent again under the same name it rents nothing more.
 struct Rent {
   std::string request, type, zone;
   bool spot = false;
@@ -27,9 +29,11 @@
 /// What the cloud answered to a request for machines; unknown if no answer came.
 enum class RentOutcome { Rented, Refused, Unknown };
 
+/// Machines for the cloud to take back, with whatever they run.
 struct Release {
   std::vector<std::string> machines;
 };
+/// What the node is to do. It reports the outcome of each action back to the leader's core.
 using Action = std::variant<SendOrders, Probe, Rent, Release>;
 
 }  // namespace sumacquay
--- a/src/dispatch/fleet_summary.cpp
+++ b/src/dispatch/fleet_summary.cpp
@@ -1,3 +1,4 @@
+// A summary of the fleet for operators, once a lease, in the log.
 #include <spdlog/spdlog.h>
 
 #include "dispatch/leader_core.h"
--- a/src/dispatch/job_state.h
+++ b/src/dispatch/job_state.h
@@ -18,13 +18,13 @@
   auto operator<=>(const TaskPlacement&) const = default;
 };
 
-/// A job as the leader sees it.
+/// A job as the leader sees it: its record, what is to be written of it, and where its tasks are.
 struct Job {
-  JobRecord stored;  ///< what the state service holds
-  uint64_t version = 0;
-  bool writing = false;
-  bool want_started = false;
-  bool want_hosts = false;  ///< placed where its record does not say that it may be
+  JobRecord stored;           ///< what the state service holds
+  uint64_t version = 0;       ///< of the stored record; guards the next write
+  bool writing = false;       ///< a write of the record is under way
+  bool want_started = false;  ///< tasks were placed: the record must say so before they start
+  bool want_hosts = false;    ///< placed where its record does not say that it may be
   /// What every write of this version of the record leaves of its hosts. One without an answer may
   /// be applied minutes later, and what was started on a host that it drops would be forgotten.
   std::optional<std::vector<std::string>> narrowed;
@@ -32,10 +32,10 @@
   std::optional<Seconds> progress_since;  ///< when `done` came to hold numbers that aren't stored
   /// Where each task is or may be; doubt counts as presence.
   std::map<uint32_t, std::set<TaskPlacement>> at;
-  uint64_t gang_attempt = 0;
-  std::set<std::string> failed_on;
-  int failures = 0;
-  Seconds retry_at = 0;
+  uint64_t gang_attempt = 0;        ///< the attempt that all tasks of a gang share
+  std::set<std::string> failed_on;  ///< machines on which tasks failed: avoided
+  int failures = 0;                 ///< since one last succeeded
+  Seconds retry_at = 0;             ///< nothing of the job is placed before
 
   const JobSpec& spec() const { return stored.spec; }
   /// Whether the next leader will know that a task may be on the machine.
@@ -43,7 +43,9 @@
     return stored.may_be_on(machine) &&
            (!narrowed || std::binary_search(narrowed->begin(), narrowed->end(), machine));
   }
+  /// Whether all tasks are done, stored or not.
   bool complete() const { return done.count() == stored.spec.tasks; }
+  /// Whether its tasks are to run.
   bool runnable() const { return stored.state == JobState::Pending && !complete(); }
 };
 
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -23,6 +23,12 @@
 namespace sumacquay {
 
 /// All that a leader decides, without I/O: events and the time go in, actions and writes come out.
+/// The node that holds the leader's lease owns one for its term. It passes on what it reads, hears
+/// and is answered, in any order and with any delay; it carries out actions and writes, and reports
+/// back on each of them. A task is never started where an earlier start of it may still be present,
+/// nor before the records that tell a later leader of it are durable.
+///
+/// Times are steady times, which never go back from one call to the next.
 class LeaderCore {
  public:
   /// `fence`: until when an earlier leader may have answered workers, at the latest.
@@ -30,24 +36,35 @@
   LeaderCore(const Settings& settings, uint64_t term, Seconds now, Seconds fence,
              Seconds wall_offset = 0);
 
-  // Records.
+  // Records: called as the node follows the state service.
+
+  /// A job's live record as it was read or written. Older versions than are known change nothing.
   void job_stored(const JobRecord& record, uint64_t version, Seconds now);
+  /// The job has left the live records.
   void job_finished(const std::string& id);
-  void host_stored(const HostRecord& host, Seconds now);  ///< at the takeover
+  /// A machine's record, at the takeover: tasks may be on it until its worker has reported.
+  void host_stored(const HostRecord& host, Seconds now);
   /// What the leader before knew of a machine's images. A hint: placement alone looks at it.
   void image_held(const std::string& machine, const std::string& image, double gb);
+  /// The writes for one transaction, the most urgent first. Each is under way until `write_done`.
   std::vector<RecordWrite> wanted_writes(Seconds now, size_t most_changes);
+  /// `committed`: certainly carried out. Otherwise it may be carried out at any later time.
   void write_done(const RecordWrite& write, bool committed, uint64_t version, Seconds now);
 
   // Workers.
+
   struct ReportAnswer {
     bool fresh = false;  ///< false: a late copy, which nobody waits for
     uint64_t token = 0;
     std::vector<Command> commands;
   };
+  /// A worker's own report. The answer renews its lease, so it goes out only while the leader may
+  /// answer; without `may_act` it carries nothing but stops of jobs that have ended.
   ReportAnswer report(const WorkerReport& report, bool may_act, Seconds now);
+  /// The outcome of `SendOrders`; `executed` unless the orders may still be carried out later.
   void orders_done(const std::string& machine, const std::optional<WorkerReport>& report,
                    bool executed, Seconds now);
+  /// The outcome of a `Probe`; no report if there was no answer.
   void probed(const std::string& machine, const std::optional<WorkerReport>& report, Seconds now);
   /// There was no socket for the probe: nothing is known of the machine, and it is asked again.
   void not_probed(const std::string& machine);
@@ -57,17 +74,22 @@
   Delegations& delegations() { return delegations_; }
 
   // Cloud.
+
+  /// The catalog. Without one nothing is rented or placed.
   void set_types(std::vector<MachineType> types) { types_ = std::move(types); }
+  /// The cloud's list of machines, which may lag behind rents and releases.
   void listed(const std::vector<ListedMachine>& machines, Seconds now);
   using RentOutcome = sumacquay::RentOutcome;
+  /// The outcome of a `Rent`, which is sent again while it is unknown.
   void rent_done(const Rent& rent, RentOutcome outcome, const std::vector<std::string>& machines,
                  Seconds now);
+  /// The outcome of a `Release`; `ok`: the cloud has taken all its machines back.
   void release_done(const Release& release, bool ok, Seconds now);
 
-  /// Lapses, a placement round, provisioning and orders. Only while the leader may act.
+  /// Expired leases, a placement round, provisioning and orders. Only while the leader may act.
   std::vector<Action> tick(Seconds now);
 
-  /// No worker gets through to this node any more.
+  /// Whether no worker gets through to this node any more, so that another should lead.
   bool unheard(Seconds now) const;
 
   /// What rounds cost, in things done: grows with what happens, not with who waits.
@@ -76,29 +98,50 @@
   };
   const Work& work() const { return work_; }
 
-  void hurry() { next_round_ = 0; }  ///< something has changed that a round should see
+  /// Something has changed that a round should see: the next tick has one.
+  void hurry() { next_round_ = 0; }
   /// Tasks that run, by job; for display.
   std::unordered_map<std::string, uint32_t> running_counts() const;
+  /// Whether every machine known at the takeover has told what it has, or has lost its lease.
   bool all_accounted() const { return unaccounted_ == 0; }
   const std::unordered_map<std::string, Job>& jobs() const { return jobs_; }
   const std::map<std::string, Machine>& machines() const { return machines_; }
   uint64_t term() const { return term_; }
 
  private:
-  Machine& machine_of(const WorkerReport& report, Seconds now);
+  // leader_core.cpp
   uint64_t token(const Machine& m) const { return (term_ << kTermShift) | m.counter; }
+  const Job* find_job(const std::string& id) const;
+  Job* find_job(const std::string& id);
+  const MachineType* type(const std::string& name) const;
+
+  // record_writes.cpp
+  enum class WriteUrgency { Start, Done, Progress, Finished, None };  ///< the most urgent first
+  class WriteBatch;
+  void add_host_writes(WriteBatch& batch);
+  bool add_job_writes(WriteBatch& batch, Seconds now);
+  void add_host_deletions(WriteBatch& batch);
+  WriteUrgency write_urgency(const Job& job, Seconds now) const;
+  RecordWrite write_for(const Job& job) const;
+  Ranges recordable(const Ranges& done) const;
+  std::optional<std::vector<std::string>> possible_hosts(const Job& job) const;
+  bool nowhere(const Job& job) const { return job.at.empty() && !missing_in_doubt(job); }
+
+  // reports.cpp
+  Machine& machine_of(const WorkerReport& report, Seconds now);
   void take_in(Machine& m, const WorkerReport& r, bool absence_counts, Seconds now);
   void begin_session(Machine& m, Seconds now);
   void mark_up(Machine& m, Seconds now);
   void remove_unlisted(Machine& m, const WorkerReport& r, Seconds now);
   void accept_worker(Machine& m, Seconds now);
   void take_in_task(Machine& m, const TaskReport& t, Seconds now);
+  void account(Machine& m);
+
+  // task_runs.cpp
   void adopt(Machine& m, const RunKey& key, Run& run, Job& job, Seconds now);
   void use_image(Machine& m, const std::string& image, double gb);
   void settle_exit(Machine& m, const RunKey& key, Run& run, Seconds now);
   void count_failure(Machine& m, Job& job, Seconds now);
-  /// The only place that changes a machine's stage.
-  void set_stage(Machine& m, Machine::Stage next);
   /// The only place that changes a run's phase.
   void set_phase(Machine& m, const RunKey& key, Run& run, Run::Phase next, Seconds now);
   void add_presence(Machine& m, const RunKey& key);
@@ -109,24 +152,15 @@
   void unwant_at(const std::string& machine, const RunKey& key, Seconds now);
   void stop_job(Job& job, bool graceful, Seconds now);
   void stop_gang_of(const TaskKey& key, Seconds now);
-  void account(Machine& m);
+
+  // commands.cpp
   std::vector<Command> commands_for(Machine& m, bool forget);
   /// Cancelled or finished, as far as this leader knows.
   bool ended(const std::string& id) const;
   bool startable(const Machine& m, const RunKey& key, const Run& run) const;
-  const Job* find_job(const std::string& id) const;
-  Job* find_job(const std::string& id);
-  enum class WriteUrgency { Start, Done, Progress, Finished, None };  ///< the most urgent first
-  class WriteBatch;
-  void add_host_writes(WriteBatch& batch);
-  bool add_job_writes(WriteBatch& batch, Seconds now);
-  void add_host_deletions(WriteBatch& batch);
-  WriteUrgency write_urgency(const Job& job, Seconds now) const;
-  RecordWrite write_for(const Job& job) const;
-  Ranges recordable(const Ranges& done) const;
-  std::optional<std::vector<std::string>> possible_hosts(const Job& job) const;
-  bool nowhere(const Job& job) const { return job.at.empty() && !missing_in_doubt(job); }
-  // rounds.cpp: placement
+  void order_starts(Seconds now, std::vector<Action>& out);
+
+  // rounds.cpp
   void round(Seconds now);
   std::vector<Slot> picture(Seconds now, bool booting) const;
   std::vector<Job*> waiting(Seconds now);
@@ -154,43 +188,55 @@
   void forget_victim(const Victim& gone);
   void count_usage();
   bool usable(const Machine& m, Seconds now) const;
-  void expire(Seconds now);
-  Seconds certain_end(const Machine& m, Seconds now) const;
-  void provision(Seconds now, std::vector<Action>& out);
-  std::vector<Offer> offers(Seconds now) const;
-  Seconds longest_boot() const;
-  void return_idle(Seconds now);
-  void log_fleet(Seconds now);
-  // moves.cpp: replicas moved together
+
+  // moves.cpp
   void move_replicas(Seconds now);
   size_t finish_moves(Seconds now);
   std::vector<size_t> worth_emptying(const std::vector<Slot>& slots) const;
   bool movable(const Machine& m, Trial& elsewhere, Seconds now);
-  bool spare_room(Trial& trial, Seconds now) const;
   void drain(Machine& m, const char* why, Seconds now);
-  void care_for_machines(Seconds now, std::vector<Action>& out);
+
+  // machine_lifecycle.cpp
+  /// The only place that changes a machine's stage.
+  void set_stage(Machine& m, Machine::Stage next);
+  void expire(Seconds now);
+  Seconds certain_end(const Machine& m, Seconds now) const;
   void find_cut_zones(Seconds now);
   void expect_back(const std::string& zone, Seconds now);
   bool boot_failed(const Machine& m, Seconds now) const;
   bool seems_dead(const Machine& m, Seconds now) const;
   bool give_up_on(const Machine& m, Seconds now) const;
-  void order_starts(Seconds now, std::vector<Action>& out);
   void probe(Seconds now, std::vector<Action>& out);
   Seconds silence(const Machine& m, Seconds now) const;
   bool late_with_report(const Machine& m, Seconds now) const;
-  const MachineType* type(const std::string& name) const;
+
+  // renting.cpp
+  void provision(Seconds now, std::vector<Action>& out);
+  std::vector<Offer> offers(Seconds now) const;
+  Seconds longest_boot() const;
+
+  // releases.cpp
+  void return_idle(Seconds now);
+  bool spare_room(Trial& trial, Seconds now) const;
+  void care_for_machines(Seconds now, std::vector<Action>& out);
+
+  // fleet_summary.cpp
+  void log_fleet(Seconds now);
 
   /// Attempts and tokens carry the term in their upper part, so no later leader repeats one.
   static constexpr int kTermShift = 20;
 
   const Settings& settings_;
   uint64_t term_;
-  Seconds began_, fence_, wall_offset_;
-  Seconds awake_since_, ticked_;
-  bool fenced_ = false;
+  Seconds began_;        ///< when this leader took over
+  Seconds fence_;        ///< until then earlier leaders may have answered workers
+  bool fenced_ = false;  ///< none of them answers any more, which was learnt before the fence
+  Seconds wall_offset_;  ///< the time of day less the steady time
+  Seconds awake_since_;  ///< since then this process has not stood still
+  Seconds ticked_;       ///< the time of the last tick
   Delegations delegations_;
   uint64_t next_attempt_ = 1;
-  size_t unaccounted_ = 0;
+  size_t unaccounted_ = 0;  ///< machines of the takeover that have not told what they have
   std::unordered_map<std::string, Job> jobs_;
   std::map<std::string, Machine> machines_;
   std::map<std::string, Seconds> returned_;  ///< machines the cloud took back: they are gone
--- a/src/dispatch/machine_lifecycle.cpp
+++ b/src/dispatch/machine_lifecycle.cpp
@@ -1,4 +1,5 @@
 // Machines as they boot, fall silent, are cut off with their zone, and lose their lease.
+// Machines as they boot, fall silent, are cut off with their zone, and lose their lease.
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
--- a/src/dispatch/record_writes.cpp
+++ b/src/dispatch/record_writes.cpp
@@ -1,3 +1,5 @@
+// Records of jobs and machines: what was read of them, which writes are wanted, and what a write
+// that was carried out changes.
 // Records of jobs and machines: what was read of them, what is to be written, and what a write that
 // was carried out changes.
 #include <spdlog/spdlog.h>
--- a/src/dispatch/releases.cpp
+++ b/src/dispatch/releases.cpp
@@ -1,3 +1,4 @@
+// Which machines are returned to the cloud: idle ones, and those that were given up.
 // Machines that are given back: idle ones and those that were given up.
 #include <spdlog/spdlog.h>
 
--- a/src/dispatch/renting.cpp
+++ b/src/dispatch/renting.cpp
@@ -1,3 +1,4 @@
+// Which machines are rented: for demands that found no room, and ahead of arrivals.
 // Machines that are rented: for what found no room, and ahead of what will arrive.
 #include <spdlog/spdlog.h>
 
--- a/src/dispatch/task_runs.cpp
+++ b/src/dispatch/task_runs.cpp
@@ -1,4 +1,5 @@
 // Starts of tasks on machines: where each task is or may be, how it ends, and what is to stop.
+// Starts of tasks on machines: where each task is or may be, how it ends, and what is to stop.
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
--- a/src/fleet/report.h
+++ b/src/fleet/report.h
@@ -8,15 +8,19 @@
 
 namespace sumacquay {
 
+/// A task of a job.
 struct TaskKey {
   std::string job;
   uint32_t task = 0;
   auto operator<=>(const TaskKey&) const = default;
 };
 
+/// How far a start of a task is.
 enum class TaskState { Fetching, Waiting, Running, Saving, Exited };
+/// Why a task has exited; `Peers`: another of its gang has.
 enum class ExitCause { None, Done, Stopped, Peers, Alone, Error, NoRoom, Busy, Unknown };
 
+/// A start of a task as its worker sees it.
 struct TaskReport {
   TaskKey key;
   uint64_t attempt = 0;
@@ -50,6 +54,7 @@
 
 enum class Verb { Start, Stop, Forget };
 
+/// What a worker is to do about one start of a task.
 struct Command {
   Verb verb = Verb::Start;
   TaskKey key;
@@ -70,6 +75,7 @@
   return out;
 }
 
+/// A machine in the cloud's list.
 struct ListedMachine {
   std::string id, addr, type, zone;
   bool spot = false;
