--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -110,7 +110,9 @@
 
  private:
   // leader_core.cpp
-  uint64_t token(const Machine& m) const { return (term_ << kTermShift) | m.counter; }
+  /// Attempts and tokens carry the term in their upper part, so no later leader repeats one.
+  uint64_t new_attempt() { return (term_ << kTokenCounterBits) | next_attempt_++; }
+  uint64_t token(const Machine& m) const { return (term_ << kTokenCounterBits) | m.counter; }
   const Job* find_job(const std::string& id) const;
   Job* find_job(const std::string& id);
   const MachineType* type(const std::string& name) const;
@@ -223,9 +225,6 @@
   // fleet_summary.cpp
   void log_fleet(Seconds now);
 
-  /// Attempts and tokens carry the term in their upper part, so no later leader repeats one.
-  static constexpr int kTermShift = 20;
-
   const Settings& settings_;
   uint64_t term_;
   Seconds began_;        ///< when this leader took over
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -208,7 +208,6 @@
                               const std::vector<Slot>& slots, Seconds now) {
   if (placed.empty()) return;
   const bool gang = job.spec().kind == JobKind::Gang;
-  auto new_attempt = [this] { return (term_ << 20) | next_attempt_++; };
   if (gang) job.gang_attempt = new_attempt();
   job.want_started = true;
   for (const auto& p : placed) {
