--- a/src/dispatch/fleet_summary.cpp
+++ b/src/dispatch/fleet_summary.cpp
@@ -6,7 +6,7 @@
 namespace sumacquay {
 
 /// For operators: what the fleet is paid for, by type.
-void LeaderCore::log_fleet(Seconds now) {
+void LeaderCore::log_fleet_summary(Seconds now) {
   if (now < next_summary_) return;
   next_summary_ = now + settings_.lease_s;
   for (const auto& t : types_) {
--- a/src/dispatch/leader_core.cpp
+++ b/src/dispatch/leader_core.cpp
@@ -20,7 +20,7 @@
       fence_(fence),
       wall_offset_(wall_offset),
       awake_since_(now),
-      ticked_(now),
+      last_tick_(now),
       delegations_(term, settings.delegation_after_s()),
       rental_requests_(term) {}
 
@@ -59,18 +59,18 @@
   std::vector<Action> out;
   // A process that stood still has heard nobody meanwhile, and must not take that for their
   // silence.
-  if (now - ticked_ > settings_.lease_s * kStoodStill) awake_since_ = now;
-  ticked_ = now;
+  if (now - last_tick_ > settings_.lease_s * kStoodStill) awake_since_ = now;
+  last_tick_ = now;
   expire(now);
   if (now >= next_round_) {
     next_round_ = now + settings_.tuning.round * settings_.report_s;
     round(now);
     move_replicas(now);
     provision(now, out);
-    log_fleet(now);
+    log_fleet_summary(now);
     unplaced_.clear();
   }
-  care_for_machines(now, out);
+  return_machines(now, out);
   order_starts(now, out);
   probe(now, out);
   return out;
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -125,24 +125,24 @@
   void add_host_deletions(WriteBatch& batch);
   WriteUrgency write_urgency(const Job& job, Seconds now) const;
   RecordWrite write_for(const Job& job) const;
-  Ranges recordable(const Ranges& done) const;
+  Ranges fitting_a_record(const Ranges& done) const;
   std::optional<std::vector<std::string>> possible_hosts(const Job& job) const;
-  bool nowhere(const Job& job) const { return job.at.empty() && !missing_in_doubt(job); }
+  bool gone_everywhere(const Job& job) const { return job.at.empty() && !missing_in_doubt(job); }
 
   // reports.cpp
-  Machine& machine_of(const WorkerReport& report, Seconds now);
-  void take_in(Machine& m, const WorkerReport& r, bool absence_counts, Seconds now);
+  Machine& find_or_add_machine(const WorkerReport& report, Seconds now);
+  void apply_report(Machine& m, const WorkerReport& r, bool absence_counts, Seconds now);
   void begin_session(Machine& m, Seconds now);
   void mark_up(Machine& m, Seconds now);
   void remove_unlisted(Machine& m, const WorkerReport& r, Seconds now);
   void accept_worker(Machine& m, Seconds now);
-  void take_in_task(Machine& m, const TaskReport& t, Seconds now);
-  void account(Machine& m);
+  void apply_task_report(Machine& m, const TaskReport& t, Seconds now);
+  void mark_accounted(Machine& m);
 
   // task_runs.cpp
   void adopt(Machine& m, const RunKey& key, Run& run, Job& job, Seconds now);
-  void use_image(Machine& m, const std::string& image, double gb);
-  void settle_exit(Machine& m, const RunKey& key, Run& run, Seconds now);
+  void mark_image_used(Machine& m, const std::string& image, double gb);
+  void handle_exit(Machine& m, const RunKey& key, Run& run, Seconds now);
   void count_failure(Machine& m, Job& job, Seconds now);
   /// The only place that changes a run's phase.
   void set_phase(Machine& m, const RunKey& key, Run& run, Run::Phase next, Seconds now);
@@ -202,15 +202,15 @@
   /// The only place that changes a machine's stage.
   void set_stage(Machine& m, Machine::Stage next);
   void expire(Seconds now);
-  Seconds certain_end(const Machine& m, Seconds now) const;
+  Seconds latest_lease_end(const Machine& m, Seconds now) const;
   void find_cut_zones(Seconds now);
-  void expect_back(const std::string& zone, Seconds now);
+  void zone_reachable_again(const std::string& zone, Seconds now);
   bool boot_failed(const Machine& m, Seconds now) const;
   bool seems_dead(const Machine& m, Seconds now) const;
-  bool give_up_on(const Machine& m, Seconds now) const;
+  bool should_give_up(const Machine& m, Seconds now) const;
   void probe(Seconds now, std::vector<Action>& out);
   Seconds silence(const Machine& m, Seconds now) const;
-  bool late_with_report(const Machine& m, Seconds now) const;
+  bool report_overdue(const Machine& m, Seconds now) const;
 
   // renting.cpp
   void provision(Seconds now, std::vector<Action>& out);
@@ -220,10 +220,10 @@
   // releases.cpp
   void return_idle(Seconds now);
   bool spare_room(Trial& trial, Seconds now) const;
-  void care_for_machines(Seconds now, std::vector<Action>& out);
+  void return_machines(Seconds now, std::vector<Action>& out);
 
   // fleet_summary.cpp
-  void log_fleet(Seconds now);
+  void log_fleet_summary(Seconds now);
 
   const Settings& settings_;
   uint64_t term_;
@@ -232,7 +232,7 @@
   bool fenced_ = false;  ///< none of them answers any more, which was learnt before the fence
   Seconds wall_offset_;  ///< the time of day less the steady time
   Seconds awake_since_;  ///< since then this process has not stood still
-  Seconds ticked_;       ///< the time of the last tick
+  Seconds last_tick_;    ///< the time of the last tick
   Delegations delegations_;
   uint64_t next_attempt_ = 1;
   size_t unaccounted_ = 0;  ///< machines of the takeover that have not told what they have
@@ -240,7 +240,7 @@
   std::map<std::string, Machine> machines_;
   std::map<std::string, Seconds> returned_;  ///< machines the cloud took back: they are gone
   /// By type: when the last rented of those that this leader saw boot was rented.
-  std::map<std::string, Seconds> newest_up_;
+  std::map<std::string, Seconds> newest_booted_;
   ZoneReachability zone_reachability_;
   HostRecordWrites host_record_writes_;
   std::vector<MachineType> types_;
--- a/src/dispatch/machine_lifecycle.cpp
+++ b/src/dispatch/machine_lifecycle.cpp
@@ -74,9 +74,9 @@
 
 /// When the worker's lease has ended for certain, counted from the last answer that anybody could
 /// have given it.
-Seconds LeaderCore::certain_end(const Machine& m, Seconds now) const {
-  Seconds last = std::max(m.answered, delegations_.last_answer(m.info.zone, now));
-  if (m.old_answers) last = std::max(last, fence_);
+Seconds LeaderCore::latest_lease_end(const Machine& m, Seconds now) const {
+  Seconds last = std::max(m.last_answered, delegations_.last_answer(m.info.zone, now));
+  if (m.earlier_leader_may_answer) last = std::max(last, fence_);
   return last + settings_.lease_s * (1 + kDrift) + 0.1;
 }
 
@@ -85,18 +85,18 @@
     // One that was given up expires as well: the cloud may be in trouble for longer than a lease.
     const bool returning = m.stage == Machine::Stage::Returning && m.may_hold_tasks();
     if (!returning && m.stage != Machine::Stage::Up) continue;
-    if (now <= certain_end(m, now)) continue;
+    if (now <= latest_lease_end(m, now)) continue;
     spdlog::info("{} expired with {} tasks", id, m.runs.size());
     if (!returning) set_stage(m, Machine::Stage::Expired);
     m.proven = false;
     remove_all_runs(m);
-    account(m);
+    mark_accounted(m);
   }
 }
 
 /// A zone that was cut off comes back within a report period or more, not at once: those that are
 /// still silent when most are heard again are as alive as the others.
-void LeaderCore::expect_back(const std::string& zone, Seconds now) {
+void LeaderCore::zone_reachable_again(const std::string& zone, Seconds now) {
   for (auto& [id, m] : machines_)
     if (m.info.zone == zone) m.zone_back = now;
 }
@@ -112,7 +112,7 @@
     if (silence(m, now) < kRecently * settings_.report_s) ++count.heard_recently;
   }
   for (const auto& zone : zone_reachability_.update(zones, now, settings_.lease_s))
-    expect_back(zone, now);
+    zone_reachable_again(zone, now);
 }
 
 /// Whether a machine that boots will never come up.
@@ -120,8 +120,8 @@
   if (m.listed_failed) return true;
   if (zone_reachability_.cut_off(m.info.zone)) return false;
   const MachineType* t = type(m.info.type);
-  const auto newest = newest_up_.find(m.info.type);
-  const bool overtaken = newest != newest_up_.end() && newest->second > m.first_seen;
+  const auto newest = newest_booted_.find(m.info.type);
+  const bool overtaken = newest != newest_booted_.end() && newest->second > m.first_seen;
   return now - m.first_seen >
          (overtaken ? kOverdue : kAllSlow) * (t ? t->boot_s : kUnknownTypeBoot);
 }
@@ -133,11 +133,11 @@
 bool LeaderCore::seems_dead(const Machine& m, Seconds now) const {
   if (zone_reachability_.cut_off(m.info.zone) || !m.may_hold_tasks()) return false;
   if (silence(m, now) > settings_.tuning.suspect * settings_.lease_s) return true;
-  return m.unanswered && late_with_report(m, now) && zone_reachability_.reachable(m.info.zone);
+  return m.probe_unanswered && report_overdue(m, now) && zone_reachability_.reachable(m.info.zone);
 }
 
 /// Whether a machine is to be returned although it isn't idle.
-bool LeaderCore::give_up_on(const Machine& m, Seconds now) const {
+bool LeaderCore::should_give_up(const Machine& m, Seconds now) const {
   switch (m.stage) {
     case Machine::Stage::Booting:
       return boot_failed(m, now);
@@ -156,19 +156,20 @@
 }
 
 /// Reports come up to a quarter late.
-bool LeaderCore::late_with_report(const Machine& m, Seconds now) const {
+bool LeaderCore::report_overdue(const Machine& m, Seconds now) const {
   return silence(m, now) > 1.25 * settings_.report_s + 0.5;
 }
 
 /// Machines that this leader has not met yet, and those that are late with a report.
 void LeaderCore::probe(Seconds now, std::vector<Action>& out) {
   for (auto& [id, m] : machines_) {
-    if (m.stage != Machine::Stage::Up || m.probing || m.info.addr.empty()) continue;
-    const bool greet = !m.proven && m.old_answers && !m.accounted && now >= m.next_greeting;
-    const bool late = !m.unanswered && late_with_report(m, now) && m.may_hold_tasks();
+    if (m.stage != Machine::Stage::Up || m.probe_in_flight || m.info.addr.empty()) continue;
+    const bool greet =
+        !m.proven && m.earlier_leader_may_answer && !m.accounted && now >= m.next_greeting;
+    const bool late = !m.probe_unanswered && report_overdue(m, now) && m.may_hold_tasks();
     if (!greet && !late) continue;
     if (greet) m.next_greeting = now + settings_.report_s;
-    m.probing = true;
+    m.probe_in_flight = true;
     out.push_back(Probe{id, m.info.addr, token(m), std::max<uint64_t>(m.latest.session, 1)});
   }
 }
--- a/src/dispatch/record_writes.cpp
+++ b/src/dispatch/record_writes.cpp
@@ -125,17 +125,17 @@
   if (job.stored.state == JobState::Pending && job.complete()) return WriteUrgency::Done;
   // It stays among the live records until nothing of it is left anywhere: the next leader must
   // know what may still take room and count against a limit.
-  if (job.stored.state != JobState::Pending && nowhere(job)) return WriteUrgency::Finished;
+  if (job.stored.state != JobState::Pending && gone_everywhere(job)) return WriteUrgency::Finished;
   // Progress of an array is written in batches, as far as its record has room for it.
   const bool due = !job.progress_since || now >= *job.progress_since + settings_.report_s;
   if (job.done.count() != job.stored.done.count() && due &&
-      !(recordable(job.done) == job.stored.done))
+      !(fitting_a_record(job.done) == job.stored.done))
     return WriteUrgency::Progress;
   return WriteUrgency::None;
 }
 
 /// What finds no room in a record stays with the workers until earlier tasks close the gaps.
-Ranges LeaderCore::recordable(const Ranges& done) const {
+Ranges LeaderCore::fitting_a_record(const Ranges& done) const {
   return done.first_spans(static_cast<size_t>(settings_.state_value_kb * 1024 * kDoneShare) /
                           kSpanBytes);
 }
@@ -161,11 +161,11 @@
   w.job = job.spec().id;
   w.version = job.version;
   w.record = job.stored;
-  w.record->done = recordable(job.done);
+  w.record->done = fitting_a_record(job.done);
   if (job.stored.state == JobState::Pending && job.complete()) w.record->state = JobState::Done;
   w.record->started = job.stored.started || job.want_started;
   if (w.record->started) w.record->hosts = possible_hosts(job);
-  w.finished = w.record->state != JobState::Pending && nowhere(job);
+  w.finished = w.record->state != JobState::Pending && gone_everywhere(job);
   return w;
 }
 
--- a/src/dispatch/releases.cpp
+++ b/src/dispatch/releases.cpp
@@ -45,12 +45,12 @@
   }
 }
 
-void LeaderCore::care_for_machines(Seconds now, std::vector<Action>& out) {
+void LeaderCore::return_machines(Seconds now, std::vector<Action>& out) {
   if (releasing_ || now < next_release_) return;
   next_release_ = now + settings_.report_s * 0.5;
   find_cut_zones(now);
   for (auto& [id, m] : machines_)
-    if (give_up_on(m, now)) {
+    if (should_give_up(m, now)) {
       spdlog::info("gives {} back: stage {}, silent {:.1f} s", id, name(m.stage),
                    now - m.last_heard);
       set_stage(m, Machine::Stage::Returning);
@@ -74,7 +74,7 @@
     if (it == machines_.end()) continue;
     Machine& m = it->second;
     remove_all_runs(m);
-    account(m);
+    mark_accounted(m);
     if (m.record != Machine::Record::None) host_record_writes_.want_deletion(id);
     returned_[id] = now;
     machines_.erase(it);
--- a/src/dispatch/reports.cpp
+++ b/src/dispatch/reports.cpp
@@ -27,7 +27,7 @@
 
 }  // namespace
 
-Machine& LeaderCore::machine_of(const WorkerReport& r, Seconds now) {
+Machine& LeaderCore::find_or_add_machine(const WorkerReport& r, Seconds now) {
   auto [it, added] = machines_.try_emplace(r.machine);
   Machine& m = it->second;
   if (added) {
@@ -42,7 +42,7 @@
   return m;
 }
 
-void LeaderCore::account(Machine& m) {
+void LeaderCore::mark_accounted(Machine& m) {
   if (m.accounted) return;
   m.accounted = true;
   --unaccounted_;
@@ -51,15 +51,15 @@
 
 LeaderCore::ReportAnswer LeaderCore::report(const WorkerReport& r, bool may_act, Seconds now) {
   if (returned_.count(r.machine)) return {};  // held on its way until the machine was gone
-  Machine& m = machine_of(r, now);
+  Machine& m = find_or_add_machine(r, now);
   ReportAnswer answer;
   if (r.sequence() <= m.latest_own || r.session < m.latest.session) return answer;
   m.latest_own = r.sequence();
   answer.fresh = true;
-  m.answered = now;
+  m.last_answered = now;
   m.last_report = now;
   const bool newest = r.sequence() > m.latest, no_orders_out = !m.order_in_flight;
-  if (newest) take_in(m, r, no_orders_out, now);
+  if (newest) apply_report(m, r, no_orders_out, now);
   if (newest && may_act && m.proven && no_orders_out)
     answer.commands = commands_for(m, true);
   else
@@ -87,24 +87,24 @@
     for (auto& [key, run] : m.runs) run.stop_sent = false;
   }
   if (!r || r->machine != id) return;
-  if (r->sequence() > m.latest) take_in(m, *r, false, now);
+  if (r->sequence() > m.latest) apply_report(m, *r, false, now);
 }
 
 void LeaderCore::probed(const std::string& id, const std::optional<WorkerReport>& r, Seconds now) {
   const auto it = machines_.find(id);
   if (it == machines_.end()) return;
   Machine& m = it->second;
-  m.probing = false;
+  m.probe_in_flight = false;
   if (!r || r->machine != id) {
-    m.unanswered = late_with_report(m, now);
+    m.probe_unanswered = report_overdue(m, now);
     return;
   }
-  if (r->sequence() > m.latest) take_in(m, *r, false, now);
+  if (r->sequence() > m.latest) apply_report(m, *r, false, now);
 }
 
 void LeaderCore::not_probed(const std::string& id) {
   const auto it = machines_.find(id);
-  if (it != machines_.end()) it->second.probing = false;
+  if (it != machines_.end()) it->second.probe_in_flight = false;
 }
 
 /// A new session begins with nothing: the old one's tasks ended with its lease.
@@ -114,13 +114,13 @@
   m.proven = false;
   // Its lease counts from when it began. Learnt from an answer to an order or a probe, the last
   // answer to a report would say that it is over while new tasks run.
-  m.answered = std::max(m.answered, now);
+  m.last_answered = std::max(m.last_answered, now);
 }
 
 void LeaderCore::mark_up(Machine& m, Seconds now) {
   if (m.stage == Machine::Stage::Booting) {
     m.up_since = now;
-    auto& newest = newest_up_[m.info.type];
+    auto& newest = newest_booted_[m.info.type];
     newest = std::max(newest, m.first_seen);
   }
   if (m.stage == Machine::Stage::Booting || m.stage == Machine::Stage::Expired)
@@ -148,30 +148,30 @@
 /// The worker follows this leader: an earlier one's answers are dropped from here on.
 void LeaderCore::accept_worker(Machine& m, Seconds now) {
   // The last answer of an earlier leader can't have been later.
-  if (m.old_answers) m.answered = std::max(m.answered, now);
-  m.old_answers = false;
-  account(m);
+  if (m.earlier_leader_may_answer) m.last_answered = std::max(m.last_answered, now);
+  m.earlier_leader_may_answer = false;
+  mark_accounted(m);
 }
 
 /// Called with reports that are newer than all that were applied. Whatever a report lists is
 /// present; what it leaves out is gone only if `absence_counts`, which an answer to an order or a
 /// probe may not tell.
-void LeaderCore::take_in(Machine& m, const WorkerReport& r, bool absence_counts, Seconds now) {
+void LeaderCore::apply_report(Machine& m, const WorkerReport& r, bool absence_counts, Seconds now) {
   if (r.session > m.latest.session) begin_session(m, now);
   m.latest = r.sequence();
   m.last_heard = now;
-  m.unanswered = false;
+  m.probe_unanswered = false;
   mark_up(m, now);
   m.taken_at = r.notice_s ? std::optional<Seconds>(now + *r.notice_s) : std::nullopt;
   const bool current_token = r.token >= token(m);
   if (current_token && !m.order_in_flight) m.proven = true;
-  for (const auto& t : r.tasks) take_in_task(m, t, now);
+  for (const auto& t : r.tasks) apply_task_report(m, t, now);
   if (!current_token) return;
   if (absence_counts) remove_unlisted(m, r, now);
   accept_worker(m, now);
 }
 
-void LeaderCore::take_in_task(Machine& m, const TaskReport& t, Seconds now) {
+void LeaderCore::apply_task_report(Machine& m, const TaskReport& t, Seconds now) {
   const RunKey key{t.key, t.attempt};
   auto [it, added] = m.runs.try_emplace(key);
   Run& run = it->second;
--- a/src/dispatch/task_runs.cpp
+++ b/src/dispatch/task_runs.cpp
@@ -17,10 +17,10 @@
 
 void LeaderCore::image_held(const std::string& machine, const std::string& image, double gb) {
   const auto m = machines_.find(machine);
-  if (m != machines_.end()) use_image(m->second, image, gb);
+  if (m != machines_.end()) mark_image_used(m->second, image, gb);
 }
 
-void LeaderCore::use_image(Machine& m, const std::string& image, double gb) {
+void LeaderCore::mark_image_used(Machine& m, const std::string& image, double gb) {
   const MachineType* t = type(m.info.type);
   if (!image.empty()) m.images.use(image, gb, t ? t->cache_gb * kSureCache : 0);
 }
@@ -62,18 +62,18 @@
   run.phase = next;
   run.sent = true;
   if (next == Run::Phase::Running || next == Run::Phase::Waiting) {
-    use_image(m, run.image, run.image_gb);
+    mark_image_used(m, run.image, run.image_gb);
     if (!run.running_since) run.running_since = now;
   }
   if (next == Run::Phase::Exited) {
     drop_presence(m, key);
-    settle_exit(m, key, run, now);
+    handle_exit(m, key, run, now);
   }
 }
 
-void LeaderCore::settle_exit(Machine& m, const RunKey& key, Run& run, Seconds now) {
-  if (run.settled) return;
-  run.settled = true;
+void LeaderCore::handle_exit(Machine& m, const RunKey& key, Run& run, Seconds now) {
+  if (run.exit_handled) return;
+  run.exit_handled = true;
   run.wanted = false;
   Job* job = find_job(key.task.job);
   if (!job) return;
--- a/src/fleet/machine.h
+++ b/src/fleet/machine.h
@@ -28,10 +28,10 @@
   enum class Phase { Ordered, Fetching, Waiting, Running, Saving, Exited };
   Phase phase = Phase::Ordered;
   ExitCause cause = ExitCause::None;
-  bool wanted = true;     ///< false: it is to stop
-  bool sent = false;      ///< a start may have left for the worker
-  bool graceful = false;  ///< stop: lets it save first
-  bool settled = false;   ///< exit: has been taken into account
+  bool wanted = true;         ///< false: it is to stop
+  bool sent = false;          ///< a start may have left for the worker
+  bool graceful = false;      ///< stop: lets it save first
+  bool exit_handled = false;  ///< exit: has been taken into account
   Seconds placed_at = 0;
   std::optional<Seconds> running_since;
   std::optional<Seconds> stop_since;
@@ -95,13 +95,14 @@
   Seconds last_heard = kNever;
   /// When a report of its own came; answers to orders don't count, and show no lease renewed.
   Seconds last_report = kNever;
-  Seconds zone_back = kNever;  ///< when its zone was heard again
-  Seconds answered = kNever;   ///< last answer that may renew
-  bool old_answers = true;     ///< an earlier leader may have answered it until the fence
+  Seconds zone_back = kNever;      ///< when its zone was heard again
+  Seconds last_answered = kNever;  ///< last answer that may renew
+  /// An earlier leader may have answered it until the fence.
+  bool earlier_leader_may_answer = true;
   bool order_in_flight = false;
   Seconds next_order = 0, next_greeting = 0;
-  bool probing = false;     ///< asked whether it is there
-  bool unanswered = false;  ///< it has not answered that
+  bool probe_in_flight = false;   ///< asked whether it is there
+  bool probe_unanswered = false;  ///< it has not answered that
 
   Seconds first_seen = 0;
   std::optional<Seconds> up_since;  ///< if this leader saw it boot
