--- a/src/dispatch/commands.cpp
+++ b/src/dispatch/commands.cpp
@@ -1,4 +1,5 @@
 // What workers are told, in answers to their reports and in orders.
+// What workers are told, in answers to their reports and in orders.
 #include <algorithm>
 
 #include "dispatch/leader_core.h"
@@ -12,7 +13,8 @@
 }  // namespace
 
 bool LeaderCore::startable(const Machine& m, const RunKey& key, const Run& run) const {
-  if (!run.wanted || run.phase != Run::Phase::Ordered || !m.recorded) return false;
+  if (!run.wanted || run.phase != Run::Phase::Ordered || m.record != Machine::Record::Durable)
+    return false;
   const Job* job = find_job(key.task.job);
   return job && job->runnable() && job->covers(m.info.id);
 }
@@ -59,7 +61,7 @@
              (!run.wanted && run.present() && run.phase != Run::Phase::Ordered && !run.stop_sent);
     });
     if (!news) continue;
-    SendOrders order{id, m.info.addr, token(m), std::max<uint64_t>(m.session, 1),
+    SendOrders order{id, m.info.addr, token(m), std::max<uint64_t>(m.latest.session, 1),
                      commands_for(m, false)};
     for (auto& [key, run] : m.runs)
       if (!run.wanted && run.present()) run.stop_sent = true;
--- a/src/dispatch/machine_lifecycle.cpp
+++ b/src/dispatch/machine_lifecycle.cpp
@@ -1,4 +1,5 @@
 // Machines as they boot, fall silent, are cut off with their zone, and lose their lease.
+// Machines as they boot, fall silent, are cut off with their zone, and lose their lease.
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -14,22 +15,26 @@
 /// that was rented later is up, the second if none is, for then it may be that all are slow.
 constexpr double kOverdue = 1.8;
 constexpr double kAllSlow = 3.5;
-/// Machines that are never silent together by chance, the silence of all that shows it / report
-/// period, and the time that workers need to find a new leader / their lease.
-constexpr size_t kSeveral = 3;
+/// The boot time of a type that the cloud's catalog doesn't list.
+constexpr Seconds kUnknownTypeBoot = 60;
+/// The silence of all machines that shows this node to be cut off / report period.
 constexpr double kAllSilent = 2.5;
+/// The time that workers need to find a new leader / their lease.
 constexpr double kFindLeader = 0.3;
-/// Where so many of a zone's machines were heard within so much of a report period, the zone is not
-/// cut off: in one that is, fewer were by the time the first machine is late and has not answered.
-constexpr double kLively = 0.25;
-constexpr double kLately = 0.5;
-/// The part of a zone's machines whose silence shows that the zone is cut off, and how long they
-/// must have been silent / the silence after which a machine is given up.
-constexpr double kMostOfZone = 0.5;
-constexpr double kShortlySilent = 0.6;
+/// A machine counts as heard recently within so much of a report period.
+constexpr double kRecently = 0.5;
+/// A machine counts as silent, when zones are judged, after this part of the silence after which it
+/// is given up.
+constexpr double kSilentEarly = 0.6;
 
 }  // namespace
 
+void LeaderCore::set_stage(Machine& m, Machine::Stage next) {
+  if (m.stage == next) return;
+  spdlog::debug("{}: stage {} -> {}", m.info.id, name(m.stage), name(next));
+  m.stage = next;
+}
+
 void LeaderCore::listed(const std::vector<ListedMachine>& list, Seconds now) {
   for (const auto& l : list) {
     const auto gone = returned_.find(l.id);
@@ -64,14 +69,14 @@
     ++up;
     newest = std::max(newest, m.last_report);
   }
-  return up >= kSeveral && now - newest > kAllSilent * settings_.report_s + 0.5;
+  return up >= kTooManyForChance && now - newest > kAllSilent * settings_.report_s + 0.5;
 }
 
 /// When the worker's lease has ended for certain, counted from the last answer that anybody could
 /// have given it.
-Seconds LeaderCore::certain_end(const Machine& m, Seconds now) const {
-  Seconds last = std::max(m.answered, delegations_.last_answer(m.info.zone, now));
-  if (m.old_answers) last = std::max(last, fence_);
+Seconds LeaderCore::latest_lease_end(const Machine& m, Seconds now) const {
+  Seconds last = std::max(m.last_answered, delegations_.last_answer(m.info.zone, now));
+  if (m.earlier_leader_may_answer) last = std::max(last, fence_);
   return last + settings_.lease_s * (1 + kDrift) + 0.1;
 }
 
@@ -80,83 +85,66 @@
     // One that was given up expires as well: the cloud may be in trouble for longer than a lease.
     const bool returning = m.stage == Machine::Stage::Returning && m.may_hold_tasks();
     if (!returning && m.stage != Machine::Stage::Up) continue;
-    if (now <= certain_end(m, now)) continue;
+    if (now <= latest_lease_end(m, now)) continue;
     spdlog::info("{} expired with {} tasks", id, m.runs.size());
-    if (!returning) m.stage = Machine::Stage::Expired;
+    if (!returning) set_stage(m, Machine::Stage::Expired);
     m.proven = false;
     remove_all_runs(m);
-    account(m);
+    mark_accounted(m);
   }
 }
 
 /// A zone that was cut off comes back within a report period or more, not at once: those that are
 /// still silent when most are heard again are as alive as the others.
-void LeaderCore::expect_back(const std::string& zone, Seconds now) {
+void LeaderCore::zone_reachable_again(const std::string& zone, Seconds now) {
   for (auto& [id, m] : machines_)
     if (m.info.zone == zone) m.zone_back = now;
 }
 
-/// Zones that are cut off, or seem so: most of a zone's machines don't fall silent together by
-/// themselves. What runs there goes on, so nothing of it is given up, and nothing rented there
-/// would be heard. Any number of machines that is silent without its zone is taken for dead.
 void LeaderCore::find_cut_zones(Seconds now) {
-  struct Count {
-    size_t up = 0, silent = 0, heard = 0;
-  };
-  std::map<std::string, Count> zones;
+  std::map<std::string, ZoneReachability::Count> zones;
   const Seconds suspect = settings_.tuning.suspect * settings_.lease_s;
   for (const auto& [id, m] : machines_) {
     if (m.stage != Machine::Stage::Up) continue;
-    Count& c = zones[m.info.zone];
-    ++c.up;
-    if (silence(m, now) > suspect * kShortlySilent) ++c.silent;
-    if (silence(m, now) < kLately * settings_.report_s) ++c.heard;
-  }
-  // A zone without any machine left shows nothing either way: after a while it is tried again, or
-  // it would stay closed to renting for ever.
-  for (auto& [zone, last_shown] : cut_zones_)
-    if (zones.count(zone)) last_shown = now;
-  std::erase_if(cut_zones_, [&](const auto& cut) { return now - cut.second > settings_.lease_s; });
-  lively_zones_.clear();
-  for (const auto& [zone, c] : zones)
-    if (c.up >= kSeveral && static_cast<double>(c.heard) > kLively * c.up)
-      lively_zones_.insert(zone);
-  for (const auto& [zone, c] : zones) {
-    const bool cut = c.up >= kSeveral && static_cast<double>(c.silent) > kMostOfZone * c.up;
-    if (cut != (cut_zones_.count(zone) > 0))
-      spdlog::info("zone {}: {} of {} machines silent, {}", zone, c.silent, c.up,
-                   cut ? "taken for cut off" : "no longer taken for cut off");
-    if (cut)
-      cut_zones_[zone] = now;
-    else if (cut_zones_.erase(zone) > 0)
-      expect_back(zone, now);
+    ZoneReachability::Count& count = zones[m.info.zone];
+    ++count.up;
+    if (silence(m, now) > suspect * kSilentEarly) ++count.silent;
+    if (silence(m, now) < kRecently * settings_.report_s) ++count.heard_recently;
   }
+  for (const auto& zone : zone_reachability_.update(zones, now, settings_.lease_s))
+    zone_reachable_again(zone, now);
 }
 
-bool LeaderCore::give_up_on(const Machine& m, Seconds now) const {
-  const bool zone_cut = cut_zones_.count(m.info.zone) > 0;
+/// Whether a machine that boots will never come up.
+bool LeaderCore::boot_failed(const Machine& m, Seconds now) const {
+  if (m.listed_failed) return true;
+  if (zone_reachability_.cut_off(m.info.zone)) return false;
   const MachineType* t = type(m.info.type);
-  const double boot = t ? t->boot_s : 60;
+  const auto newest = newest_booted_.find(m.info.type);
+  const bool overtaken = newest != newest_booted_.end() && newest->second > m.first_seen;
+  return now - m.first_seen >
+         (overtaken ? kOverdue : kAllSlow) * (t ? t->boot_s : kUnknownTypeBoot);
+}
+
+/// Whether a machine is dead, as far as its silence tells. One that has been silent for long is
+/// dead more often than cut off; so is one that is late and does not answer while many others of
+/// its zone are heard. An order that went unanswered is no reason to wait for the lease: nothing of
+/// the machine is left once the cloud has taken it back.
+bool LeaderCore::seems_dead(const Machine& m, Seconds now) const {
+  if (zone_reachability_.cut_off(m.info.zone) || !m.may_hold_tasks()) return false;
+  if (silence(m, now) > settings_.tuning.suspect * settings_.lease_s) return true;
+  return m.probe_unanswered && report_overdue(m, now) && zone_reachability_.reachable(m.info.zone);
+}
+
+/// Whether a machine is to be returned although it isn't idle.
+bool LeaderCore::should_give_up(const Machine& m, Seconds now) const {
   switch (m.stage) {
-    case Machine::Stage::Booting: {
-      const auto newest = newest_up_.find(m.info.type);
-      const bool passed = newest != newest_up_.end() && newest->second > m.first_seen;
-      if (m.listed_failed) return true;
-      return !zone_cut && now - m.first_seen > (passed ? kOverdue : kAllSlow) * boot;
-    }
+    case Machine::Stage::Booting:
+      return boot_failed(m, now);
     case Machine::Stage::Expired:
       return now - m.last_heard > settings_.lease_s;
-    case Machine::Stage::Up: {
-      if (m.listed_failed) return true;
-      if (m.sick && !m.has_presence()) return true;
-      // A machine that has been silent for long is dead more often than cut off; so is one that is
-      // late and does not answer while many others of its zone are heard.
-      // An order that went unanswered is no reason to wait for the lease: nothing of the machine is
-      // left once the cloud has taken it back.
-      if (zone_cut || !m.may_hold_tasks()) return false;
-      return silence(m, now) > settings_.tuning.suspect * settings_.lease_s ||
-             (m.unanswered && late_with_report(m, now) && lively_zones_.count(m.info.zone) > 0);
-    }
+    case Machine::Stage::Up:
+      return m.listed_failed || (m.sick && !m.has_presence()) || seems_dead(m, now);
     case Machine::Stage::Returning:
       return false;
   }
@@ -168,20 +156,21 @@
 }
 
 /// Reports come up to a quarter late.
-bool LeaderCore::late_with_report(const Machine& m, Seconds now) const {
+bool LeaderCore::report_overdue(const Machine& m, Seconds now) const {
   return silence(m, now) > 1.25 * settings_.report_s + 0.5;
 }
 
 /// Machines that this leader has not met yet, and those that are late with a report.
 void LeaderCore::probe(Seconds now, std::vector<Action>& out) {
   for (auto& [id, m] : machines_) {
-    if (m.stage != Machine::Stage::Up || m.probing || m.info.addr.empty()) continue;
-    const bool greet = !m.proven && m.old_answers && !m.accounted && now >= m.next_greeting;
-    const bool late = !m.unanswered && late_with_report(m, now) && m.may_hold_tasks();
+    if (m.stage != Machine::Stage::Up || m.probe_in_flight || m.info.addr.empty()) continue;
+    const bool greet =
+        !m.proven && m.earlier_leader_may_answer && !m.accounted && now >= m.next_greeting;
+    const bool late = !m.probe_unanswered && report_overdue(m, now) && m.may_hold_tasks();
     if (!greet && !late) continue;
     if (greet) m.next_greeting = now + settings_.report_s;
-    m.probing = true;
-    out.push_back(Probe{id, m.info.addr, token(m), std::max<uint64_t>(m.session, 1)});
+    m.probe_in_flight = true;
+    out.push_back(Probe{id, m.info.addr, token(m), std::max<uint64_t>(m.latest.session, 1)});
   }
 }
 
--- a/src/dispatch/record_writes.cpp
+++ b/src/dispatch/record_writes.cpp
@@ -1,3 +1,5 @@
+// Records of jobs and machines: what was read of them, which writes are wanted, and what a write
+// that was carried out changes.
 // Records of jobs and machines: what was read of them, what is to be written, and what a write that
 // was carried out changes.
 #include <spdlog/spdlog.h>
@@ -15,10 +17,21 @@
 /// The same for the names of its machines, and what a name takes beside its letters.
 constexpr double kHostsShare = 0.2;
 constexpr size_t kTextBytes = 2;
-/// What a record takes beside its done numbers, and the size of a transaction, well under the limit
-/// of 64 KiB.
+/// What a record takes beside its done numbers and hosts.
 constexpr size_t kRecordBytes = 1200;
-constexpr size_t kMostBytes = 48 * 1024;
+/// A job's record is written in place, or moved: one deleted, another written.
+constexpr size_t kMostChangesOfAJob = 2;
+
+size_t bytes_of(const std::vector<std::string>& hosts) {
+  size_t bytes = 0;
+  for (const auto& id : hosts) bytes += id.size() + kTextBytes;
+  return bytes;
+}
+
+size_t bytes_of(const JobRecord& record) {
+  return kRecordBytes + record.done.spans() * kSpanBytes +
+         (record.hosts ? bytes_of(*record.hosts) : 0);
+}
 
 void narrow(Job& job, const std::optional<std::vector<std::string>>& hosts) {
   if (!hosts) return;
@@ -41,6 +54,27 @@
 
 }  // namespace
 
+/// The writes of one transaction. Its size is kept well under the limit of 64 KiB.
+class LeaderCore::WriteBatch {
+ public:
+  explicit WriteBatch(size_t most_changes) : most_changes_(most_changes) {}
+  bool fits(size_t changes) const { return changes_ + changes <= most_changes_; }
+  bool full() const { return bytes_ > kMostBytes; }
+  void add(RecordWrite write) {
+    changes_ += write.changes();
+    if (write.record) bytes_ += bytes_of(*write.record);
+    writes_.push_back(std::move(write));
+  }
+  std::vector<RecordWrite> take() { return std::move(writes_); }
+
+ private:
+  static constexpr size_t kMostBytes = 48 * 1024;
+  size_t most_changes_;
+  size_t changes_ = 0;
+  size_t bytes_ = 0;
+  std::vector<RecordWrite> writes_;
+};
+
 void LeaderCore::job_stored(const JobRecord& record, uint64_t version, Seconds now) {
   auto [it, added] = jobs_.try_emplace(record.spec.id);
   Job& job = it->second;
@@ -51,7 +85,7 @@
   job.want_hosts = job.want_hosts && !record_covers(job);
   if (added) {
     job.done = record.done;
-    note_arrival(record);
+    arrivals_.add(record.spec, arrival(job));
     spdlog::debug("{} arrives: {} tasks of {}", record.spec.id, record.spec.tasks,
                   record.spec.job_class);
     // A report may have brought tasks of this job before its record was read.
@@ -78,8 +112,8 @@
 void LeaderCore::host_stored(const HostRecord& host, Seconds now) {
   Machine& m = machines_[host.id];
   m.info = host;
-  m.stage = Machine::Stage::Up;
-  m.recorded = true;
+  set_stage(m, Machine::Stage::Up);
+  m.record = Machine::Record::Durable;
   m.first_seen = m.last_report = now;  // until its worker has found this leader
   ++unaccounted_;
 }
@@ -91,17 +125,17 @@
   if (job.stored.state == JobState::Pending && job.complete()) return WriteUrgency::Done;
   // It stays among the live records until nothing of it is left anywhere: the next leader must
   // know what may still take room and count against a limit.
-  if (job.stored.state != JobState::Pending && nowhere(job)) return WriteUrgency::Finished;
+  if (job.stored.state != JobState::Pending && gone_everywhere(job)) return WriteUrgency::Finished;
   // Progress of an array is written in batches, as far as its record has room for it.
-  const bool due = now >= job.progress_since + settings_.report_s;
+  const bool due = !job.progress_since || now >= *job.progress_since + settings_.report_s;
   if (job.done.count() != job.stored.done.count() && due &&
-      !(recordable(job.done) == job.stored.done))
+      !(fitting_a_record(job.done) == job.stored.done))
     return WriteUrgency::Progress;
   return WriteUrgency::None;
 }
 
 /// What finds no room in a record stays with the workers until earlier tasks close the gaps.
-Ranges LeaderCore::recordable(const Ranges& done) const {
+Ranges LeaderCore::fitting_a_record(const Ranges& done) const {
   return done.first_spans(static_cast<size_t>(settings_.state_value_kb * 1024 * kDoneShare) /
                           kSpanBytes);
 }
@@ -117,10 +151,9 @@
     const auto m = machines_.find(id);
     if (m != machines_.end() && !m->second.accounted) hosts.insert(id);
   }
-  size_t bytes = 0;
-  for (const auto& id : hosts) bytes += id.size() + kTextBytes;
-  if (bytes > settings_.state_value_kb * 1024 * kHostsShare) return std::nullopt;
-  return std::vector<std::string>(hosts.begin(), hosts.end());
+  std::vector<std::string> sorted(hosts.begin(), hosts.end());
+  if (bytes_of(sorted) > settings_.state_value_kb * 1024 * kHostsShare) return std::nullopt;
+  return sorted;
 }
 
 RecordWrite LeaderCore::write_for(const Job& job) const {
@@ -128,62 +161,73 @@
   w.job = job.spec().id;
   w.version = job.version;
   w.record = job.stored;
-  w.record->done = recordable(job.done);
+  w.record->done = fitting_a_record(job.done);
   if (job.stored.state == JobState::Pending && job.complete()) w.record->state = JobState::Done;
   w.record->started = job.stored.started || job.want_started;
   if (w.record->started) w.record->hosts = possible_hosts(job);
-  w.finished = w.record->state != JobState::Pending && nowhere(job);
+  w.finished = w.record->state != JobState::Pending && gone_everywhere(job);
   return w;
 }
 
 std::vector<RecordWrite> LeaderCore::wanted_writes(Seconds now, size_t most_changes) {
-  std::vector<RecordWrite> out;
-  size_t changes = 0, bytes = 0;
+  WriteBatch batch(most_changes);
+  add_host_writes(batch);
+  if (add_job_writes(batch, now)) add_host_deletions(batch);
+  return batch.take();
+}
+
+/// Machines that are to get their first start: it waits for their records.
+void LeaderCore::add_host_writes(WriteBatch& batch) {
   for (auto& [id, m] : machines_) {
-    if (!m.recording || m.recorded || writing_hosts_.count(id) || changes >= most_changes) continue;
-    RecordWrite w;
-    w.host = id;
-    w.host_record = m.info;
-    writing_hosts_.insert(id);
-    out.push_back(std::move(w));
-    ++changes;
+    if (m.record != Machine::Record::Wanted || !batch.fits(1)) continue;
+    if (!host_record_writes_.begin(id)) continue;
+    RecordWrite write;
+    write.host = id;
+    write.host_record = m.info;
+    batch.add(std::move(write));
   }
-  // Starts wait for some of them and users for others; what is merely tidied up comes last.
-  std::vector<std::pair<WriteUrgency, Job*>> order;
+}
+
+/// Starts wait for some of them and users for others; what is merely tidied up comes last. False if
+/// the batch is full before all are in it.
+bool LeaderCore::add_job_writes(WriteBatch& batch, Seconds now) {
+  struct Candidate {
+    WriteUrgency urgency;
+    Job* job;
+  };
+  std::vector<Candidate> order;
   for (auto& [id, job] : jobs_)
     if (const auto urgency = write_urgency(job, now); urgency != WriteUrgency::None)
-      order.emplace_back(urgency, &job);
+      order.push_back({urgency, &job});
   std::stable_sort(order.begin(), order.end(),
-                   [](const auto& a, const auto& b) { return a.first < b.first; });
-  for (auto& [urgency, job] : order) {
-    if (changes + 2 > most_changes || bytes > kMostBytes) return out;
-    RecordWrite w = write_for(*job);
-    job->writing = true;
-    narrow(*job, w.record->hosts);
-    changes += w.changes();
-    bytes += kRecordBytes + w.record->done.spans() * kSpanBytes;
-    for (const auto& id : w.record->hosts.value_or(std::vector<std::string>{}))
-      bytes += id.size() + kTextBytes;
-    out.push_back(std::move(w));
+                   [](const Candidate& a, const Candidate& b) { return a.urgency < b.urgency; });
+  for (const Candidate& candidate : order) {
+    if (!batch.fits(kMostChangesOfAJob) || batch.full()) return false;
+    RecordWrite write = write_for(*candidate.job);
+    candidate.job->writing = true;
+    narrow(*candidate.job, write.record->hosts);
+    batch.add(std::move(write));
   }
-  for (const auto& id : hosts_to_delete_) {
-    if (changes >= most_changes) return out;
-    if (!writing_hosts_.insert(id).second) continue;
-    RecordWrite w;
-    w.host = id;
-    out.push_back(std::move(w));
-    ++changes;
+  return true;
+}
+
+void LeaderCore::add_host_deletions(WriteBatch& batch) {
+  for (const auto& id : host_record_writes_.to_delete()) {
+    if (!batch.fits(1)) return;
+    if (!host_record_writes_.begin(id)) continue;
+    RecordWrite write;
+    write.host = id;
+    batch.add(std::move(write));
   }
-  return out;
 }
 
 void LeaderCore::write_done(const RecordWrite& w, bool committed, uint64_t version, Seconds now) {
   if (!w.host.empty()) {
-    writing_hosts_.erase(w.host);
+    host_record_writes_.end(w.host);
     if (!committed) return;
-    if (!w.host_record) hosts_to_delete_.erase(w.host);
+    if (!w.host_record) host_record_writes_.deleted(w.host);
     const auto m = machines_.find(w.host);
-    if (m != machines_.end() && w.host_record) m->second.recorded = true;
+    if (m != machines_.end() && w.host_record) m->second.record = Machine::Record::Durable;
     return;
   }
   const auto it = jobs_.find(w.job);
@@ -193,7 +237,7 @@
   if (!committed) return;
   if (w.finished) return job_finished(w.job);
   job_stored(*w.record, version, now);
-  if (job.done == job.stored.done) job.progress_since = -1;
+  if (job.done == job.stored.done) job.progress_since.reset();
 }
 
 }  // namespace sumacquay
--- a/src/dispatch/task_runs.cpp
+++ b/src/dispatch/task_runs.cpp
@@ -1,4 +1,5 @@
 // Starts of tasks on machines: where each task is or may be, how it ends, and what is to stop.
+// Starts of tasks on machines: where each task is or may be, how it ends, and what is to stop.
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -16,10 +17,10 @@
 
 void LeaderCore::image_held(const std::string& machine, const std::string& image, double gb) {
   const auto m = machines_.find(machine);
-  if (m != machines_.end()) use_image(m->second, image, gb);
+  if (m != machines_.end()) mark_image_used(m->second, image, gb);
 }
 
-void LeaderCore::use_image(Machine& m, const std::string& image, double gb) {
+void LeaderCore::mark_image_used(Machine& m, const std::string& image, double gb) {
   const MachineType* t = type(m.info.type);
   if (!image.empty()) m.images.use(image, gb, t ? t->cache_gb * kSureCache : 0);
 }
@@ -57,22 +58,22 @@
 void LeaderCore::set_phase(Machine& m, const RunKey& key, Run& run, Run::Phase next, Seconds now) {
   if (run.phase == next) return;
   spdlog::debug("{}/{} try {} on {}: phase {} -> {}", key.task.job, key.task.task, key.attempt,
-                m.info.id, static_cast<int>(run.phase), static_cast<int>(next));
+                m.info.id, name(run.phase), name(next));
   run.phase = next;
   run.sent = true;
   if (next == Run::Phase::Running || next == Run::Phase::Waiting) {
-    use_image(m, run.image, run.image_gb);
-    if (run.running_since < 0) run.running_since = now;
+    mark_image_used(m, run.image, run.image_gb);
+    if (!run.running_since) run.running_since = now;
   }
   if (next == Run::Phase::Exited) {
     drop_presence(m, key);
-    settle_exit(m, key, run, now);
+    handle_exit(m, key, run, now);
   }
 }
 
-void LeaderCore::settle_exit(Machine& m, const RunKey& key, Run& run, Seconds now) {
-  if (run.settled) return;
-  run.settled = true;
+void LeaderCore::handle_exit(Machine& m, const RunKey& key, Run& run, Seconds now) {
+  if (run.exit_handled) return;
+  run.exit_handled = true;
   run.wanted = false;
   Job* job = find_job(key.task.job);
   if (!job) return;
@@ -84,7 +85,7 @@
     // The tasks of a gang complete together.
     for (uint32_t t = gang ? 0 : key.task.task; t < (gang ? job->spec().tasks : key.task.task + 1);
          ++t)
-      if (t < job->spec().tasks && job->done.add(t) && job->progress_since < 0)
+      if (t < job->spec().tasks && job->done.add(t) && !job->progress_since)
         job->progress_since = now;
     return;
   }
@@ -145,7 +146,7 @@
 }
 
 void LeaderCore::unwant(Run& run, bool graceful, Seconds now) {
-  if (!run.wanted && run.stop_since >= 0) {
+  if (!run.wanted && run.stop_since) {
     run.graceful = run.graceful && graceful;
     return;
   }
--- a/src/fleet/machine.h
+++ b/src/fleet/machine.h
@@ -5,7 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <utility>
+#include <string_view>
 #include <vector>
 
 #include "fleet/report.h"
@@ -13,6 +13,9 @@
 
 namespace sumacquay {
 
+/// The time of something that has not happened: earlier than all others.
+constexpr Seconds kNever = -std::numeric_limits<Seconds>::infinity();
+
 /// One start of one task.
 struct RunKey {
   TaskKey task;
@@ -25,13 +28,13 @@
   enum class Phase { Ordered, Fetching, Waiting, Running, Saving, Exited };
   Phase phase = Phase::Ordered;
   ExitCause cause = ExitCause::None;
-  bool wanted = true;     ///< false: it is to stop
-  bool sent = false;      ///< a start may have left for the worker
-  bool graceful = false;  ///< stop: lets it save first
-  bool settled = false;   ///< exit: has been taken into account
+  bool wanted = true;         ///< false: it is to stop
+  bool sent = false;          ///< a start may have left for the worker
+  bool graceful = false;      ///< stop: lets it save first
+  bool exit_handled = false;  ///< exit: has been taken into account
   Seconds placed_at = 0;
-  Seconds running_since = -1;
-  Seconds stop_since = -1;
+  std::optional<Seconds> running_since;
+  std::optional<Seconds> stop_since;
   bool stop_sent = false;
   Amounts need;
   std::string image;
@@ -40,28 +43,34 @@
   bool present() const { return phase != Phase::Exited; }
 };
 
+/// An image on a machine.
+struct CachedImage {
+  std::string image;
+  double gb = 0;
+};
+
 /// The images a machine has as far as can be told: it reports none, but keeps the most recently
 /// used ones that fit its disk.
-class Images {
+class ImageCache {
  public:
   void use(const std::string& image, double gb, double room_gb) {
-    std::erase_if(kept_, [&](const auto& i) { return i.first == image; });
-    kept_.emplace_back(image, gb);
+    std::erase_if(kept_, [&](const CachedImage& i) { return i.image == image; });
+    kept_.push_back({image, gb});
     double sum = 0;
-    for (const auto& i : kept_) sum += i.second;
+    for (const CachedImage& i : kept_) sum += i.gb;
     while (kept_.size() > 1 && sum > room_gb) {
-      sum -= kept_.front().second;
+      sum -= kept_.front().gb;
       kept_.erase(kept_.begin());
     }
   }
   bool has(const std::string& image) const {
-    return std::any_of(kept_.begin(), kept_.end(), [&](const auto& i) { return i.first == image; });
+    return std::any_of(kept_.begin(), kept_.end(),
+                       [&](const CachedImage& i) { return i.image == image; });
   }
-  void clear() { kept_.clear(); }
-  const std::vector<std::pair<std::string, double>>& kept() const { return kept_; }
+  const std::vector<CachedImage>& kept() const { return kept_; }
 
  private:
-  std::vector<std::pair<std::string, double>> kept_;  ///< the most recently used last
+  std::vector<CachedImage> kept_;  ///< the most recently used last
 };
 
 /// A machine as the leader knows it.
@@ -72,37 +81,45 @@
     Expired,    ///< its worker's lease has certainly ended: nothing runs there
     Returning,  ///< the cloud was asked to take it back
   };
+  /// Its record in the state service. Nothing is started on a machine before its record is durable.
+  enum class Record { None, Wanted, Durable };
   HostRecord info;
   Stage stage = Stage::Booting;
-  bool recorded = false, recording = false;  ///< its record is durable / being written
+  Record record = Record::None;
 
-  uint64_t session = 0, seq = 0, report_seq = 0, report_session = 0, token_seen = 0;
-  uint64_t counter = 0;    ///< low part of the token in force at this worker
-  bool proven = false;     ///< has shown the token in force
-  bool accounted = false;  ///< since the takeover: told what it has, or certainly has nothing
-  Seconds last_heard = -std::numeric_limits<Seconds>::infinity();
+  ReportSequence latest;      ///< of all reports that were applied
+  ReportSequence latest_own;  ///< of those that the worker sent by itself
+  uint64_t counter = 0;       ///< low part of the token in force at this worker
+  bool proven = false;        ///< has shown the token in force
+  bool accounted = false;     ///< since the takeover: told what it has, or certainly has nothing
+  Seconds last_heard = kNever;
   /// When a report of its own came; answers to orders don't count, and show no lease renewed.
-  Seconds last_report = -std::numeric_limits<Seconds>::infinity();
-  Seconds zone_back = -std::numeric_limits<Seconds>::infinity();  ///< when its zone was heard again
-  Seconds answered = -std::numeric_limits<Seconds>::infinity();   ///< last answer that may renew
-  bool old_answers = true;  ///< an earlier leader may have answered it until the fence
+  Seconds last_report = kNever;
+  Seconds zone_back = kNever;      ///< when its zone was heard again
+  Seconds last_answered = kNever;  ///< last answer that may renew
+  /// An earlier leader may have answered it until the fence.
+  bool earlier_leader_may_answer = true;
   bool order_in_flight = false;
   Seconds next_order = 0, next_greeting = 0;
-  bool probing = false;     ///< asked whether it is there
-  bool unanswered = false;  ///< it has not answered that
+  bool probe_in_flight = false;   ///< asked whether it is there
+  bool probe_unanswered = false;  ///< it has not answered that
 
   Seconds first_seen = 0;
-  Seconds up_since = -std::numeric_limits<Seconds>::infinity();  ///< if this leader saw it boot
+  std::optional<Seconds> up_since;  ///< if this leader saw it boot
   bool listed_failed = false;
   std::optional<Seconds> taken_at;  ///< spot notice: when the cloud takes it
-  Seconds idle_since = -1;
+  std::optional<Seconds> idle_since;
   bool sick = false;                 ///< fails what it starts: gets nothing new and is returned
   std::set<std::string> error_jobs;  ///< jobs that failed here since one last succeeded
-  Images images;
+  ImageCache images;
   bool draining = false;  ///< its tasks are moved elsewhere: gets nothing new
 
   std::map<RunKey, Run> runs;
 
+  /// Something is to be started here.
+  void want_record() {
+    if (record == Record::None) record = Record::Wanted;
+  }
   /// Since a takeover that may be so although none is known.
   bool may_hold_tasks() const { return !accounted || has_presence(); }
   bool has_presence() const {
@@ -110,4 +127,8 @@
   }
 };
 
+/// For logs.
+std::string_view name(Run::Phase phase);
+std::string_view name(Machine::Stage stage);
+
 }  // namespace sumacquay
--- a/src/fleet/report.h
+++ b/src/fleet/report.h
@@ -8,15 +8,19 @@
 
 namespace sumacquay {
 
+/// A task of a job.
 struct TaskKey {
   std::string job;
   uint32_t task = 0;
   auto operator<=>(const TaskKey&) const = default;
 };
 
+/// How far a start of a task is.
 enum class TaskState { Fetching, Waiting, Running, Saving, Exited };
+/// Why a task has exited; `Peers`: another of its gang has.
 enum class ExitCause { None, Done, Stopped, Peers, Alone, Error, NoRoom, Busy, Unknown };
 
+/// A start of a task as its worker sees it.
 struct TaskReport {
   TaskKey key;
   uint64_t attempt = 0;
@@ -30,16 +34,27 @@
   return token >> kTokenCounterBits;
 }
 
+/// The order of a worker's reports: those of a later session are newer than all of an earlier one.
+struct ReportSequence {
+  uint64_t session = 0;
+  uint64_t number = 0;
+  auto operator<=>(const ReportSequence&) const = default;
+};
+
+/// What a worker says of itself, in a report of its own or in the answer to an order or a probe.
 struct WorkerReport {
   std::string machine, addr, type, zone;
   bool spot = false;
   uint64_t session = 0, seq = 0, token = 0;
   std::optional<double> notice_s;
   std::vector<TaskReport> tasks;
+
+  ReportSequence sequence() const { return {session, seq}; }
 };
 
 enum class Verb { Start, Stop, Forget };
 
+/// What a worker is to do about one start of a task.
 struct Command {
   Verb verb = Verb::Start;
   TaskKey key;
@@ -60,6 +75,7 @@
   return out;
 }
 
+/// A machine in the cloud's list.
 struct ListedMachine {
   std::string id, addr, type, zone;
   bool spot = false;
