--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -103,7 +103,8 @@
 
 double Settings::answers_s() const {
   // Both clocks may drift; a little is added for what the arithmetic leaves out.
-  constexpr double kDrift = 0.002, kSlack = 0.3;
+  constexpr double kDrift = 0.002;
+  constexpr double kSlack = 0.3;
   // Where a cancellation leaves less than a leader's lease, nothing could hold its time anyway.
   const double least = leader_lease_s();
   return std::max(least,
--- a/src/config/toml_table.cpp
+++ b/src/config/toml_table.cpp
@@ -13,7 +13,7 @@
 TomlTable TomlTable::child(const char* name) const {
   const toml::table* table = table_->get_as<toml::table>(name);
   if (!table) refuse(name, "missing table");
-  return TomlTable(source_, path_of(name), table);
+  return {source_, path_of(name), table};
 }
 
 std::vector<TomlTable> TomlTable::children(const char* name) const {
@@ -32,7 +32,7 @@
 }
 
 std::string TomlTable::text(const char* name) const {
-  const auto value = table_->get_as<std::string>(name);
+  const auto* value = table_->get_as<std::string>(name);
   if (!value || value->get().empty()) refuse(name, "must be a text that is not empty");
   return value->get();
 }
--- a/src/config/tuning.cpp
+++ b/src/config/tuning.cpp
@@ -2,6 +2,7 @@
 
 #include <confuse.h>
 
+#include <array>
 #include <cstdarg>
 #include <cstdio>
 #include <memory>
@@ -18,14 +19,14 @@
   SettingRange range;
 };
 
-constexpr Ratio kRatios[] = {{"leader_lease", &Tuning::leader_lease, {0.05, 0.5}},
-                             {"renew", &Tuning::renew, {0.05, 0.5}},
-                             {"grace", &Tuning::grace, {0, 1}},
-                             {"round", &Tuning::round, {0.01, 2}},
-                             {"suspect", &Tuning::suspect, {0.1, 1}},
-                             {"idle", &Tuning::idle, {0, 100}},
-                             {"headroom", &Tuning::headroom, {0, 100}},
-                             {"sockets", &Tuning::sockets, {0.1, 0.7}}};
+constexpr std::array kRatios{Ratio{"leader_lease", &Tuning::leader_lease, {0.05, 0.5}},
+                             Ratio{"renew", &Tuning::renew, {0.05, 0.5}},
+                             Ratio{"grace", &Tuning::grace, {0, 1}},
+                             Ratio{"round", &Tuning::round, {0.01, 2}},
+                             Ratio{"suspect", &Tuning::suspect, {0.1, 1}},
+                             Ratio{"idle", &Tuning::idle, {0, 100}},
+                             Ratio{"headroom", &Tuning::headroom, {0, 100}},
+                             Ratio{"sockets", &Tuning::sockets, {0.1, 0.7}}};
 constexpr const char* kStartTries = "start_tries";
 constexpr SettingRange kStartTriesRange{1, 1000};
 
@@ -38,10 +39,10 @@
 }
 
 void take_complaint(cfg_t* parser, const char* format, va_list arguments) {
-  char text[300];
-  vsnprintf(text, sizeof text, format, arguments);
+  std::array<char, 300> text{};
+  vsnprintf(text.data(), text.size(), format, arguments);
   const int line = parser ? parser->line : 0;
-  parser_complaint() = "line " + std::to_string(line) + ": " + text;
+  parser_complaint() = "line " + std::to_string(line) + ": " + text.data();
 }
 
 /// The fields of the file, with the defaults of those that it leaves out.
--- a/src/net/asio_conversions.h
+++ b/src/net/asio_conversions.h
@@ -13,7 +13,7 @@
 
 /// Throws std::system_error if the host is no address.
 inline asio::ip::tcp::endpoint to_tcp_endpoint(const Endpoint& endpoint) {
-  return asio::ip::tcp::endpoint(asio::ip::make_address(endpoint.host), endpoint.port);
+  return {asio::ip::make_address(endpoint.host), endpoint.port};
 }
 
 }  // namespace sumacquay
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -152,11 +152,11 @@
 
 HttpClient::~HttpClient() {
   *alive_ = false;
-  for (auto& connection : busy_) connection->close();
+  for (const auto& connection : busy_) connection->close();
 }
 
-void HttpClient::request(const std::string& method, const std::string& target, std::string body,
-                         double deadline_s, HttpDone done) {
+void HttpClient::request(const std::string& method, const std::string& target,
+                         const std::string& body, double deadline_s, HttpDone done) {
   auto request = std::make_shared<PendingRequest>();
   request->done = std::move(done);
   request->bytes = serialize_request(method, target, to_.text(), body);
@@ -209,7 +209,7 @@
 /// An idle connection that can be used, else a new one.
 std::shared_ptr<HttpClient::Connection> HttpClient::take_connection() {
   while (!idle_.empty()) {
-    const auto connection = idle_.back();
+    auto connection = idle_.back();
     idle_.pop_back();
     if (connection->usable()) return connection;
     connection->close();
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -24,7 +24,7 @@
 
   /// Calls `done` exactly once, never from inside this call, and at the latest when the deadline
   /// has passed, which counts from now; but not once the client is gone.
-  void request(const std::string& method, const std::string& target, std::string body,
+  void request(const std::string& method, const std::string& target, const std::string& body,
                double deadline_s, HttpDone done);
 
   /// Requests without an answer, those that wait included.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -119,7 +119,7 @@
     timer_.cancel();
     const HttpRequest request = parser_.take_request();
     auto answered = std::make_shared<bool>(false);
-    server_->handler_(request, [weak = weak_from_this(), answered](HttpReply reply) {
+    server_->handler_(request, [weak = weak_from_this(), answered](const HttpReply& reply) {
       if (*answered) return;
       *answered = true;
       if (auto self = weak.lock()) self->write(reply, self->parser_.keep_alive());
@@ -171,7 +171,7 @@
 }
 
 HttpServer::~HttpServer() {
-  for (auto& connection : connections_) connection->forget_server();
+  for (const auto& connection : connections_) connection->forget_server();
 }
 
 unsigned short HttpServer::port() const {
@@ -180,7 +180,7 @@
 
 void HttpServer::close_all() {
   const auto connections = connections_;  // each takes itself off the list
-  for (auto& connection : connections) connection->close();
+  for (const auto& connection : connections) connection->close();
 }
 
 void HttpServer::accept() {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -16,8 +16,8 @@
 using HttpHandler = std::function<void(const HttpRequest&, Respond)>;
 
 struct HttpLimits {
-  size_t body_bytes = 64 * 1024;
-  size_t header_bytes = 8 * 1024;
+  size_t body_bytes = size_t{64} * 1024;
+  size_t header_bytes = size_t{8} * 1024;
   size_t connections = 300;
   double request_s = 5;  ///< for one request to arrive whole
   double idle_s = 120;   ///< between requests
--- a/src/peer/peers.cpp
+++ b/src/peer/peers.cpp
@@ -49,7 +49,7 @@
   limits.connections = kServerConnectionsPerPeer * settings_.peers.size() + kServerConnectionsSpare;
   server_ = std::make_unique<HttpServer>(
       io_, settings_.peer_listen, limits,
-      [this](const HttpRequest& request, Respond respond) { on_request(request, respond); });
+      [this](const HttpRequest& request, const Respond& respond) { on_request(request, respond); });
   beat();
 }
 
@@ -68,7 +68,7 @@
   for (auto& [node, client] : clients_) {
     if (client->in_progress() >= kHeartbeatsUnderWay) continue;
     client->request("POST", wire::path::kHeartbeat, body, period_s_ * kDeadlinePeriods,
-                    [this, node = node, asked_at = Clock::now()](HttpResult r) {
+                    [this, node = node, asked_at = Clock::now()](const HttpResult& r) {
                       const auto heartbeat = r.ok() ? wire::decode_heartbeat(r.body) : std::nullopt;
                       if (!heartbeat) return;
                       note(*heartbeat);
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -236,7 +236,7 @@
   const auto known = live_.find(id);
   if (known != live_.end() && known->second.version >= item.version) return;
   // A job that is over never comes back, whatever an older change says.
-  if (item.value.missing() || finished_.count(id)) {
+  if (item.value.missing() || finished_.contains(id)) {
     live_.erase(id);
   } else {
     auto record = wire::decode_job(item.value);
@@ -320,14 +320,15 @@
 
 void Mirror::wrote_job(const JobRecord& record, uint64_t version) {
   const std::string& id = record.spec.id;
-  if (!ahead(version) || finished_.count(id)) return;
+  if (!ahead(version) || finished_.contains(id)) return;
   auto& known = live_[id];
   if (known.version >= version) return;
   known = {record, version};
   tell_job_changed(id);
 }
 
-void Mirror::wrote_finished(const std::string& id, wire::FinishedRecord record, uint64_t) {
+void Mirror::wrote_finished(const std::string& id, wire::FinishedRecord record,
+                            uint64_t /*version*/) {
   remember_finished(id, record);
   tell_job_changed(id);
 }
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -69,7 +69,7 @@
 }
 
 void StoreClient::send(HttpClient& client, Request request) {
-  client.request(request.method, request.target, std::move(request.body), deadline_s_,
+  client.request(request.method, request.target, request.body, deadline_s_,
                  observe(std::move(request.done)));
 }
 
@@ -145,8 +145,9 @@
   });
 }
 
-void StoreClient::transact(Urgency urgency, std::vector<wire::Guard> guards,
-                           std::vector<wire::Change> changes, std::function<void(TxnResult)> done) {
+void StoreClient::transact(Urgency urgency, const std::vector<wire::Guard>& guards,
+                           const std::vector<wire::Change>& changes,
+                           std::function<void(TxnResult)> done) {
   Request request{"POST", wire::path::kTransaction, wire::transaction_body(guards, changes),
                   static_cast<double>(changes.size()), nullptr};
   request.done = [done = std::move(done)](const HttpResult& result) {
@@ -167,7 +168,7 @@
 void StoreClient::grant(double ttl_s, std::function<void(std::optional<uint64_t>)> done) {
   submit(Urgency::Leadership,
          Request{"POST", wire::path::kGrants, wire::grant_body(static_cast<uint64_t>(ttl_s * 1000)),
-                 0, [done = std::move(done)](HttpResult r) {
+                 0, [done = std::move(done)](const HttpResult& r) {
                    done(r.ok() ? wire::parse_lease(r.body) : std::nullopt);
                  }});
 }
@@ -175,7 +176,7 @@
 void StoreClient::renew(uint64_t lease, double deadline_s, std::function<void(Renewal)> done) {
   requests_.take(1);
   urgent_.request("POST", wire::renew_path(lease), {}, deadline_s,
-                  observe([done = std::move(done)](HttpResult r) {
+                  observe([done = std::move(done)](const HttpResult& r) {
                     if (r.ok()) return done(Renewal::Renewed);
                     done(r.answered && r.status == 404 ? Renewal::Ended : Renewal::Failed);
                   }));
