--- a/tests/users_test.cpp
+++ b/tests/users_test.cpp
@@ -110,9 +110,10 @@
       if (lost_answers > 0) return void(--lost_answers);
       if (held_answers > 0) {
         --held_answers;
-        return held_.emplace_back([respond, status, body = std::string(out.data(), out.size())] {
+        held_.emplace_back([respond, status, body = std::string(out.data(), out.size())] {
           respond({status, body, 0});
         });
+        return;
       }
     } else if (r.path == "/changes") {
       if (argument(r.query, "block_ms") != "0") return door.watches.push_back(std::move(respond));
