Jobs that fail everywhere: one task at a time, no blame on machines, sick ones told apart

Two jobs with a mistake that failed on the same machine had it drained and returned at once; an array of them started all its tasks again at each trial and had machines rented for them.

--- a/src/config/tuning.h
+++ b/src/config/tuning.h
@@ -14,7 +14,7 @@
   double idle = 0.4;          ///< idle time before a machine is returned / its boot time
   double headroom = 1.0;      ///< spare room / room that expected arrivals need
   double sockets = 0.7;       ///< sockets open to users and workers / all sockets
-  int start_tries = 3;        ///< starts of a job before it backs off
+  int start_tries = 3;        ///< machines on which a job fails before it backs off, 3 at least
 };
 
 /// Reads and checks the operators' file; throws SettingsError. An unknown field is an error, since
--- a/src/dispatch/job_state.h
+++ b/src/dispatch/job_state.h
@@ -34,8 +34,10 @@
   std::map<uint32_t, std::set<TaskPlacement>> at;
   uint64_t gang_attempt = 0;        ///< the attempt that all tasks of a gang share
   std::set<std::string> failed_on;  ///< machines on which tasks failed: avoided
-  int failures = 0;                 ///< since one last succeeded
-  Seconds retry_at = 0;             ///< nothing of the job is placed before
+  /// Machines on which it failed since it last was seen to work.
+  std::set<std::string> failed_since_success;
+  int trials_failed = 0;  ///< since it was first held to be at fault
+  Seconds retry_at = 0;   ///< nothing of the job is placed before
 
   const JobSpec& spec() const { return stored.spec; }
   /// Whether the next leader will know that a task may be on the machine.
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -143,7 +143,6 @@
   void adopt(Machine& m, const RunKey& key, Run& run, Job& job, Seconds now);
   void mark_image_used(Machine& m, const std::string& image, double gb);
   void handle_exit(Machine& m, const RunKey& key, Run& run, Seconds now);
-  void count_failure(Machine& m, Job& job, Seconds now);
   /// The only place that changes a run's phase.
   void set_phase(Machine& m, const RunKey& key, Run& run, Run::Phase next, Seconds now);
   void add_presence(Machine& m, const RunKey& key);
@@ -162,6 +161,17 @@
   bool startable(const Machine& m, const RunKey& key, const Run& run) const;
   void order_starts(Seconds now, std::vector<Action>& out);
 
+  // failures.cpp
+  /// Whether the job fails wherever it is started, as one that was submitted with a mistake does.
+  /// It is tried with one task at a time, less and less often, and stops nobody.
+  bool at_fault(const Job& job) const;
+  void count_failure(Machine& m, Job& job, Seconds now);
+  void count_success(Job& job, Seconds now);
+  void blame(Machine& m, const Job& job, Seconds now);
+  void withdraw_blame(const Job& job);
+  bool runs_well(const Job& job, Seconds now) const;
+  bool sick_for_certain(const Machine& m, Seconds now) const;
+
   // rounds.cpp
   void round(Seconds now);
   std::vector<Slot> picture(Seconds now, bool booting) const;
--- a/src/dispatch/machine_lifecycle.cpp
+++ b/src/dispatch/machine_lifecycle.cpp
@@ -144,7 +144,8 @@
     case Machine::Stage::Expired:
       return now - m.last_heard > settings_.lease_s;
     case Machine::Stage::Up:
-      return m.listed_failed || (m.sick && !m.has_presence()) || seems_dead(m, now);
+      return m.listed_failed || (m.sick() && !m.has_presence() && sick_for_certain(m, now)) ||
+             seems_dead(m, now);
     case Machine::Stage::Returning:
       return false;
   }
--- a/src/dispatch/record_writes.cpp
+++ b/src/dispatch/record_writes.cpp
@@ -94,6 +94,7 @@
         if (key.task.job == record.spec.id && run.present()) adopt(m, key, run, job, now);
   }
   if (record.state != JobState::Pending) stop_job(job, false, now);
+  if (record.state == JobState::Cancelled) withdraw_blame(job);
 }
 
 void LeaderCore::job_finished(const std::string& id) {
@@ -106,6 +107,7 @@
       auto run = m->second.runs.find({{id, task}, attempt});
       if (run != m->second.runs.end()) run->second.wanted = false;
     }
+  if (!it->second.complete()) withdraw_blame(it->second);
   jobs_.erase(it);
 }
 
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -19,7 +19,7 @@
 }  // namespace
 
 bool LeaderCore::usable(const Machine& m, Seconds now) const {
-  return m.stage == Machine::Stage::Up && m.proven && !m.sick && !m.draining && !m.taken_at &&
+  return m.stage == Machine::Stage::Up && m.proven && !m.sick() && !m.draining && !m.taken_at &&
          now - m.last_report < kSilence * settings_.report_s + 0.5;
 }
 
@@ -99,6 +99,10 @@
     if (!job.runnable() || now < job.retry_at || missing_in_doubt(job)) continue;
     if (job.at.size() + job.done.count() >= job.spec().tasks) continue;
     if (job.spec().kind == JobKind::Gang && !job.at.empty()) continue;
+    if (at_fault(job) && !job.at.empty()) {
+      if (!runs_well(job, now)) continue;
+      count_success(job, now);
+    }
     out.push_back(&job);
   }
   // Arrival order; of those that arrive together the largest gang first. A job that might preempt
@@ -160,6 +164,7 @@
   d.spec = &job.spec();
   const bool gang = job.spec().kind == JobKind::Gang;
   if (gang && most < job.spec().tasks) return std::nullopt;
+  if (!gang && at_fault(job)) most = std::min<size_t>(most, 1);
   const size_t limit = gang ? job.spec().tasks : std::min(most, kMostTasks);
   auto there = job.at.begin();  // both in order: one pass over what is somewhere
   for (uint32_t t = job.done.next_missing(0); t < job.spec().tasks && d.tasks.size() < limit;
@@ -190,9 +195,13 @@
     const size_t left = quota_left(*job);
     auto d = left > 0 ? demand(*job, now, left) : std::nullopt;
     if (!d) continue;
-    if (d->image_first) place_warm(*job, *d, slots, now);
+    if (d->image_first && !at_fault(*job)) place_warm(*job, *d, slots, now);
     if (!d->tasks.empty()) place_part(*job, *d, slots, now);
     if (d->tasks.empty()) continue;
+    if (at_fault(*job)) {
+      unplaced_.push_back(std::move(*d));
+      continue;
+    }
     if (job->spec().kind == JobKind::Gang && d->tasks.size() > 1)
       gather(*job, *d, slots, now);
     else
--- a/src/dispatch/task_runs.cpp
+++ b/src/dispatch/task_runs.cpp
@@ -79,7 +79,8 @@
   if (!job) return;
   if (run.cause == ExitCause::Done) {
     m.error_jobs.clear();
-    job->failures = 0;
+    m.others_succeed = false;
+    count_success(*job, now);
     if (job->spec().kind == JobKind::Service) return;
     const bool gang = job->spec().kind == JobKind::Gang;
     // The tasks of a gang complete together.
@@ -97,24 +98,6 @@
   stop_gang_of(key.task, now);
 }
 
-void LeaderCore::count_failure(Machine& m, Job& job, Seconds now) {
-  job.failed_on.insert(m.info.id);
-  ++job.failures;
-  // One job that fails on several machines is at fault itself; several jobs that fail on one
-  // machine put the blame on the machine.
-  if (job.failed_on.size() >= 3) {
-    const int doublings = std::min(job.failures / settings_.tuning.start_tries, 6);
-    job.retry_at = now + settings_.report_s * (1 << doublings);
-    if (job.failed_on.size() > 8) job.failed_on.clear();
-  } else {
-    m.error_jobs.insert(job.spec().id);
-  }
-  if (m.error_jobs.size() >= 2 && !m.sick) {
-    m.sick = true;
-    spdlog::info("{} fails what it starts: drained", m.info.id);
-  }
-}
-
 void LeaderCore::add_presence(Machine& m, const RunKey& key) {
   if (Job* job = find_job(key.task.job)) job->at[key.task.task].insert({m.info.id, key.attempt});
 }
--- a/src/fleet/machine.h
+++ b/src/fleet/machine.h
@@ -109,7 +109,10 @@
   bool listed_failed = false;
   std::optional<Seconds> taken_at;  ///< spot notice: when the cloud takes it
   std::optional<Seconds> idle_since;
-  bool sick = false;                 ///< fails what it starts: gets nothing new and is returned
+  /// Fails what it starts: gets nothing new, and is returned once that is certain.
+  std::optional<Seconds> sick_since;
+  bool sick() const { return sick_since.has_value(); }
+  bool others_succeed = false;       ///< a job that failed here has succeeded elsewhere
   std::set<std::string> error_jobs;  ///< jobs that failed here since one last succeeded
   ImageCache images;
   bool draining = false;  ///< its tasks are moved elsewhere: gets nothing new
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -485,6 +485,165 @@
   EXPECT_TRUE(core->jobs().at("job-1").at.empty());
 }
 
+/// Machines that carry out what they are told to. A task fails where its job was submitted with a
+/// mistake and on machines that are sick; others are done after a while.
+struct FailingJobs : Fixture {
+  struct Task {
+    TaskReport report;
+    Seconds started = 0;
+  };
+  struct Worker {
+    uint64_t seq = 0, token = 0;
+    std::map<std::pair<TaskKey, uint64_t>, Task> tasks;
+  };
+  static constexpr Seconds kFailsAfter = 0.6, kDoneAfter = 3;
+  std::unique_ptr<LeaderCore> core;
+  std::map<std::string, Worker> workers;
+  std::set<std::string> mistaken, sick;
+  std::map<std::string, size_t> failed, done;  ///< starts that ended, by job
+  size_t rented = 0;
+
+  FailingJobs() {
+    settings.teams[0].gpus_max = 0;
+    type.boot_s = 1000;  // no machine is given back for being idle
+    record.spec.kind = JobKind::Array;
+    record.spec.need = {4, 1, 4};
+    core = leader(1, 0);
+    for (int i = 1; i <= 12; ++i) workers["i-" + std::to_string(i)];
+  }
+
+  void submit(const std::string& id, uint32_t tasks) {
+    record.spec.id = id;
+    record.spec.tasks = tasks;
+    core->job_stored(record, ++revision, now);
+  }
+
+  WorkerReport report_of(const std::string& id) {
+    Worker& worker = workers.at(id);
+    std::vector<TaskReport> tasks;
+    for (const auto& [key, task] : worker.tasks) tasks.push_back(task.report);
+    return report(id, ++worker.seq, worker.token, tasks);
+  }
+
+  void carry_out(const std::string& id, uint64_t token, const std::vector<Command>& commands) {
+    Worker& worker = workers.at(id);
+    worker.token = std::max(worker.token, token);
+    for (const Command& command : commands) {
+      const std::pair key{command.key, command.attempt};
+      if (command.verb == Verb::Start)
+        worker.tasks.try_emplace(
+            key, Task{{command.key, command.attempt, TaskState::Running, ExitCause::None}, now});
+      else if (command.verb == Verb::Forget)
+        worker.tasks.erase(key);
+      else if (const auto task = worker.tasks.find(key); task != worker.tasks.end())
+        end(task->second, ExitCause::Stopped);
+    }
+  }
+
+  static void end(Task& task, ExitCause cause) {
+    if (task.report.state == TaskState::Exited) return;
+    task.report.state = TaskState::Exited;
+    task.report.cause = cause;
+  }
+
+  void run_tasks(const std::string& id) {
+    for (auto& [key, task] : workers.at(id).tasks) {
+      if (task.report.state == TaskState::Exited) continue;
+      const std::string& job = task.report.key.job;
+      const bool fails = mistaken.count(job) > 0 || sick.count(id) > 0;
+      if (now - task.started < (fails ? kFailsAfter : kDoneAfter)) continue;
+      end(task, fails ? ExitCause::Error : ExitCause::Done);
+      ++(fails ? failed : done)[job];
+    }
+  }
+
+  void carry_out(const Action& action) {
+    if (const auto* order = std::get_if<SendOrders>(&action)) {
+      carry_out(order->machine, order->token, order->commands);
+      core->orders_done(order->machine, report_of(order->machine), true, now);
+    } else if (const auto* release = std::get_if<Release>(&action)) {
+      for (const auto& id : release->machines) workers.erase(id);
+      core->release_done(*release, true, now);
+    } else if (const auto* rent = std::get_if<Rent>(&action)) {
+      rented += static_cast<size_t>(rent->count);
+      core->rent_done(*rent, LeaderCore::RentOutcome::Refused, {}, now);
+    }
+  }
+
+  void pass(Seconds time) {
+    int step = 0;
+    for (const Seconds end = now + time; now < end; now += 0.1, ++step) {
+      for (auto& [id, worker] : workers) {
+        run_tasks(id);
+        if (step % 5 != 0) continue;
+        const auto answer = core->report(report_of(id), true, now);
+        carry_out(id, answer.token, answer.commands);
+      }
+      for (const auto& action : core->tick(now)) carry_out(action);
+      write_all(*core);
+    }
+  }
+
+  std::set<std::string> given_back() const {
+    std::set<std::string> out;
+    for (int i = 1; i <= 12; ++i) out.insert("i-" + std::to_string(i));
+    for (const auto& [id, worker] : workers) out.erase(id);
+    return out;
+  }
+};
+
+TEST_F(FailingJobs, ThatFailEverywhereLeaveNoBlameOnMachines) {
+  mistaken = {"job-bad-1", "job-bad-2", "job-bad-3"};
+  pass(2);
+  for (const auto& id : mistaken) submit(id, 6);
+  pass(20);
+  EXPECT_GT(failed["job-bad-1"], 2u);
+  EXPECT_EQ(given_back(), std::set<std::string>{});
+}
+
+TEST_F(FailingJobs, OfOneTaskThatFailEverywhereLeaveNoBlameOnMachines) {
+  pass(2);
+  for (int i = 0; i < 8; ++i) {
+    const std::string id = "job-bad-" + std::to_string(i);
+    mistaken.insert(id);
+    submit(id, 1);
+    pass(0.5);
+  }
+  pass(20);
+  EXPECT_EQ(given_back(), std::set<std::string>{});
+}
+
+TEST_F(FailingJobs, TellSickMachinesApart) {
+  mistaken = {"job-bad-1", "job-bad-2"};
+  sick = {"i-1", "i-2", "i-3", "i-4"};
+  pass(2);
+  for (const auto& id : mistaken) submit(id, 6);
+  for (int i = 0; i < 24; ++i) submit("job-good-" + std::to_string(i), 4);
+  pass(60);
+  for (int i = 0; i < 24; ++i) EXPECT_EQ(done["job-good-" + std::to_string(i)], 4u);
+  EXPECT_EQ(given_back(), sick);
+}
+
+TEST_F(FailingJobs, ThatFailEverywhereTakeOneTaskAtATimeAndNoRoomFromOthers) {
+  mistaken = {"job-bad"};
+  pass(2);
+  submit("job-bad", 400);
+  pass(3);
+  const size_t at_first = failed["job-bad"], rented_at_first = rented;
+  pass(200);
+  EXPECT_LE(failed["job-bad"], at_first + 12) << "a few trials";
+  EXPECT_GT(failed["job-bad"], at_first) << "it may have been the machines";
+  EXPECT_EQ(rented, rented_at_first) << "machines for starts that fail";
+}
+
+TEST_F(FailingJobs, AreTriedAgainSoonOnceTheirMachinesWereAtFault) {
+  sick = {"i-1", "i-2", "i-3"};
+  pass(2);
+  submit("job-good", 100);
+  pass(60);
+  EXPECT_EQ(done["job-good"], 100u);
+}
+
 /// A task of job-1 runs on i-9; the leader hears of the cancellation only when told to.
 struct Cancelled : Fixture {
   std::unique_ptr<LeaderCore> core = leader(1, 0);
