Work beyond a team's guarantee gives way to another team's guarantee

A job within its team's guarantee may stop tasks of the same or lower priority that other teams run beyond theirs, never more than it needs and never so many that the other team would fall below its guarantee. Work of higher priority does not give way: it would go before the job in the next round and stop it. Of the same priority, jobs within a guarantee go before the others, or what gave way would be back in its place at once.

--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -15,6 +15,7 @@
 #include "dispatch/rental_requests.h"
 #include "dispatch/zone_reachability.h"
 #include "fleet/machine.h"
+#include "jobs/guarantees.h"
 #include "jobs/record.h"
 #include "leadership/delegation.h"
 #include "placement/placement.h"
@@ -187,6 +188,7 @@
   Seconds loss_of(const Job& job, const Run& run, Seconds now) const;
   std::vector<Victim> victims(const std::vector<Slot>& slots, Seconds now) const;
   const std::vector<Victim>& victims_of_round(const std::vector<Slot>& slots, Seconds now);
+  void find_guaranteed(const std::vector<Job*>& waiting);
   void forget_victim(const Victim& gone);
   void count_usage();
   bool usable(const Machine& m, Seconds now) const;
@@ -248,7 +250,9 @@
   std::unordered_map<std::string, Amounts> used_;  ///< by team
   ArrivalForecast arrivals_;
   std::optional<std::vector<Victim>> victims_;  ///< of this round, once anybody has asked
-  std::vector<Demand> unplaced_;                ///< of the last round; used in the same tick only
+  JobIds guaranteed_;             ///< in this round: jobs within their team's guarantee
+  RunningWork running_work_;      ///< of this round, once the victims are listed
+  std::vector<Demand> unplaced_;  ///< of the last round; used in the same tick only
   Seconds next_round_ = 0, next_provision_ = 0, next_release_ = 0, next_move_ = 0,
           next_summary_ = 0;
   bool releasing_ = false;
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -101,15 +101,17 @@
     if (job.spec().kind == JobKind::Gang && !job.at.empty()) continue;
     out.push_back(&job);
   }
+  find_guaranteed(out);
   // Arrival order; of those that arrive together the largest gang first. A job that might preempt
   // another goes before it: started the other way round, the other would only be stopped again. Of
   // those that can stop nobody, tasks that need no GPUs fit into every gap and would take the CPUs
-  // beside all GPUs, so those that need GPUs go first.
+  // beside all GPUs, so those that need GPUs go first. A job within its team's guarantee need not
+  // wait for other teams, and what it has stopped must not be back in its place before it.
   const double together_ms = settings_.report_s * 1000;
   std::sort(out.begin(), out.end(), [&](const Job* a, const Job* b) {
     auto rank = [&](const Job* j) {
       return std::make_tuple(
-          -static_cast<int>(j->spec().priority),
+          -static_cast<int>(j->spec().priority), guaranteed_.count(j->spec().id) == 0,
           j->spec().priority == Priority::Low && j->spec().need.gpus == 0,
           std::floor(static_cast<double>(j->stored.submitted_ms) / together_ms),
           j->spec().kind == JobKind::Gang ? -static_cast<int>(j->spec().tasks) : 0,
@@ -120,6 +122,25 @@
   return out;
 }
 
+/// Finds the jobs within guarantees, if any of those that wait could be one of them.
+void LeaderCore::find_guaranteed(const std::vector<Job*>& waiting) {
+  guaranteed_.clear();
+  JobIds teams;
+  for (const auto& team : settings_.teams)
+    if (has_guarantee(team)) teams.insert(team.name);
+  if (teams.empty()) return;
+  const auto claims = [&teams](const Job& job) { return teams.count(job.spec().team) > 0; };
+  if (std::none_of(waiting.begin(), waiting.end(), [&](const Job* job) { return claims(*job); }))
+    return;
+  std::vector<UnfinishedJob> unfinished;
+  for (const auto& [id, job] : jobs_) {
+    if (!job.runnable() || !claims(job)) continue;
+    const uint32_t ended = job.spec().kind == JobKind::Array ? job.done.count() : 0;
+    unfinished.push_back({&job.spec(), job.spec().tasks - ended, job.stored.submitted_ms});
+  }
+  guaranteed_ = within_guarantee(settings_.teams, std::move(unfinished));
+}
+
 /// Whether a fetch on a machine that lacks the image costs what users were promised: a replica that
 /// is down stays down for it, and one that is new misses the aim for its class.
 bool LeaderCore::fetch_hurts(const Job& job) const {
@@ -140,6 +161,7 @@
 void LeaderCore::place_warm(Job& job, Demand& d, std::vector<Slot>& slots, Seconds now) {
   Demand warm = d;
   warm.avoid = [&d](const Slot& s) { return d.avoid(s) || !d.has_image(s); };
+  warm.within_guarantee = false;  // other teams' work need not stop where there is room elsewhere
   place_part(job, warm, slots, now);
   if (!warm.tasks.empty()) make_room(job, warm, slots, now);
   d.tasks = warm.tasks;
@@ -175,6 +197,7 @@
         if (m != machines_.end()) ++d.zones[m->second.info.zone];
       }
   d.image_first = fetch_hurts(job);
+  d.within_guarantee = guaranteed_.count(job.spec().id) > 0;
   d.avoid = [&job](const Slot& s) { return job.failed_on.count(s.machine) > 0; };
   d.has_image = [&job](const Slot& s) { return s.of && s.of->images.has(job.spec().image); };
   return d;
@@ -201,7 +224,8 @@
     if (job->spec().priority == Priority::Low) hold_beside_gpus(*d, slots);
     unplaced_.push_back(std::move(*d));
   }
-  victims_.reset();  // it looks at names that the jobs own
+  victims_.reset();  // these look at names that the jobs own
+  guaranteed_.clear();
 }
 
 void LeaderCore::start_placed(Job& job, const std::vector<Placed>& placed,
@@ -245,8 +269,18 @@
       if (!job || job->spec().id != key.task.job) job = find_job(key.task.job);
       if (!job) continue;
       const bool gang = job->spec().kind == JobKind::Gang && job->spec().tasks > 1;
-      out.push_back({job->spec().id, key.task.task, i, run.need, job->spec().priority,
-                     loss_of(*job, run, now), gang});
+      Victim victim;
+      victim.job = job->spec().id;
+      victim.team = job->spec().team;
+      victim.task = key.task.task;
+      victim.slot = i;
+      victim.need = run.need;
+      victim.priority = job->spec().priority;
+      victim.loss_s = loss_of(*job, run, now);
+      victim.gang = gang;
+      victim.beyond_guarantee = guaranteed_.count(victim.job) == 0;
+      victim.stops = gang ? run.need.times(job->spec().tasks) : run.need;
+      out.push_back(victim);
     }
   }
   return out;
@@ -255,6 +289,7 @@
 /// It is being stopped, with its gang if it has one: nobody else in this round gets its place.
 void LeaderCore::forget_victim(const Victim& gone) {
   if (!victims_) return;
+  running_work_.remove(gone.team, gone.stops);
   std::for_each(victims_->begin(), victims_->end(), [&gone](Victim& v) {
     if (v.job == gone.job && (gone.gang || v.task == gone.task)) v.stopped = true;
   });
@@ -266,6 +301,8 @@
                                                         Seconds now) {
   if (!victims_) {
     victims_ = victims(slots, now);
+    running_work_ = RunningWork(settings_.teams);
+    for (const auto& victim : *victims_) running_work_.add(victim.team, victim.need);
     ++work_.victim_lists;
   }
   return *victims_;
@@ -299,9 +336,11 @@
 /// Whether all tasks would find room if tasks of lower priority gave way.
 bool LeaderCore::preemptible(Demand d, std::vector<Slot> slots,
                              const std::vector<Victim>& candidates) const {
+  RunningWork running = running_work_;
   for (; !d.tasks.empty(); d.tasks.pop_back()) {
-    const auto p = preempt(d, slots, candidates);
+    const auto p = preempt(d, slots, candidates, running);
     if (!p) return false;
+    for (size_t v : p->victims) running.remove(candidates[v].team, candidates[v].stops);
     slots[p->slot].usable = false;
     ++d.zones[slots[p->slot].zone];
   }
@@ -332,17 +371,17 @@
   if (preemptible(d, slots, candidates)) make_room(job, d, slots, candidates, now);
 }
 
-/// Stops tasks of lower priority for those that found no room. Their places are free once they are
-/// proven gone; until then the room is held for this job.
+/// Stops tasks of lower priority, or beyond other teams' guarantees, for those that found no room.
+/// Their places are free once they are proven gone; until then the room is held for this job.
 void LeaderCore::make_room(Job& job, Demand& d, std::vector<Slot>& slots, Seconds now) {
-  if (job.spec().priority == Priority::Low) return;
+  if (job.spec().priority == Priority::Low && !d.within_guarantee) return;
   make_room(job, d, slots, victims_of_round(slots, now), now);
 }
 
 void LeaderCore::make_room(Job& job, Demand& d, std::vector<Slot>& slots,
                            const std::vector<Victim>& candidates, Seconds now) {
   while (!d.tasks.empty()) {
-    const auto p = preempt(d, slots, candidates);
+    const auto p = preempt(d, slots, candidates, running_work_);
     if (!p) return;
     Slot& slot = slots[p->slot];
     for (size_t v : p->victims) {
--- /dev/null
+++ b/src/jobs/guarantees.cpp
@@ -0,0 +1,78 @@
+#include "jobs/guarantees.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace sumacquay {
+namespace {
+
+/// Sums of decimals are not exact.
+constexpr double kSlack = 1e-6;
+
+bool covers(const TeamSettings& team, const Amounts& need) {
+  return need.gpus > 0 ? team.gpus > 0 : team.cpus > 0;
+}
+
+bool exceeds(double used, double guaranteed) {
+  return guaranteed > 0 && used > guaranteed + kSlack;
+}
+
+bool falls_short(double running, double lost, double guaranteed) {
+  return guaranteed > 0 && lost > 0 && running - lost < guaranteed - kSlack;
+}
+
+bool earlier(const UnfinishedJob& a, const UnfinishedJob& b) {
+  return std::tie(a.submitted_ms, a.spec->id) < std::tie(b.submitted_ms, b.spec->id);
+}
+
+}  // namespace
+
+bool has_guarantee(const TeamSettings& team) {
+  return team.cpus > 0 || team.gpus > 0;
+}
+
+JobIds within_guarantee(const std::vector<TeamSettings>& teams, std::vector<UnfinishedJob> jobs) {
+  struct Claim {
+    const TeamSettings* team = nullptr;
+    Amounts claimed;
+  };
+  std::unordered_map<std::string_view, Claim> claims;
+  for (const auto& team : teams)
+    if (has_guarantee(team)) claims[team.name].team = &team;
+  std::erase_if(jobs, [&](const UnfinishedJob& job) { return !claims.count(job.spec->team); });
+  std::sort(jobs.begin(), jobs.end(), earlier);
+
+  JobIds within;
+  for (const auto& job : jobs) {
+    Claim& claim = claims.at(job.spec->team);
+    claim.claimed += job.spec->need.times(job.tasks_left);
+    if (exceeds(claim.claimed.cpus, claim.team->cpus)) continue;
+    if (exceeds(claim.claimed.gpus, claim.team->gpus)) continue;
+    if (covers(*claim.team, job.spec->need)) within.insert(job.spec->id);
+  }
+  return within;
+}
+
+RunningWork::RunningWork(const std::vector<TeamSettings>& teams) {
+  for (const auto& team : teams) teams_[team.name].settings = &team;
+}
+
+void RunningWork::add(std::string_view team, const Amounts& amounts) {
+  const auto found = teams_.find(team);
+  if (found != teams_.end()) found->second.running += amounts;
+}
+
+void RunningWork::remove(std::string_view team, const Amounts& amounts) {
+  const auto found = teams_.find(team);
+  if (found != teams_.end()) found->second.running -= amounts;
+}
+
+bool RunningWork::can_spare(std::string_view team, const Amounts& amounts) const {
+  const auto found = teams_.find(team);
+  if (found == teams_.end()) return false;
+  const auto& [settings, running] = found->second;
+  return !falls_short(running.cpus, amounts.cpus, settings->cpus) &&
+         !falls_short(running.gpus, amounts.gpus, settings->gpus);
+}
+
+}  // namespace sumacquay
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -97,17 +97,57 @@
   return placed.size();
 }
 
-/// Lower priority gives way; but a gang, which stops on all its machines, only to a task that takes
-/// a good part of one of them.
-bool may_stop(const JobSpec& spec, const Victim& victim) {
+/// Whether it is work that another team runs beyond its guarantee, and the demand is within its
+/// own. Higher priority doesn't give way: it would go before the demand in the next round, and stop
+/// it.
+bool yields_to_guarantee(const Demand& d, const Victim& victim) {
+  return d.within_guarantee && victim.beyond_guarantee && victim.team != d.spec->team &&
+         victim.priority <= d.spec->priority;
+}
+
+/// Lower priority and work beyond a guarantee give way; but a gang, which stops on all its
+/// machines, only to a task that takes a good part of one of them.
+bool may_stop(const Demand& d, const Victim& victim) {
   constexpr double kGoodPart = 0.4;
-  if (victim.stopped || victim.priority >= spec.priority) return false;
+  const JobSpec& spec = *d.spec;
+  if (victim.stopped) return false;
+  if (victim.priority >= spec.priority && !yields_to_guarantee(d, victim)) return false;
   if (!victim.gang) return true;
   const bool by_gpus = victim.need.gpus > 0;
   return by_gpus ? spec.need.gpus >= kGoodPart * victim.need.gpus
                  : spec.need.cpus >= kGoodPart * victim.need.cpus;
 }
 
+/// Whether the victim's team keeps its guarantee if it loses this one beside those chosen already.
+bool team_can_spare(const Victim& victim, const std::vector<size_t>& chosen,
+                    const std::vector<Victim>& victims, const RunningWork& running) {
+  Amounts lost = victim.stops;
+  for (size_t v : chosen)
+    if (victims[v].team == victim.team) lost += victims[v].stops;
+  return running.can_spare(victim.team, lost);
+}
+
+double cost_of(const Victim& victim) {
+  return 1 + victim.loss_s + 1000.0 * static_cast<int>(victim.priority);
+}
+
+/// Leaves out, the dearest first, those without whom the task fits all the same: a large one that
+/// came last may make small ones needless. Returns what they would have cost.
+double drop_needless(std::vector<size_t>& chosen, const std::vector<Victim>& victims,
+                     const Amounts& need, Amounts room) {
+  double saved = 0;
+  for (size_t i = chosen.size(); i-- > 0;) {
+    const Victim& victim = victims[chosen[i]];
+    Amounts without = room;
+    without -= victim.need;
+    if (!need.fits_in(without)) continue;
+    room = without;
+    saved += cost_of(victim);
+    chosen.erase(chosen.begin() + static_cast<std::ptrdiff_t>(i));
+  }
+  return saved;
+}
+
 }  // namespace
 
 bool allowed(const JobSpec& spec, const std::string& type, const std::string& zone, bool spot) {
@@ -180,10 +220,10 @@
 }
 
 std::optional<Preemption> preempt(const Demand& d, const std::vector<Slot>& slots,
-                                  const std::vector<Victim>& victims) {
+                                  const std::vector<Victim>& victims, const RunningWork& running) {
   std::vector<std::vector<size_t>> by_slot(slots.size());
   for (size_t v = 0; v < victims.size(); ++v)
-    if (may_stop(*d.spec, victims[v])) by_slot[victims[v].slot].push_back(v);
+    if (may_stop(d, victims[v])) by_slot[victims[v].slot].push_back(v);
   std::optional<Preemption> best;
   double best_loss = 0;
   for (size_t i = 0; i < slots.size(); ++i) {
@@ -203,11 +243,15 @@
     double loss = 0;
     for (size_t v : order) {
       if (d.spec->need.fits_in(room)) break;
+      if (victims[v].priority >= d.spec->priority &&
+          !team_can_spare(victims[v], p.victims, victims, running))
+        continue;
       room += victims[v].need;
-      loss += 1 + victims[v].loss_s + 1000.0 * static_cast<int>(victims[v].priority);
+      loss += cost_of(victims[v]);
       p.victims.push_back(v);
     }
     if (!d.spec->need.fits_in(room)) continue;
+    if (d.within_guarantee) loss -= drop_needless(p.victims, victims, d.spec->need, room);
     if (!best || loss < best_loss) best = p, best_loss = loss;
   }
   return best;
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "jobs/guarantees.h"
 #include "jobs/spec.h"
 
 namespace sumacquay {
@@ -36,6 +37,7 @@
   std::vector<uint32_t> tasks;                      ///< to be placed
   std::unordered_map<std::string, uint32_t> zones;  ///< tasks of the job that are in a zone
   bool image_first = false;                         ///< a fetch costs more than packing gains
+  bool within_guarantee = false;                    ///< its team's: other teams' must not delay it
   std::function<bool(const Slot&)> avoid;           ///< machines the job failed on
   std::function<bool(const Slot&)> has_image;       ///< machines that hold the image
 };
@@ -79,7 +81,7 @@
 
 /// A running task that a job may be given the place of.
 struct Victim {
-  std::string_view job;  ///< owned by whoever lists the victims
+  std::string_view job;  ///< owned by whoever lists the victims, as the team's name is
   uint32_t task = 0;
   size_t slot = 0;
   Amounts need;
@@ -87,6 +89,9 @@
   double loss_s = 0;  ///< progress that stopping it throws away
   bool gang = false;  ///< others on other machines stop with it
   bool stopped = false;
+  std::string_view team = {};
+  bool beyond_guarantee = false;  ///< its job is not within its team's guarantee
+  Amounts stops = {};             ///< what the team loses with it: of a gang, all its tasks'
 };
 
 struct Preemption {
@@ -95,8 +100,13 @@
   bool on_its_way = false;      ///< enough is being stopped there already
 };
 
-/// Room for one task by stopping tasks of lower priority: the slot where the least is lost.
+/// Room for one task by stopping tasks of lower priority, or, for a job within its team's
+/// guarantee, tasks of the same priority that other teams run beyond theirs: the slot where the
+/// least is lost. Never would a task stop what may stop it in turn: priorities fall along a chain
+/// of preemptions, and where they don't, who is within a guarantee stops who isn't. `running` is
+/// asked what a team can lose without falling below its guarantee.
 std::optional<Preemption> preempt(const Demand& demand, const std::vector<Slot>& slots,
-                                  const std::vector<Victim>& victims);
+                                  const std::vector<Victim>& victims,
+                                  const RunningWork& running = {});
 
 }  // namespace sumacquay
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -651,6 +651,47 @@
   });
 }
 
+TEST(Meetings, TwoTeamsAtAndBeyondTheirGuaranteesAsTheLeaderChanges) {
+  WorldOptions o;
+  o.most_machines = o.machines = 4;
+  o.task_least = 75;  // who waits for a place to come free by itself waits for too long
+  o.task_most = 85;
+  o.open_team_gpus = 8;
+  meet(o, [](World& world) {
+    world.run_until([&] { return world.leader().has_value(); }, 20);
+    const auto submit = [&world](const std::string& team, uint32_t tasks) {
+      JobSpec s = world.users().any_spec();
+      s.kind = JobKind::Array;
+      s.priority = Priority::High;
+      s.tasks = tasks;
+      s.team = team;
+      s.spread = s.one_zone = false;
+      return world.users().submit(s);
+    };
+    std::vector<std::string> open;
+    for (int i = 0; i < 8; ++i) open.push_back(submit("open", 2));
+    world.run_for(15);
+    const std::vector<std::string> limited{submit("limited", 2), submit("limited", 2)};
+    world.run_for(2);  // controllers accept in any order what comes at once
+    const std::string beyond = submit("limited", 2);
+    world.run_for(world.between(0.2, 3));
+    world.faults().end_process(world.leader_or_first(), 3);
+    const auto waiting = [&world](const std::vector<std::string>& jobs) {
+      size_t n = 0;
+      for (const auto& id : jobs) n += world.tasks_waiting(id);
+      return n;
+    };
+    EXPECT_TRUE(world.run_until([&] { return waiting(limited) == 0; }, 30)) << "they wait";
+    for (int i = 0; i < 20; ++i) {
+      world.run_for(1);
+      EXPECT_EQ(waiting(limited), 0u) << "they are stopped again";
+      EXPECT_LE(waiting(open), 4u) << "more is stopped than they need";
+      EXPECT_EQ(world.tasks_waiting(beyond), 2u) << "it stops nobody";
+    }
+    return waiting(open);
+  });
+}
+
 TEST(Meetings, MoreWorkThanRoomUrgentAndNotWithSlowFetches) {
   WorldOptions o;
   o.most_machines = o.machines = 4;
--- a/tests/world/options.cpp
+++ b/tests/world/options.cpp
@@ -31,6 +31,7 @@
   limited.gpus_max = kLimitedTeamGpus;
   TeamSettings open;
   open.name = kOpenTeam;
+  open.gpus = options.open_team_gpus;
   settings.teams = {limited, open};
   settings.node = node_name(controller);
   settings.zone = options.controller_zones[controller];
--- a/tests/world/options.h
+++ b/tests/world/options.h
@@ -27,6 +27,7 @@
   Seconds boot_least = 2, boot_most = 6;
   Seconds task_least = 2, task_most = 15;
   Seconds fetch_least = 0.1, fetch_most = 1;
+  double open_team_gpus = 0;  ///< what the team without a quota is guaranteed
 };
 
 std::string node_name(size_t controller);
