--- a/tests/guarantees_test.cpp
+++ b/tests/guarantees_test.cpp
@@ -228,11 +228,12 @@
     core_->set_types({type_});
   }
 
-  void submit(JobSpec job) {
+  void submit(JobSpec job, uint32_t done = 0) {
     job.checkpoint_s = 10;
     job.save_s = 1;
     JobRecord record;
     record.spec = std::move(job);
+    for (uint32_t task = 0; task < done; ++task) record.done.add(task);
     record.submitted_ms = static_cast<uint64_t>(now_ * 1000);
     core_->job_stored(record, ++revision_, now_);
   }
@@ -356,6 +357,41 @@
   EXPECT_EQ(stops_["borrower"], 2u);
 }
 
+TEST_F(TeamsAtWork, TwoJobsOfOneRoundDoNotBothTakeTheLastThatATeamCanSpare) {
+  add_machine("i-1");
+  submit(spec("borrower", "b", 3, kOneGpu));
+  submit(spec("first", "a", 1, kOneGpu));
+  pass(20);
+  submit(spec("second", "a", 1, kOneGpu));
+  submit(spec("third", "a", 1, kOneGpu));
+  pass(40);
+  EXPECT_EQ(running("borrower"), 2u);
+  EXPECT_EQ(stops_["borrower"], 1u);
+}
+
+TEST_F(TeamsAtWork, AGangThatHoldsPartOfItsTeamsGuaranteeIsNotStopped) {
+  add_machine("i-1");
+  JobSpec gang = spec("gang", "b", 4, kOneGpu);
+  gang.kind = JobKind::Gang;
+  submit(gang);
+  pass(20);
+  ASSERT_EQ(running("gang"), 4u);
+  submit(spec("guaranteed", "a", 1, kOneGpu));
+  pass(40);
+  EXPECT_EQ(running("gang"), 4u);
+  EXPECT_EQ(stops_["gang"], 0u);
+}
+
+TEST_F(TeamsAtWork, TasksThatAreDoneTakeNothingOfAGuarantee) {
+  add_machine("i-1");
+  submit(spec("borrower", "b", 3, kOneGpu));
+  submit(spec("nearly_done", "a", 4, kOneGpu), 3);
+  pass(20);
+  submit(spec("guaranteed", "a", 1, kOneGpu));
+  pass(40);
+  EXPECT_EQ(running("guaranteed"), 1u);
+}
+
 TEST_F(TeamsAtWork, WorkBeyondTheOwnGuaranteeStopsNobody) {
   add_machine("i-1");
   submit(spec("borrower", "b", 4, kOneGpu));
