--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -95,6 +95,7 @@
   /// What rounds cost, in things done: grows with what happens, not with who waits.
   struct Work {
     size_t rounds = 0, victim_lists = 0;
+    size_t adoption_checks = 0;  ///< runs compared with a task that was found running
   };
   const Work& work() const { return work_; }
 
--- a/src/dispatch/task_runs.cpp
+++ b/src/dispatch/task_runs.cpp
@@ -33,19 +33,24 @@
   run.image_gb = spec.image_gb;
   add_presence(m, key);
   const bool gang = spec.kind == JobKind::Gang;
+  // The starts of a gang belong together; of an array a task's own alone matter, and there may be
+  // tens of thousands of others.
+  const auto first = gang ? job.at.begin() : job.at.find(key.task.task);
+  const auto last = gang || first == job.at.end() ? job.at.end() : std::next(first);
   uint64_t newest = key.attempt;
-  for (const auto& [task, places] : job.at)
-    if (gang || task == key.task.task)
-      for (const auto& [machine, attempt] : places) newest = std::max(newest, attempt);
+  for (auto at = first; at != last; ++at)
+    for (const auto& [machine, attempt] : at->second) {
+      ++work_.adoption_checks;
+      newest = std::max(newest, attempt);
+    }
   if (gang) job.gang_attempt = newest;
   run.wanted = key.attempt == newest && job.runnable() && key.task.task < spec.tasks &&
                !job.done.contains(key.task.task);
   // A task is started again only once its earlier start is certainly gone: a report that still
   // shows that one is old, and must not stop the one that runs.
-  for (const auto& [task, places] : job.at)
-    if (gang || task == key.task.task)
-      for (const auto& [machine, attempt] : places)
-        if (attempt < newest) unwant_at(machine, {{key.task.job, task}, attempt}, now);
+  for (auto at = first; at != last; ++at)
+    for (const auto& [machine, attempt] : at->second)
+      if (attempt < newest) unwant_at(machine, {{key.task.job, at->first}, attempt}, now);
 }
 
 void LeaderCore::unwant_at(const std::string& machine, const RunKey& key, Seconds now) {
--- /dev/null
+++ b/tests/cost_test.cpp
@@ -0,0 +1,94 @@
+// What the leader's work costs, in things looked at: it follows what happens, not how much there
+// is.
+#include <gtest/gtest.h>
+
+#include "dispatch/leader_core.h"
+
+namespace sumacquay {
+namespace {
+
+constexpr uint64_t kTerm = 2;
+constexpr uint64_t kToken = kTerm << 20;
+constexpr size_t kMachines = 40;
+constexpr uint32_t kTasksEach = 50;
+constexpr uint32_t kTasks = kMachines * kTasksEach;
+
+/// A fleet that runs an array of many tasks, all started by an earlier leader.
+struct LargeArray : ::testing::Test {
+  Settings settings;
+  double now = 1000;
+  std::unique_ptr<LeaderCore> core;
+
+  LargeArray() {
+    settings.report_s = 3;
+    settings.lease_s = 21;
+    TeamSettings team;
+    team.name = "t";
+    settings.teams = {team};
+    MachineType type;
+    type.name = "g";
+    type.room = {100, 0, 400};
+    type.zones = {"e"};
+    core = std::make_unique<LeaderCore>(settings, kTerm, now, now);
+    core->set_types({type});
+  }
+
+  static JobRecord array(const std::string& id, uint32_t tasks) {
+    JobRecord r;
+    r.spec.id = id;
+    r.spec.team = "t";
+    r.spec.tasks = tasks;
+    r.spec.need = {1, 0, 1};
+    r.started = true;
+    r.submitted_ms = 1;
+    return r;
+  }
+
+  static std::string machine(size_t i) { return "i-" + std::to_string(100 + i); }
+
+  WorkerReport report(size_t i, uint64_t seq, TaskState state) const {
+    WorkerReport r;
+    r.machine = machine(i);
+    r.addr = "10.0.0.2:9";
+    r.type = "g";
+    r.zone = "e";
+    r.session = 1;
+    r.seq = seq;
+    r.token = kToken;
+    for (uint32_t t = 0; t < kTasksEach; ++t)
+      r.tasks.push_back({{"job-1", static_cast<uint32_t>(i) * kTasksEach + t},
+                         (uint64_t{1} << 20) + t,
+                         state,
+                         ExitCause::None});
+    return r;
+  }
+
+  void report_all(uint64_t seq, TaskState state) {
+    for (size_t i = 0; i < kMachines; ++i) core->report(report(i, seq, state), true, now);
+  }
+
+  void take_over() {
+    for (size_t i = 0; i < kMachines; ++i)
+      core->host_stored({machine(i), "10.0.0.2:9", "g", "e", false}, now);
+    core->job_stored(array("job-1", kTasks), 5, now);
+    report_all(1, TaskState::Running);
+  }
+};
+
+TEST_F(LargeArray, ATakeoverLooksAtEachTaskOnce) {
+  take_over();
+  ASSERT_EQ(core->jobs().at("job-1").at.size(), kTasks);
+  EXPECT_LE(core->work().adoption_checks, kTasks);
+}
+
+TEST_F(LargeArray, ATakeoverThatReadsTheRecordLastLooksAtEachTaskTwiceAtMost) {
+  for (size_t i = 0; i < kMachines; ++i)
+    core->host_stored({machine(i), "10.0.0.2:9", "g", "e", false}, now);
+  report_all(1, TaskState::Running);
+  core->job_stored(array("job-1", kTasks), 5, now);
+  ASSERT_EQ(core->jobs().at("job-1").at.size(), kTasks);
+  EXPECT_LE(core->work().adoption_checks, 2 * kTasks);
+}
+
+}  // namespace
+}  // namespace sumacquay
