A job that arrives looks for its own tasks, not through all that run

Each record of a new job went through every run of every machine, in case a report had shown tasks of it before. Runs are in the order of their jobs, so each machine is asked for the job's own.

--- a/src/dispatch/record_writes.cpp
+++ b/src/dispatch/record_writes.cpp
@@ -90,8 +90,11 @@
                   record.spec.job_class);
     // A report may have brought tasks of this job before its record was read.
     for (auto& [id, m] : machines_)
-      for (auto& [key, run] : m.runs)
-        if (key.task.job == record.spec.id && run.present()) adopt(m, key, run, job, now);
+      for (auto run = m.runs.lower_bound({{record.spec.id, 0}, 0});
+           run != m.runs.end() && run->first.task.job == record.spec.id; ++run) {
+        ++work_.adoption_checks;
+        if (run->second.present()) adopt(m, run->first, run->second, job, now);
+      }
   }
   if (record.state != JobState::Pending) stop_job(job, false, now);
 }
--- a/tests/cost_test.cpp
+++ b/tests/cost_test.cpp
@@ -90,5 +90,12 @@
   EXPECT_LE(core->work().adoption_checks, 2 * kTasks);
 }
 
+TEST_F(LargeArray, AJobThatArrivesLooksAtNoOtherJobsTasks) {
+  take_over();
+  const size_t before = core->work().adoption_checks;
+  for (int i = 2; i < 50; ++i) core->job_stored(array("job-" + std::to_string(i), 1), 5, now);
+  EXPECT_EQ(core->work().adoption_checks, before);
+}
+
 }  // namespace
 }  // namespace sumacquay
