Reports and records: what they lack or name is found without a set of copies

What a report lacks is found by going through both in order; the machines of a record are told apart before their names are copied.

--- a/src/dispatch/record_writes.cpp
+++ b/src/dispatch/record_writes.cpp
@@ -5,6 +5,8 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <string_view>
+#include <unordered_set>
 
 #include "dispatch/leader_core.h"
 
@@ -147,9 +149,11 @@
 /// back this job only if it is among them. None if that would take too much of a record.
 std::optional<std::vector<std::string>> LeaderCore::possible_hosts(const Job& job) const {
   if (missing_in_doubt(job) && !job.stored.hosts) return std::nullopt;
-  std::set<std::string> hosts;
+  // An array has tens of thousands of places on a few hundred machines.
+  std::unordered_set<std::string_view> machines;
   for (const auto& [task, places] : job.at)
-    for (const auto& [machine, attempt] : places) hosts.insert(machine);
+    for (const auto& [machine, attempt] : places) machines.insert(machine);
+  std::set<std::string> hosts(machines.begin(), machines.end());
   for (const auto& id : job.stored.hosts.value_or(std::vector<std::string>{})) {
     const auto m = machines_.find(id);
     if (m != machines_.end() && !m->second.accounted) hosts.insert(id);
--- a/src/dispatch/reports.cpp
+++ b/src/dispatch/reports.cpp
@@ -3,6 +3,8 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <tuple>
+#include <vector>
 
 #include "dispatch/leader_core.h"
 
@@ -25,6 +27,34 @@
   return Run::Phase::Exited;
 }
 
+bool same_start(const TaskReport& t, const RunKey& key) {
+  return t.attempt == key.attempt && t.key == key.task;
+}
+
+bool goes_before(const TaskReport& t, const RunKey& key) {
+  return std::tie(t.key, t.attempt) < std::tie(key.task, key.attempt);
+}
+
+/// What the report lacks of the machine's runs, but for those that are still to be started. Both
+/// are walked in the same order, since a report of a full machine has hundreds of tasks.
+std::vector<RunKey> absent_runs(const Machine& m, const WorkerReport& r) {
+  std::vector<const TaskReport*> listed;
+  listed.reserve(r.tasks.size());
+  for (const auto& t : r.tasks) listed.push_back(&t);
+  std::sort(listed.begin(), listed.end(), [](const TaskReport* a, const TaskReport* b) {
+    return std::tie(a->key, a->attempt) < std::tie(b->key, b->attempt);
+  });
+  std::vector<RunKey> absent;
+  auto next = listed.begin();
+  for (const auto& [key, run] : m.runs) {
+    while (next != listed.end() && goes_before(**next, key)) ++next;
+    const bool shown = next != listed.end() && same_start(**next, key);
+    const bool to_be_started = run.phase == Run::Phase::Ordered && run.wanted;
+    if (!shown && !to_be_started) absent.push_back(key);
+  }
+  return absent;
+}
+
 }  // namespace
 
 Machine& LeaderCore::find_or_add_machine(const WorkerReport& r, Seconds now) {
@@ -130,13 +160,7 @@
 /// What a worker that has shown the token in force does not list is gone, but for starts that may
 /// still be on their way to it.
 void LeaderCore::remove_unlisted(Machine& m, const WorkerReport& r, Seconds now) {
-  std::set<RunKey> listed;
-  for (const auto& t : r.tasks) listed.insert({t.key, t.attempt});
-  std::vector<RunKey> gone;
-  for (const auto& [key, run] : m.runs)
-    if (!listed.count(key) && !(run.phase == Run::Phase::Ordered && run.wanted))
-      gone.push_back(key);
-  for (const auto& key : gone) {
+  for (const auto& key : absent_runs(m, r)) {
     const auto run = m.runs.find(key);
     if (run == m.runs.end()) continue;
     const bool present = run->second.present();
