--- a/src/dispatch/leader_core.cpp
+++ b/src/dispatch/leader_core.cpp
@@ -42,9 +42,18 @@
 
 std::unordered_map<std::string, uint32_t> LeaderCore::running_counts() const {
   std::unordered_map<std::string, uint32_t> out;
-  for (const auto& [id, m] : machines_)
-    for (const auto& [key, run] : m.runs)
-      if (run.phase == Run::Phase::Running) ++out[key.task.job];
+  for (const auto& [id, m] : machines_) {
+    const std::string* job = nullptr;  // runs are in the order of their jobs: one look a job
+    uint32_t* count = nullptr;
+    for (const auto& [key, run] : m.runs) {
+      if (run.phase != Run::Phase::Running) continue;
+      if (!job || *job != key.task.job) {
+        job = &key.task.job;
+        count = &out[*job];
+      }
+      ++*count;
+    }
+  }
   return out;
 }
 
