--- a/src/dispatch/record_writes.cpp
+++ b/src/dispatch/record_writes.cpp
@@ -5,6 +5,8 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <string_view>
+#include <unordered_set>
 
 #include "dispatch/leader_core.h"
 
@@ -90,8 +92,11 @@
                   record.spec.job_class);
     // A report may have brought tasks of this job before its record was read.
     for (auto& [id, m] : machines_)
-      for (auto& [key, run] : m.runs)
-        if (key.task.job == record.spec.id && run.present()) adopt(m, key, run, job, now);
+      for (auto run = m.runs.lower_bound({{record.spec.id, 0}, 0});
+           run != m.runs.end() && run->first.task.job == record.spec.id; ++run) {
+        ++work_.adoption_checks;
+        if (run->second.present()) adopt(m, run->first, run->second, job, now);
+      }
   }
   if (record.state != JobState::Pending) stop_job(job, false, now);
   if (record.state == JobState::Cancelled) withdraw_blame(job);
@@ -146,9 +151,11 @@
 /// back this job only if it is among them. None if that would take too much of a record.
 std::optional<std::vector<std::string>> LeaderCore::possible_hosts(const Job& job) const {
   if (missing_in_doubt(job) && !job.stored.hosts) return std::nullopt;
-  std::set<std::string> hosts;
+  // An array has tens of thousands of places on a few hundred machines.
+  std::unordered_set<std::string_view> machines;
   for (const auto& [task, places] : job.at)
-    for (const auto& [machine, attempt] : places) hosts.insert(machine);
+    for (const auto& [machine, attempt] : places) machines.insert(machine);
+  std::set<std::string> hosts(machines.begin(), machines.end());
   for (const auto& id : job.stored.hosts.value_or(std::vector<std::string>{})) {
     const auto m = machines_.find(id);
     if (m != machines_.end() && !m->second.accounted) hosts.insert(id);
