--- a/src/dispatch/leader_core.cpp
+++ b/src/dispatch/leader_core.cpp
@@ -7,7 +7,7 @@
 namespace sumacquay {
 namespace {
 
-/// The pause between two ticks that shows this process to have stood still / workers' lease.
+/// The pause between two events that shows this process to have stood still / workers' lease.
 constexpr double kStoodStill = 0.1;
 
 }  // namespace
@@ -19,8 +19,8 @@
       began_(now),
       fence_(fence),
       wall_offset_(wall_offset),
-      awake_since_(now),
-      last_tick_(now),
+      last_event_(now),
+      listening_since_(now),
       delegations_(term, settings.delegation_after_s()),
       rental_requests_(term) {}
 
@@ -64,12 +64,23 @@
   spdlog::info("no earlier leader answers any more");
 }
 
+/// Called with every event. A process that stood still, or was busy for long, has heard nobody
+/// meanwhile and must not take that for their silence; but no more than the pause itself is taken
+/// from it, or a leader with slow rounds would never find anybody silent.
+void LeaderCore::note_running(Seconds now) {
+  const Seconds pause = now - last_event_;
+  last_event_ = std::max(last_event_, now);
+  if (pause <= settings_.lease_s * kStoodStill) return;
+  listening_since_ += pause;
+  for (auto& [id, m] : machines_) {
+    m.last_heard += pause;
+    m.zone_back += pause;
+  }
+}
+
 std::vector<Action> LeaderCore::tick(Seconds now) {
   std::vector<Action> out;
-  // A process that stood still has heard nobody meanwhile, and must not take that for their
-  // silence.
-  if (now - last_tick_ > settings_.lease_s * kStoodStill) awake_since_ = now;
-  last_tick_ = now;
+  note_running(now);
   expire(now);
   if (now >= next_round_) {
     next_round_ = now + settings_.tuning.round * settings_.report_s;
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -118,6 +118,7 @@
   const Job* find_job(const std::string& id) const;
   Job* find_job(const std::string& id);
   const MachineType* type(const std::string& name) const;
+  void note_running(Seconds now);
 
   // record_writes.cpp
   enum class WriteUrgency { Start, Done, Progress, Finished, None };  ///< the most urgent first
@@ -244,8 +245,9 @@
   Seconds fence_;        ///< until then earlier leaders may have answered workers
   bool fenced_ = false;  ///< none of them answers any more, which was learnt before the fence
   Seconds wall_offset_;  ///< the time of day less the steady time
-  Seconds awake_since_;  ///< since then this process has not stood still
-  Seconds last_tick_;    ///< the time of the last tick
+  Seconds last_event_;   ///< when this leader was last told anything, or had a tick
+  Seconds
+      listening_since_;  ///< the takeover, later by all pauses since: nobody is silent for longer
   Delegations delegations_;
   uint64_t next_attempt_ = 1;
   size_t unaccounted_ = 0;  ///< machines of the takeover that have not told what they have
--- a/src/dispatch/machine_lifecycle.cpp
+++ b/src/dispatch/machine_lifecycle.cpp
@@ -153,7 +153,7 @@
 }
 
 Seconds LeaderCore::silence(const Machine& m, Seconds now) const {
-  return now - std::max({m.last_heard, m.zone_back, awake_since_});
+  return now - std::max({m.last_heard, m.zone_back, listening_since_});
 }
 
 /// Reports come up to a quarter late.
--- a/src/dispatch/reports.cpp
+++ b/src/dispatch/reports.cpp
@@ -80,6 +80,7 @@
 }
 
 LeaderCore::ReportAnswer LeaderCore::report(const WorkerReport& r, bool may_act, Seconds now) {
+  note_running(now);
   if (returned_.count(r.machine)) return {};  // held on its way until the machine was gone
   Machine& m = find_or_add_machine(r, now);
   ReportAnswer answer;
@@ -104,6 +105,7 @@
 
 void LeaderCore::orders_done(const std::string& id, const std::optional<WorkerReport>& r,
                              bool executed, Seconds now) {
+  note_running(now);
   const auto it = machines_.find(id);
   if (it == machines_.end()) return;
   Machine& m = it->second;
@@ -121,6 +123,7 @@
 }
 
 void LeaderCore::probed(const std::string& id, const std::optional<WorkerReport>& r, Seconds now) {
+  note_running(now);
   const auto it = machines_.find(id);
   if (it == machines_.end()) return;
   Machine& m = it->second;
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -199,6 +199,36 @@
   EXPECT_EQ(released, 1u);
 }
 
+TEST_F(Fixture, ALeaderWithSlowRoundsStillFindsASilentMachine) {
+  // Seen with a guest's array of 25,000 tasks: with two seconds from tick to tick the leader took
+  // itself for one that had stood still, and machines were given up only at the end of their lease.
+  record.started = true;
+  settings.lease_s = 10;
+  auto core = leader(1, 0);
+  for (int i = 1; i < 5; ++i)
+    core->host_stored({"i-" + std::to_string(i), "10.0.0.2:9", "g", "e", false}, now);
+  core->job_stored(record, 5, now);
+  const TaskReport runs{{"job-1", 0}, 7, TaskState::Running, ExitCause::None};
+  core->report(report("i-1", 1, uint64_t{1} << 20, {runs}), true, now);
+  const Seconds silent_since = now;
+  std::optional<Seconds> released_at;
+  constexpr Seconds kBetweenTicks = 2;
+  for (int step = 0; now < silent_since + settings.lease_s * 0.8; ++step, now += 0.1) {
+    for (int i = 2; i < 5; ++i)
+      core->report(
+          report("i-" + std::to_string(i), static_cast<uint64_t>(10 + step), uint64_t{1} << 20),
+          true, now);
+    if (step % static_cast<int>(kBetweenTicks * 10) != 0) continue;
+    for (const auto& action : core->tick(now)) {
+      if (const auto* probe = std::get_if<Probe>(&action))
+        core->probed(probe->machine, std::nullopt, now);
+      if (std::holds_alternative<Release>(action) && !released_at) released_at = now;
+    }
+  }
+  ASSERT_TRUE(released_at.has_value());
+  EXPECT_LE(*released_at, silent_since + 3 * kBetweenTicks);
+}
+
 TEST_F(Fixture, AMachineThatIsNeverHeardAfterATakeoverIsGivenUpForTheJobsThatMayBeThere) {
   // The leader before had returned it and ended before the machine's record was gone: jobs that
   // might be there waited for the end of its lease, 51 s.
