--- a/src/dispatch/commands.cpp
+++ b/src/dispatch/commands.cpp
@@ -55,18 +55,20 @@
     if (m.stage != Machine::Stage::Up || m.order_in_flight || now < m.next_order) continue;
     if (m.info.addr.empty()) continue;
     if (!m.proven) continue;
-    const bool news = std::any_of(m.runs.begin(), m.runs.end(), [&](const auto& r) {
-      const auto& [key, run] = r;
-      return (!run.sent && startable(m, key, run)) ||
-             (!run.wanted && run.present() && run.phase != Run::Phase::Ordered && !run.stop_sent);
-    });
+    const bool news =
+        std::any_of(m.runs.begin(), m.runs.end(), [this, &machine = m](const auto& r) {
+          const auto& [key, run] = r;
+          return (!run.sent && startable(machine, key, run)) ||
+                 (!run.wanted && run.present() && run.phase != Run::Phase::Ordered &&
+                  !run.stop_sent);
+        });
     if (!news) continue;
     SendOrders order{id, m.info.addr, token(m), std::max<uint64_t>(m.latest.session, 1),
                      commands_for(m, false)};
     for (auto& [key, run] : m.runs)
       if (!run.wanted && run.present()) run.stop_sent = true;
     m.order_in_flight = true;
-    out.push_back(std::move(order));
+    out.emplace_back(std::move(order));
   }
 }
 
--- a/src/dispatch/fleet_summary.cpp
+++ b/src/dispatch/fleet_summary.cpp
@@ -10,8 +10,13 @@
   if (now < next_summary_) return;
   next_summary_ = now + settings_.lease_s;
   for (const auto& t : types_) {
-    size_t booting = 0, up = 0, idle = 0, leaving = 0;
-    Amounts fetching, used, room;
+    size_t booting = 0;
+    size_t up = 0;
+    size_t idle = 0;
+    size_t leaving = 0;
+    Amounts fetching;
+    Amounts used;
+    Amounts room;
     for (const auto& [id, m] : machines_) {
       if (m.info.type != t.name) continue;
       if (m.stage == Machine::Stage::Booting) ++booting;
--- a/src/dispatch/machine_lifecycle.cpp
+++ b/src/dispatch/machine_lifecycle.cpp
@@ -171,7 +171,7 @@
     if (!greet && !late) continue;
     if (greet) m.next_greeting = now + settings_.report_s;
     m.probe_in_flight = true;
-    out.push_back(Probe{id, m.info.addr, token(m), std::max<uint64_t>(m.latest.session, 1)});
+    out.emplace_back(Probe{id, m.info.addr, token(m), std::max<uint64_t>(m.latest.session, 1)});
   }
 }
 
--- a/src/dispatch/moves.cpp
+++ b/src/dispatch/moves.cpp
@@ -51,8 +51,7 @@
           if (task != key.task.task) ++d.zones[machines_.at(machine).info.zone];
     // Nothing is moved to an empty machine: that would only go back and forth.
     d.avoid = [job](const Slot& s) {
-      return empty(s) || !s.of->images.has(job->spec().image) ||
-             job->failed_on.count(s.machine) > 0;
+      return empty(s) || !s.of->images.has(job->spec().image) || job->failed_on.contains(s.machine);
     };
     if (!elsewhere.fits(d)) return false;
   }
@@ -109,7 +108,7 @@
   next_move_ = now + kPause * settings_.report_s;
   std::set<size_t> taken;  // machines that get replicas are not emptied in the same go
   for (size_t i : worth_emptying(slots)) {
-    if (taken.count(i)) continue;
+    if (taken.contains(i)) continue;
     if (gang) {
       std::vector<Slot> alone{slots[i]};
       alone[0].free = alone[0].room;
--- a/src/dispatch/releases.cpp
+++ b/src/dispatch/releases.cpp
@@ -15,7 +15,7 @@
 }  // namespace
 
 /// Whether there is room for arrivals beside what the trial has placed.
-bool LeaderCore::spare_room(Trial& trial, Seconds) const {
+bool LeaderCore::spare_room(Trial& trial, Seconds /*now*/) const {
   const auto expected = arrivals_.expected(settings_.tuning.headroom);
   const auto demands = demands_of(expected);
   return std::all_of(demands.begin(), demands.end(),
@@ -62,7 +62,7 @@
       release.machines.push_back(id);
   if (release.machines.empty()) return;
   releasing_ = true;
-  out.push_back(std::move(release));
+  out.emplace_back(std::move(release));
 }
 
 void LeaderCore::release_done(const Release& release, bool ok, Seconds now) {
--- a/src/dispatch/renting.cpp
+++ b/src/dispatch/renting.cpp
@@ -35,7 +35,7 @@
   if (now < next_provision_ || types_.empty() || !picture_settled(now)) return;
   next_provision_ = now + settings_.report_s * 0.5;
   arrivals_.forget_old(now, longest_boot());
-  for (auto& rent : rental_requests_.due_again(now)) out.push_back(std::move(rent));
+  for (auto& rent : rental_requests_.due_again(now)) out.emplace_back(std::move(rent));
   if (rental_requests_.any_open()) return;
   auto booting = picture(now, true);
   auto up = picture(now, false);
@@ -51,7 +51,7 @@
     Rent rent = rental_requests_.open({r.type, r.zone, r.spot}, r.count);
     spdlog::info("rents {} {} in {}{}", rent.count, rent.type, rent.zone,
                  rent.spot ? " (spot)" : "");
-    out.push_back(std::move(rent));
+    out.emplace_back(std::move(rent));
   }
 }
 
--- a/tests/delegation_test.cpp
+++ b/tests/delegation_test.cpp
@@ -25,7 +25,7 @@
   r.tasks = {{{"job-1", 0}, 4, TaskState::Running}, {{"job-2", 3}, 5, TaskState::Saving}};
   return r;
 }
-bool none_ended(const std::string&) {
+bool none_ended(const std::string& /*job*/) {
   return false;
 }
 
@@ -45,7 +45,9 @@
         uint64_t process = 1;
         Delegate node(process, kAfter, kFor);
         std::multimap<Seconds, std::function<void()>> mail;
-        Seconds next = 0, cut_until = 0, last_answer = -1;
+        Seconds next = 0;
+        Seconds cut_until = 0;
+        Seconds last_answer = -1;
         while (now < 400) {
           now += 0.1;
           while (!mail.empty() && mail.begin()->first <= now) {
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -57,7 +57,7 @@
     for (const Seconds end = now_ + time; now_ < end; now_ += settings_.report_s / kTurns) {
       ++step_;
       for (int i = step_ % kTurns; i < kMachines; i += kTurns) {
-        if (silent(i) || gone_.count(id(i))) continue;
+        if (silent(i) || gone_.contains(id(i))) continue;
         WorkerReport r{id(i),
                        "a:1",
                        "g",
@@ -133,7 +133,7 @@
     const auto& at = core_->jobs().at(job(i)).at;
     ASSERT_EQ(at.size(), 1u);
     ASSERT_EQ(at.begin()->second.size(), 1u);
-    EXPECT_EQ(started_.count(job(i)) > 0, dies(i)) << job(i);
+    EXPECT_EQ(started_.contains(job(i)), dies(i)) << job(i);
     EXPECT_EQ(gone_.count(at.begin()->second.begin()->machine), 0u);
   }
   const auto& after = core_->work();
