--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -101,7 +101,7 @@
   const Work& work() const { return work_; }
 
   /// Something has changed that a round should see: the next tick has one.
-  void hurry() { next_round_ = 0; }
+  void request_round() { next_round_ = 0; }
   /// Tasks that run, by job; for display.
   std::unordered_map<std::string, uint32_t> running_counts() const;
   /// Whether every machine known at the takeover has told what it has, or has lost its lease.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -219,7 +219,7 @@
     core_->job_stored(record->value, record->version, steady_now());
   else
     core_->job_finished(id);
-  core_->hurry();
+  core_->request_round();
 }
 
 void Node::on_all_job_records() {
--- a/src/node/record_writer.cpp
+++ b/src/node/record_writer.cpp
@@ -37,7 +37,7 @@
     core_->write_done(write, committed, result.revision, steady_now());
   if (!committed) return reread(result);
   state_ = State::Idle;
-  core_->hurry();
+  core_->request_round();
   committed_();
 }
 
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -793,7 +793,7 @@
   core->tick(now + 8.1);
   EXPECT_TRUE(core->jobs().at("job-1").at.empty()) << "what it runs ends with its lease";
   core->report(report("i-9", 20, token), true, now + 8.2);
-  core->hurry();
+  core->request_round();
   core->tick(now + 8.3);
   EXPECT_FALSE(core->jobs().at("job-1").at.empty());
 }
--- a/tests/world/controller_records.cpp
+++ b/tests/world/controller_records.cpp
@@ -62,7 +62,7 @@
     core_->job_stored(job->second.value, job->second.version, env_.now());
   else
     core_->job_finished(id);
-  core_->hurry();
+  core_->request_round();
 }
 
 void ControllerProcess::all_job_records_changed() {
@@ -73,7 +73,7 @@
   for (const auto& id : finished) core_->job_finished(id);
   for (const auto& [id, job] : records_.live())
     core_->job_stored(job.value, job.version, env_.now());
-  core_->hurry();
+  core_->request_round();
 }
 
 void ControllerProcess::wrote_job(const JobRecord& record, uint64_t version) {
@@ -104,7 +104,7 @@
   for (const auto& write : writes) core_->write_done(write, committed, reply.revision, env_.now());
   if (committed) {
     writing_ = false;
-    return core_->hurry();
+    return core_->request_round();
   }
   // It failed, or nobody knows: what the records say now decides what is still to be written.
   read_records([generation = generation_](ControllerProcess& me, bool) {
