--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -91,7 +91,7 @@
   std::vector<Action> tick(Seconds now);
 
   /// Whether no worker gets through to this node any more, so that another should lead.
-  bool unheard(Seconds now) const;
+  bool no_worker_reaches_us(Seconds now) const;
 
   /// What rounds cost, in things done: grows with what happens, not with who waits.
   struct Work {
--- a/src/dispatch/machine_lifecycle.cpp
+++ b/src/dispatch/machine_lifecycle.cpp
@@ -61,7 +61,7 @@
 /// One silent machine is its own trouble; when all of several are silent at once, it is this node
 /// that can't be reached, and each of them would lose its lease though other nodes could answer it.
 /// A new leader waits longer, since workers must find it first.
-bool LeaderCore::unheard(Seconds now) const {
+bool LeaderCore::no_worker_reaches_us(Seconds now) const {
   size_t up = 0;
   Seconds newest = began_ + kFindLeader * settings_.lease_s;
   for (const auto& [id, m] : machines_) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -77,7 +77,7 @@
 void Node::tick() {
   outage_log_.observe(steady_now(), served());
   election_.tick(random());
-  resign_if_unheard();
+  resign_if_no_worker_reaches_us();
   tick_core();
   tick_timer_.expires_after(
       to_microseconds(settings_.report_s * settings_.tuning.round * kTickRoundShare));
@@ -88,8 +88,8 @@
 
 /// The state service still renews the lease of a leader that workers can't reach: it has to go by
 /// itself, or every worker's lease would end.
-void Node::resign_if_unheard() {
-  if (settings_.peers.empty() || !leads_now() || !core_->unheard(steady_now())) return;
+void Node::resign_if_no_worker_reaches_us() {
+  if (settings_.peers.empty() || !leads_now() || !core_->no_worker_reaches_us(steady_now())) return;
   spdlog::info("no worker gets through: leaves the lead to another node");
   election_.resign();
 }
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -392,10 +392,11 @@
   now = began + 5;
   core->report(report("i-2", 2, 0), true, now);
   now += 2.5;
-  EXPECT_FALSE(core->unheard(now)) << "two are silent, one is not";
+  EXPECT_FALSE(core->no_worker_reaches_us(now)) << "two are silent, one is not";
   now += 1;
-  EXPECT_TRUE(core->unheard(now));
-  EXPECT_FALSE(leader(2, 0)->unheard(now)) << "a leader without machines has nothing to hear";
+  EXPECT_TRUE(core->no_worker_reaches_us(now));
+  EXPECT_FALSE(leader(2, 0)->no_worker_reaches_us(now))
+      << "a leader without machines has nothing to hear";
 }
 
 // A gang of several fits nowhere whole while a job that takes each machine as it comes up is there:
--- a/tests/world/controller_process.cpp
+++ b/tests/world/controller_process.cpp
@@ -61,7 +61,7 @@
   leadership_->records_known(records_.known_at());
   leadership_->tick(env_.now(), records_.loaded(), records_.leader().version != 0,
                     env_.random.between(0, 1));
-  resign_if_unheard();
+  resign_if_no_worker_reaches_us();
   if (leads()) {
     for (const auto& action : core_->tick(env_.now()))
       std::visit([this](const auto& what) { perform(what); }, action);
@@ -189,8 +189,8 @@
   links_.workers.send_kept_copies();
 }
 
-void ControllerProcess::resign_if_unheard() {
-  if (!leads() || !core_->unheard(env_.now())) return;
+void ControllerProcess::resign_if_no_worker_reaches_us() {
+  if (!leads() || !core_->no_worker_reaches_us(env_.now())) return;
   const uint64_t lease = leadership_->lease();
   leadership_->resign(env_.now(), kRestAfterResigning * settings().leader_lease_s());
   revoke(lease);
--- a/tests/world/controller_process.h
+++ b/tests/world/controller_process.h
@@ -107,7 +107,7 @@
   void leadership_changed(Leadership::State from, Leadership::State to);
   void begin_leading();
   void cease_leading();
-  void resign_if_unheard();
+  void resign_if_no_worker_reaches_us();
 
   // Records.
   void records_read(const StateReply& reply, Seconds asked_at);
