--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -152,8 +152,8 @@
   void drop_presence(Machine& m, const RunKey& key);
   void remove_run(Machine& m, const RunKey& key);
   void remove_all_runs(Machine& m);
-  void unwant(Run& run, bool graceful, Seconds now);
-  void unwant_at(const std::string& machine, const RunKey& key, Seconds now);
+  void request_stop(Run& run, bool graceful, Seconds now);
+  void request_stop_at(const std::string& machine, const RunKey& key, Seconds now);
   void stop_job(Job& job, bool graceful, Seconds now);
   void stop_gang_of(const TaskKey& key, Seconds now);
 
--- a/src/dispatch/moves.cpp
+++ b/src/dispatch/moves.cpp
@@ -62,7 +62,7 @@
   spdlog::info("moves what runs on {}: {}", m.info.id, why);
   m.draining = true;
   for (auto& [key, run] : m.runs)
-    if (run.present()) unwant(run, false, now);
+    if (run.present()) request_stop(run, false, now);
 }
 
 /// How many machines are being emptied.
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -403,7 +403,7 @@
       } else {
         for (auto& [key, run] : machines_.at(slot.machine).runs)
           if (key.task.job == victim.job && key.task.task == victim.task && run.present())
-            unwant(run, true, now);
+            request_stop(run, true, now);
       }
       slot.coming += victim.need;
       forget_victim(victim);
--- a/src/dispatch/task_runs.cpp
+++ b/src/dispatch/task_runs.cpp
@@ -50,14 +50,14 @@
   // shows that one is old, and must not stop the one that runs.
   for (auto at = first; at != last; ++at)
     for (const auto& [machine, attempt] : at->second)
-      if (attempt < newest) unwant_at(machine, {{key.task.job, at->first}, attempt}, now);
+      if (attempt < newest) request_stop_at(machine, {{key.task.job, at->first}, attempt}, now);
 }
 
-void LeaderCore::unwant_at(const std::string& machine, const RunKey& key, Seconds now) {
+void LeaderCore::request_stop_at(const std::string& machine, const RunKey& key, Seconds now) {
   const auto m = machines_.find(machine);
   if (m == machines_.end()) return;
   const auto run = m->second.runs.find(key);
-  if (run != m->second.runs.end()) unwant(run->second, false, now);
+  if (run != m->second.runs.end()) request_stop(run->second, false, now);
 }
 
 void LeaderCore::set_phase(Machine& m, const RunKey& key, Run& run, Run::Phase next, Seconds now) {
@@ -133,7 +133,7 @@
   }
 }
 
-void LeaderCore::unwant(Run& run, bool graceful, Seconds now) {
+void LeaderCore::request_stop(Run& run, bool graceful, Seconds now) {
   if (!run.wanted && run.stop_since) {
     run.graceful = run.graceful && graceful;
     return;
@@ -155,7 +155,7 @@
       if (!run->second.sent)
         remove_run(m->second, key);  // never left this node
       else
-        unwant(run->second, graceful, now);
+        request_stop(run->second, graceful, now);
     }
 }
 
