--- a/src/dispatch/commands.cpp
+++ b/src/dispatch/commands.cpp
@@ -16,7 +16,7 @@
   if (!run.wanted || run.phase != Run::Phase::Ordered || m.record != Machine::Record::Durable)
     return false;
   const Job* job = find_job(key.task.job);
-  return job && job->runnable() && job->covers(m.info.id);
+  return job && job->runnable() && job->next_leader_knows(m.info.id);
 }
 
 /// Stops come first and are never cut: they take no more than their tasks did in the report.
--- a/src/dispatch/job_state.h
+++ b/src/dispatch/job_state.h
@@ -27,7 +27,7 @@
   bool want_hosts = false;    ///< placed where its record does not say that it may be
   /// What every write of this version of the record leaves of its hosts. One without an answer may
   /// be applied minutes later, and what was started on a host that it drops would be forgotten.
-  std::optional<std::vector<std::string>> narrowed;
+  std::optional<std::vector<std::string>> hosts_of_all_writes;
   Ranges done;                            ///< at least stored.done
   std::optional<Seconds> progress_since;  ///< when `done` came to hold numbers that aren't stored
   /// Where each task is or may be; doubt counts as presence.
@@ -41,9 +41,10 @@
 
   const JobSpec& spec() const { return stored.spec; }
   /// Whether the next leader will know that a task may be on the machine.
-  bool covers(const std::string& machine) const {
+  bool next_leader_knows(const std::string& machine) const {
     return stored.may_be_on(machine) &&
-           (!narrowed || std::binary_search(narrowed->begin(), narrowed->end(), machine));
+           (!hosts_of_all_writes ||
+            std::binary_search(hosts_of_all_writes->begin(), hosts_of_all_writes->end(), machine));
   }
   /// Whether all tasks are done, stored or not.
   bool complete() const { return done.count() == stored.spec.tasks; }
--- a/src/dispatch/record_writes.cpp
+++ b/src/dispatch/record_writes.cpp
@@ -35,22 +35,22 @@
          (record.hosts ? bytes_of(*record.hosts) : 0);
 }
 
-void narrow(Job& job, const std::optional<std::vector<std::string>>& hosts) {
+void keep_common_hosts(Job& job, const std::optional<std::vector<std::string>>& hosts) {
   if (!hosts) return;
-  if (!job.narrowed) {
-    job.narrowed = hosts;
+  if (!job.hosts_of_all_writes) {
+    job.hosts_of_all_writes = hosts;
     return;
   }
-  std::erase_if(*job.narrowed, [&](const std::string& id) {
+  std::erase_if(*job.hosts_of_all_writes, [&](const std::string& id) {
     return !std::binary_search(hosts->begin(), hosts->end(), id);
   });
 }
 
 /// Whether the record tells the next leader every place where a task of the job may be.
-bool record_covers(const Job& job) {
+bool next_leader_knows_all(const Job& job) {
   for (const auto& [task, places] : job.at)
     for (const auto& [machine, attempt] : places)
-      if (!job.covers(machine)) return false;
+      if (!job.next_leader_knows(machine)) return false;
   return true;
 }
 
@@ -83,8 +83,8 @@
   if (!added && job.version >= version) return;
   job.stored = record;
   job.version = version;
-  job.narrowed.reset();
-  job.want_hosts = job.want_hosts && !record_covers(job);
+  job.hosts_of_all_writes.reset();
+  job.want_hosts = job.want_hosts && !next_leader_knows_all(job);
   if (added) {
     job.done = record.done;
     arrivals_.add(record.spec, arrival(job));
@@ -214,7 +214,7 @@
     if (!batch.fits(kMostChangesOfAJob) || batch.full()) return false;
     RecordWrite write = write_for(*candidate.job);
     candidate.job->writing = true;
-    narrow(*candidate.job, write.record->hosts);
+    keep_common_hosts(*candidate.job, write.record->hosts);
     batch.add(std::move(write));
   }
   return true;
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -253,7 +253,7 @@
     run.image = job.spec().image;
     run.image_gb = job.spec().image_gb;
     m.want_record();
-    if (!job.covers(m.info.id)) job.want_hosts = true;
+    if (!job.next_leader_knows(m.info.id)) job.want_hosts = true;
     add_presence(m, key);
     used_[job.spec().team] += run.need;
   }
