--- a/src/dispatch/failures.cpp
+++ b/src/dispatch/failures.cpp
@@ -89,7 +89,7 @@
 
 /// Whether a task of the job has run for a while: replicas never end by themselves.
 bool LeaderCore::runs_well(const Job& job, Seconds now) const {
-  for (const auto& [task, places] : job.at)
+  for (const auto& [task, places] : job.placements)
     for (const auto& [machine, attempt] : places) {
       const auto m = machines_.find(machine);
       if (m == machines_.end()) continue;
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -130,7 +130,9 @@
   RecordWrite write_for(const Job& job) const;
   Ranges fitting_a_record(const Ranges& done) const;
   std::optional<std::vector<std::string>> possible_hosts(const Job& job) const;
-  bool gone_everywhere(const Job& job) const { return job.at.empty() && !missing_in_doubt(job); }
+  bool gone_everywhere(const Job& job) const {
+    return job.placements.empty() && !missing_in_doubt(job);
+  }
 
   // reports.cpp
   Machine& find_or_add_machine(const WorkerReport& report, Seconds now);
--- a/src/dispatch/moves.cpp
+++ b/src/dispatch/moves.cpp
@@ -46,7 +46,7 @@
     d.spec = &job->spec();
     d.tasks = {key.task.task};
     if (d.spec->counts_zones())
-      for (const auto& [task, places] : job->at)
+      for (const auto& [task, places] : job->placements)
         for (const auto& [machine, attempt] : places)
           if (task != key.task.task) ++d.zones[machines_.at(machine).info.zone];
     // Nothing is moved to an empty machine: that would only go back and forth.
--- a/src/dispatch/record_writes.cpp
+++ b/src/dispatch/record_writes.cpp
@@ -48,7 +48,7 @@
 
 /// Whether the record tells the next leader every place where a task of the job may be.
 bool next_leader_knows_all(const Job& job) {
-  for (const auto& [task, places] : job.at)
+  for (const auto& [task, places] : job.placements)
     for (const auto& [machine, attempt] : places)
       if (!job.next_leader_knows(machine)) return false;
   return true;
@@ -105,7 +105,7 @@
 void LeaderCore::job_finished(const std::string& id) {
   const auto it = jobs_.find(id);
   if (it == jobs_.end()) return;
-  for (auto& [task, places] : it->second.at)
+  for (auto& [task, places] : it->second.placements)
     for (const auto& [machine, attempt] : places) {
       auto m = machines_.find(machine);
       if (m == machines_.end()) continue;
@@ -153,7 +153,7 @@
   if (missing_in_doubt(job) && !job.stored.hosts) return std::nullopt;
   // An array has tens of thousands of places on a few hundred machines.
   std::unordered_set<std::string_view> machines;
-  for (const auto& [task, places] : job.at)
+  for (const auto& [task, places] : job.placements)
     for (const auto& [machine, attempt] : places) machines.insert(machine);
   std::set<std::string> hosts(machines.begin(), machines.end());
   for (const auto& id : job.stored.hosts.value_or(std::vector<std::string>{})) {
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -53,7 +53,7 @@
   used_.clear();
   for (const auto& [id, job] : jobs_) {
     size_t n = 0;
-    for (const auto& [task, places] : job.at) n += places.size();
+    for (const auto& [task, places] : job.placements) n += places.size();
     // What nobody has accounted for since the takeover may be running somewhere. Of a gang that is
     // done some tasks may not have exited yet.
     if (missing_in_doubt(job)) {
@@ -97,9 +97,9 @@
   std::vector<Job*> out;
   for (auto& [id, job] : jobs_) {
     if (!job.runnable() || now < job.retry_at || missing_in_doubt(job)) continue;
-    if (job.at.size() + job.done.count() >= job.spec().tasks) continue;
-    if (job.spec().kind == JobKind::Gang && !job.at.empty()) continue;
-    if (at_fault(job) && !job.at.empty()) {
+    if (job.placements.size() + job.done.count() >= job.spec().tasks) continue;
+    if (job.spec().kind == JobKind::Gang && !job.placements.empty()) continue;
+    if (at_fault(job) && !job.placements.empty()) {
       if (!runs_well(job, now)) continue;
       count_success(job, now);
     }
@@ -188,15 +188,15 @@
   if (gang && most < job.spec().tasks) return std::nullopt;
   if (!gang && at_fault(job)) most = std::min<size_t>(most, 1);
   const size_t limit = gang ? job.spec().tasks : std::min(most, kMostTasks);
-  auto there = job.at.begin();  // both in order: one pass over what is somewhere
+  auto there = job.placements.begin();  // both in order: one pass over what is somewhere
   for (uint32_t t = job.done.next_missing(0); t < job.spec().tasks && d.tasks.size() < limit;
        t = job.done.next_missing(t + 1)) {
-    while (there != job.at.end() && there->first < t) ++there;
-    if (there == job.at.end() || there->first != t) d.tasks.push_back(t);
+    while (there != job.placements.end() && there->first < t) ++there;
+    if (there == job.placements.end() || there->first != t) d.tasks.push_back(t);
   }
   if (d.tasks.empty()) return std::nullopt;
   if (d.spec->counts_zones())
-    for (const auto& [task, places] : job.at)
+    for (const auto& [task, places] : job.placements)
       for (const auto& [machine, attempt] : places) {
         const auto m = machines_.find(machine);
         if (m != machines_.end()) ++d.zones[m->second.info.zone];
--- a/src/dispatch/task_runs.cpp
+++ b/src/dispatch/task_runs.cpp
@@ -35,8 +35,8 @@
   const bool gang = spec.kind == JobKind::Gang;
   // The starts of a gang belong together; of an array a task's own alone matter, and there may be
   // tens of thousands of others.
-  const auto first = gang ? job.at.begin() : job.at.find(key.task.task);
-  const auto last = gang || first == job.at.end() ? job.at.end() : std::next(first);
+  const auto first = gang ? job.placements.begin() : job.placements.find(key.task.task);
+  const auto last = gang || first == job.placements.end() ? job.placements.end() : std::next(first);
   uint64_t newest = key.attempt;
   for (auto at = first; at != last; ++at)
     for (const auto& [machine, attempt] : at->second) {
@@ -104,17 +104,18 @@
 }
 
 void LeaderCore::add_presence(Machine& m, const RunKey& key) {
-  if (Job* job = find_job(key.task.job)) job->at[key.task.task].insert({m.info.id, key.attempt});
+  if (Job* job = find_job(key.task.job))
+    job->placements[key.task.task].insert({m.info.id, key.attempt});
 }
 
 void LeaderCore::drop_presence(Machine& m, const RunKey& key) {
   Job* job = find_job(key.task.job);
   if (!job) return;
-  const auto it = job->at.find(key.task.task);
-  if (it == job->at.end()) return;
+  const auto it = job->placements.find(key.task.task);
+  if (it == job->placements.end()) return;
   it->second.erase({m.info.id, key.attempt});
-  if (it->second.empty()) job->at.erase(it);
-  if (job->at.empty()) job->gang_attempt = 0;
+  if (it->second.empty()) job->placements.erase(it);
+  if (job->placements.empty()) job->gang_attempt = 0;
 }
 
 void LeaderCore::remove_run(Machine& m, const RunKey& key) {
@@ -144,7 +145,7 @@
 }
 
 void LeaderCore::stop_job(Job& job, bool graceful, Seconds now) {
-  const auto places = job.at;
+  const auto places = job.placements;
   for (const auto& [task, where] : places)
     for (const auto& [machine, attempt] : where) {
       const auto m = machines_.find(machine);
--- a/tests/cost_test.cpp
+++ b/tests/cost_test.cpp
@@ -77,7 +77,7 @@
 
 TEST_F(LargeArray, ATakeoverLooksAtEachTaskOnce) {
   take_over();
-  ASSERT_EQ(core->jobs().at("job-1").at.size(), kTasks);
+  ASSERT_EQ(core->jobs().at("job-1").placements.size(), kTasks);
   EXPECT_LE(core->work().adoption_checks, kTasks);
 }
 
@@ -86,7 +86,7 @@
     core->host_stored({machine(i), "10.0.0.2:9", "g", "e", false}, now);
   report_all(1, TaskState::Running);
   core->job_stored(array("job-1", kTasks), 5, now);
-  ASSERT_EQ(core->jobs().at("job-1").at.size(), kTasks);
+  ASSERT_EQ(core->jobs().at("job-1").placements.size(), kTasks);
   EXPECT_LE(core->work().adoption_checks, 2 * kTasks);
 }
 
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -130,7 +130,7 @@
   pass(26, dies);
   EXPECT_EQ(gone_.size(), 200u) << "all of them, and nobody else";
   for (int i = 0; i < kMachines; ++i) {
-    const auto& at = core_->jobs().at(job(i)).at;
+    const auto& at = core_->jobs().at(job(i)).placements;
     ASSERT_EQ(at.size(), 1u);
     ASSERT_EQ(at.begin()->second.size(), 1u);
     EXPECT_EQ(started_.contains(job(i)), dies(i)) << job(i);
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -77,7 +77,7 @@
   const auto token = core->report(report("i-9", 1, 0), true, now).token;
   core->report(report("i-9", 2, token), true, now + 0.1);
   EXPECT_TRUE(orders(core->tick(now + 0.2)).empty());
-  EXPECT_FALSE(core->jobs().at("job-1").at.empty()) << "placed";
+  EXPECT_FALSE(core->jobs().at("job-1").placements.empty()) << "placed";
   EXPECT_TRUE(core->report(report("i-9", 3, token), true, now + 0.3).commands.empty());
   write_all(*core);
   const auto sent = orders(core->tick(now + 0.4));
@@ -129,7 +129,7 @@
   show("i-8", 2, {runs});
   show("i-9", 2, {});
   core->tick(now);
-  ASSERT_EQ(core->jobs().at("job-1").at.count(1), 1u) << "placed on i-9";
+  ASSERT_EQ(core->jobs().at("job-1").placements.count(1), 1u) << "placed on i-9";
   EXPECT_TRUE(show("i-9", 3, {}).commands.empty());
   core->write_done(progress[0], false, 0, now);
   EXPECT_TRUE(show("i-9", 4, {}).commands.empty()) << "it may still be applied";
@@ -244,7 +244,7 @@
       if (const auto* r = std::get_if<Release>(&a)) core->release_done(*r, true, now);
   }
   EXPECT_EQ(core->machines().count("i-7"), 0u);
-  EXPECT_EQ(core->jobs().at("job-1").at.size(), 2u) << "placed on i-9";
+  EXPECT_EQ(core->jobs().at("job-1").placements.size(), 2u) << "placed on i-9";
 }
 
 TEST_F(Fixture, OnlyJobsThatMayBeOnAMissingMachineWaitForIt) {
@@ -263,9 +263,9 @@
   for (const auto* r : {&record, &other, &anywhere}) core->job_stored(*r, 5, now);
   core->report(report("i-9", 1, uint64_t{1} << 20), true, now);
   core->tick(now);
-  EXPECT_TRUE(core->jobs().at("job-1").at.empty());
-  EXPECT_EQ(core->jobs().at("job-2").at.size(), 2u);
-  EXPECT_TRUE(core->jobs().at("job-3").at.empty());
+  EXPECT_TRUE(core->jobs().at("job-1").placements.empty());
+  EXPECT_EQ(core->jobs().at("job-2").placements.size(), 2u);
+  EXPECT_TRUE(core->jobs().at("job-3").placements.empty());
 }
 
 TEST_F(Fixture, ASilentMachineIsGivenUpThoughAnOrderToItWentUnanswered) {
@@ -442,7 +442,7 @@
   auto step = [&, seq = uint64_t{1}](double at) mutable {
     core->report(report("i-9", ++seq, token), true, at);
     core->tick(at);
-    return core->jobs().at("job-1").at.size();
+    return core->jobs().at("job-1").placements.size();
   };
   for (double t = 0.5; t < 19.9; t += 0.5)
     ASSERT_EQ(step(now + t), 0u) << "an earlier leader may have answered it until " << t;
@@ -475,7 +475,7 @@
   const auto token = core->report(report("i-9", 1, 0), true, now).token;
   core->report(report("i-9", 2, token), true, now + 0.1);
   core->tick(now + 0.2);
-  EXPECT_EQ(core->jobs().at("job-2").at.size(), 1u) << "three of four may be taken";
+  EXPECT_EQ(core->jobs().at("job-2").placements.size(), 1u) << "three of four may be taken";
 }
 
 TEST_F(Fixture, AnAnswerToOrdersIsNoProofThatAStartInAReportsAnswerCameToNothing) {
@@ -490,9 +490,9 @@
   record.started = true;
   core->job_stored(record, 500, now + 0.3);
   core->orders_done("i-9", report("i-9", 4, token), true, now + 0.4);
-  EXPECT_EQ(core->jobs().at("job-1").at.size(), 2u) << "the start may still be on its way";
+  EXPECT_EQ(core->jobs().at("job-1").placements.size(), 2u) << "the start may still be on its way";
   core->report(report("i-9", 5, token), true, now + 1);
-  EXPECT_TRUE(core->jobs().at("job-1").at.empty());
+  EXPECT_TRUE(core->jobs().at("job-1").placements.empty());
 }
 
 TEST_F(Fixture, WhileAnOrderIsOutAReportProvesNothingAndGetsNoCommands) {
@@ -507,13 +507,13 @@
   record.started = true;
   core->job_stored(record, 500, now + 0.3);
   EXPECT_TRUE(core->report(report("i-9", 3, token), true, now + 0.5).commands.empty());
-  EXPECT_EQ(core->jobs().at("job-1").at.size(), 2u);
+  EXPECT_EQ(core->jobs().at("job-1").placements.size(), 2u);
   core->orders_done("i-9", std::nullopt, false, now + 2);
   const auto raised = core->report(report("i-9", 4, token), true, now + 2.1).token;
   EXPECT_GT(raised, token) << "the order may be executed minutes late: the token ends that";
-  EXPECT_EQ(core->jobs().at("job-1").at.size(), 2u);
+  EXPECT_EQ(core->jobs().at("job-1").placements.size(), 2u);
   core->report(report("i-9", 5, raised), true, now + 3);
-  EXPECT_TRUE(core->jobs().at("job-1").at.empty());
+  EXPECT_TRUE(core->jobs().at("job-1").placements.empty());
 }
 
 /// Machines that carry out what they are told to. A task fails where its job was submitted with a
@@ -781,7 +781,8 @@
     core->report(old_first ? real : old_one, true, now + 0.2);
     EXPECT_TRUE(core->machines().at("i-2").runs.begin()->second.wanted);
     EXPECT_FALSE(core->machines().at("i-1").runs.begin()->second.wanted);
-    EXPECT_EQ(core->jobs().at("job-1").at.at(0).size(), 2u) << "it counts as there all the same";
+    EXPECT_EQ(core->jobs().at("job-1").placements.at(0).size(), 2u)
+        << "it counts as there all the same";
   }
 }
 
@@ -792,11 +793,11 @@
   for (int i = 1; i <= 8; ++i) core->probed("i-9", report("i-9", 2 + i, token), now + i);
   core->job_stored(record, 5, now + 8);
   core->tick(now + 8.1);
-  EXPECT_TRUE(core->jobs().at("job-1").at.empty()) << "what it runs ends with its lease";
+  EXPECT_TRUE(core->jobs().at("job-1").placements.empty()) << "what it runs ends with its lease";
   core->report(report("i-9", 20, token), true, now + 8.2);
   core->request_round();
   core->tick(now + 8.3);
-  EXPECT_FALSE(core->jobs().at("job-1").at.empty());
+  EXPECT_FALSE(core->jobs().at("job-1").placements.empty());
 }
 
 TEST_F(Fixture, ALateCopyOfAReportIsNotAnswered) {
