--- a/src/dispatch/commands.cpp
+++ b/src/dispatch/commands.cpp
@@ -54,7 +54,7 @@
   for (auto& [id, m] : machines_) {
     if (m.stage != Machine::Stage::Up || m.order_in_flight || now < m.next_order) continue;
     if (m.info.addr.empty()) continue;
-    if (!m.proven) continue;
+    if (!m.token_confirmed) continue;
     const bool news =
         std::any_of(m.runs.begin(), m.runs.end(), [this, &machine = m](const auto& r) {
           const auto& [key, run] = r;
--- a/src/dispatch/leader_core.cpp
+++ b/src/dispatch/leader_core.cpp
@@ -16,7 +16,7 @@
                        Seconds wall_offset)
     : settings_(settings),
       term_(term),
-      began_(now),
+      took_over_at_(now),
       fence_(fence),
       wall_offset_(wall_offset),
       last_event_(now),
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -243,11 +243,11 @@
 
   const Settings& settings_;
   uint64_t term_;
-  Seconds began_;        ///< when this leader took over
-  Seconds fence_;        ///< until then earlier leaders may have answered workers
-  bool fenced_ = false;  ///< none of them answers any more, which was learnt before the fence
-  Seconds wall_offset_;  ///< the time of day less the steady time
-  Seconds last_event_;   ///< when this leader was last told anything, or had a tick
+  Seconds took_over_at_;  ///< when this leader took over
+  Seconds fence_;         ///< until then earlier leaders may have answered workers
+  bool fenced_ = false;   ///< none of them answers any more, which was learnt before the fence
+  Seconds wall_offset_;   ///< the time of day less the steady time
+  Seconds last_event_;    ///< when this leader was last told anything, or had a tick
   Seconds
       listening_since_;  ///< the takeover, later by all pauses since: nobody is silent for longer
   Delegations delegations_;
--- a/src/dispatch/machine_lifecycle.cpp
+++ b/src/dispatch/machine_lifecycle.cpp
@@ -63,7 +63,7 @@
 /// A new leader waits longer, since workers must find it first.
 bool LeaderCore::no_worker_reaches_us(Seconds now) const {
   size_t up = 0;
-  Seconds newest = began_ + kFindLeader * settings_.lease_s;
+  Seconds newest = took_over_at_ + kFindLeader * settings_.lease_s;
   for (const auto& [id, m] : machines_) {
     if (m.stage != Machine::Stage::Up) continue;
     ++up;
@@ -88,7 +88,7 @@
     if (now <= latest_lease_end(m, now)) continue;
     spdlog::info("{} expired with {} tasks", id, m.runs.size());
     if (!returning) set_stage(m, Machine::Stage::Expired);
-    m.proven = false;
+    m.token_confirmed = false;
     remove_all_runs(m);
     mark_accounted(m);
   }
@@ -166,7 +166,7 @@
   for (auto& [id, m] : machines_) {
     if (m.stage != Machine::Stage::Up || m.probe_in_flight || m.info.addr.empty()) continue;
     const bool greet =
-        !m.proven && m.earlier_leader_may_answer && !m.accounted && now >= m.next_greeting;
+        !m.token_confirmed && m.earlier_leader_may_answer && !m.accounted && now >= m.next_greeting;
     const bool late = !m.probe_unanswered && report_overdue(m, now) && m.may_hold_tasks();
     if (!greet && !late) continue;
     if (greet) m.next_greeting = now + settings_.report_s;
--- a/src/dispatch/releases.cpp
+++ b/src/dispatch/releases.cpp
@@ -38,7 +38,7 @@
     if (!m.idle_since || !t || now - *m.idle_since < settings_.tuning.idle * t->boot_s) continue;
     const bool usable = std::exchange(s.usable, false);
     Trial without(others);
-    if (m.sick() || m.taken_at || spare_room(without, now))
+    if (m.sick() || m.reclaim_at || spare_room(without, now))
       set_stage(m, Machine::Stage::Returning);
     else
       s.usable = usable;
--- a/src/dispatch/reports.cpp
+++ b/src/dispatch/reports.cpp
@@ -91,14 +91,14 @@
   m.last_report = now;
   const bool newest = r.sequence() > m.latest, no_orders_out = !m.order_in_flight;
   if (newest) apply_report(m, r, no_orders_out, now);
-  if (newest && may_act && m.proven && no_orders_out)
+  if (newest && may_act && m.token_confirmed && no_orders_out)
     answer.commands = commands_for(m, true);
   else
     // The answer renews the worker's lease: without these a cancelled task whose stop was lost
     // would go on for as long as it is renewed, though this leader may do nothing else there.
     answer.commands = stops_of_ended(r, [this](const std::string& id) { return ended(id); });
   // A greeting shows it the token faster than it would report again.
-  if (!m.proven) m.next_greeting = now;
+  if (!m.token_confirmed) m.next_greeting = now;
   answer.token = token(m);
   return answer;
 }
@@ -114,7 +114,7 @@
     // The order may still be executed, minutes later: a raised token ends that, and until the
     // worker has shown it nothing new is started there and nothing counts as gone.
     ++m.counter;
-    m.proven = false;
+    m.token_confirmed = false;
     m.next_order = now + settings_.report_s;
     for (auto& [key, run] : m.runs) run.stop_sent = false;
   }
@@ -144,7 +144,7 @@
 void LeaderCore::begin_session(Machine& m, Seconds now) {
   remove_all_runs(m);
   m.error_jobs.clear();
-  m.proven = false;
+  m.token_confirmed = false;
   // Its lease counts from when it began. Learnt from an answer to an order or a probe, the last
   // answer to a report would say that it is over while new tasks run.
   m.last_answered = std::max(m.last_answered, now);
@@ -189,9 +189,9 @@
   m.last_heard = now;
   m.probe_unanswered = false;
   mark_up(m, now);
-  m.taken_at = r.notice_s ? std::optional<Seconds>(now + *r.notice_s) : std::nullopt;
+  m.reclaim_at = r.notice_s ? std::optional<Seconds>(now + *r.notice_s) : std::nullopt;
   const bool current_token = r.token >= token(m);
-  if (current_token && !m.order_in_flight) m.proven = true;
+  if (current_token && !m.order_in_flight) m.token_confirmed = true;
   for (const auto& t : r.tasks) apply_task_report(m, t, now);
   if (!current_token) return;
   if (absence_counts) remove_unlisted(m, r, now);
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -19,8 +19,8 @@
 }  // namespace
 
 bool LeaderCore::usable(const Machine& m, Seconds now) const {
-  return m.stage == Machine::Stage::Up && m.proven && !m.sick() && !m.draining && !m.taken_at &&
-         now - m.last_report < kSilence * settings_.report_s + 0.5;
+  return m.stage == Machine::Stage::Up && m.token_confirmed && !m.sick() && !m.draining &&
+         !m.reclaim_at && now - m.last_report < kSilence * settings_.report_s + 0.5;
 }
 
 std::vector<Slot> LeaderCore::picture(Seconds now, bool booting) const {
@@ -77,7 +77,7 @@
 /// What is still silent some reports after the takeover may be so for long, and the fleet is rented
 /// and returned without it: in a large one some machine always is.
 bool LeaderCore::picture_settled(Seconds now) const {
-  return all_accounted() || now - began_ > kSilence * settings_.report_s + 0.5;
+  return all_accounted() || now - took_over_at_ > kSilence * settings_.report_s + 0.5;
 }
 
 size_t LeaderCore::quota_left(const Job& job) const {
--- a/src/dispatch/task_runs.cpp
+++ b/src/dispatch/task_runs.cpp
@@ -130,7 +130,7 @@
     const RunKey key = m.runs.begin()->first;
     const bool present = m.runs.begin()->second.present();
     remove_run(m, key);
-    if (present) stop_gang_of(key.task, began_);
+    if (present) stop_gang_of(key.task, took_over_at_);
   }
 }
 
--- a/src/fleet/machine.h
+++ b/src/fleet/machine.h
@@ -87,11 +87,11 @@
   Stage stage = Stage::Booting;
   Record record = Record::None;
 
-  ReportSequence latest;      ///< of all reports that were applied
-  ReportSequence latest_own;  ///< of those that the worker sent by itself
-  uint64_t counter = 0;       ///< low part of the token in force at this worker
-  bool proven = false;        ///< has shown the token in force
-  bool accounted = false;     ///< since the takeover: told what it has, or certainly has nothing
+  ReportSequence latest;         ///< of all reports that were applied
+  ReportSequence latest_own;     ///< of those that the worker sent by itself
+  uint64_t counter = 0;          ///< low part of the token in force at this worker
+  bool token_confirmed = false;  ///< has shown the token in force
+  bool accounted = false;        ///< since the takeover: told what it has, or certainly has nothing
   Seconds last_heard = kNever;
   /// When a report of its own came; answers to orders don't count, and show no lease renewed.
   Seconds last_report = kNever;
@@ -107,7 +107,7 @@
   Seconds first_seen = 0;
   std::optional<Seconds> up_since;  ///< if this leader saw it boot
   bool listed_failed = false;
-  std::optional<Seconds> taken_at;  ///< spot notice: when the cloud takes it
+  std::optional<Seconds> reclaim_at;  ///< spot notice: when the cloud takes it
   std::optional<Seconds> idle_since;
   /// Fails what it starts: gets nothing new, and is returned once that is certain.
   std::optional<Seconds> sick_since;
