--- a/src/jobs/guarantees.cpp
+++ b/src/jobs/guarantees.cpp
@@ -9,7 +9,7 @@
 /// Sums of decimals are not exact.
 constexpr double kSlack = 1e-6;
 
-bool next_leader_knows(const TeamSettings& team, const Amounts& need) {
+bool covers(const TeamSettings& team, const Amounts& need) {
   return need.gpus > 0 ? team.gpus > 0 : team.cpus > 0;
 }
 
