Linter: the last findings in the leader core, guarantees and tests

A core that was ended is now destroyed: the handler posted for it compared the generation from before the end with the one after it, so the core of an earlier term stayed and went on following the records.

--- a/src/config/tuning.cpp
+++ b/src/config/tuning.cpp
@@ -47,7 +47,9 @@
 
 /// The fields of the file, with the defaults of those that it leaves out.
 std::vector<cfg_opt_t> known_fields(const Tuning& defaults) {
+  constexpr size_t kOthers = 2;  // the count of tries, and the end of the list
   std::vector<cfg_opt_t> fields;
+  fields.reserve(std::size(kRatios) + kOthers);
   for (const auto& ratio : kRatios)
     fields.push_back(CFG_FLOAT(ratio.name, defaults.*ratio.field, CFGF_NONE));
   fields.push_back(CFG_INT(kStartTries, defaults.start_tries, CFGF_NONE));
--- a/src/dispatch/commands.cpp
+++ b/src/dispatch/commands.cpp
@@ -1,5 +1,4 @@
 // What workers are told, in answers to their reports and in orders.
-// What workers are told, in answers to their reports and in orders.
 #include <algorithm>
 
 #include "dispatch/leader_core.h"
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -63,12 +63,12 @@
   /// answer; without `may_act` it carries nothing but stops of jobs that have ended.
   ReportAnswer report(const WorkerReport& report, bool may_act, Seconds now);
   /// The outcome of `SendOrders`; `executed` unless the orders may still be carried out later.
-  void orders_done(const std::string& machine, const std::optional<WorkerReport>& report,
-                   bool executed, Seconds now);
+  void orders_done(const std::string& id, const std::optional<WorkerReport>& report, bool executed,
+                   Seconds now);
   /// The outcome of a `Probe`; no report if there was no answer.
-  void probed(const std::string& machine, const std::optional<WorkerReport>& report, Seconds now);
+  void probed(const std::string& id, const std::optional<WorkerReport>& report, Seconds now);
   /// There was no socket for the probe: nothing is known of the machine, and it is asked again.
-  void not_probed(const std::string& machine);
+  void not_probed(const std::string& id);
   /// No earlier leader can answer a worker any more.
   void fenced(Seconds now);
   /// Nodes that answer workers of their zone in this leader's place while they can't hear it.
@@ -183,7 +183,7 @@
   std::vector<Job*> waiting(Seconds now);
   bool missing_in_doubt(const Job& job) const;
   bool picture_settled(Seconds now) const;
-  std::optional<Demand> demand(Job& job, Seconds now, size_t most);
+  std::optional<Demand> demand(Job& job, size_t most);
   bool fetch_hurts(const Job& job) const;
   void place_warm(Job& job, Demand& demand, std::vector<Slot>& slots, Seconds now);
   void place_part(Job& job, Demand& demand, std::vector<Slot>& slots, Seconds now);
--- a/src/dispatch/machine_lifecycle.cpp
+++ b/src/dispatch/machine_lifecycle.cpp
@@ -1,5 +1,4 @@
 // Machines as they boot, fall silent, are cut off with their zone, and lose their lease.
-// Machines as they boot, fall silent, are cut off with their zone, and lose their lease.
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -35,8 +34,8 @@
   m.stage = next;
 }
 
-void LeaderCore::listed(const std::vector<ListedMachine>& list, Seconds now) {
-  for (const auto& l : list) {
+void LeaderCore::listed(const std::vector<ListedMachine>& machines, Seconds now) {
+  for (const auto& l : machines) {
     const auto gone = returned_.find(l.id);
     if (gone != returned_.end()) {
       // Still listed long after it was returned: it was not returned after all.
--- a/src/dispatch/record_transaction.cpp
+++ b/src/dispatch/record_transaction.cpp
@@ -27,7 +27,7 @@
        wire::FinishedRecord{write.record->state, write.record->done.count()}});
 }
 
-std::string encode(const DeletedRecord&) {
+std::string encode(const DeletedRecord& /*record*/) {
   return {};
 }
 std::string encode(const JobRecord& record) {
--- a/src/dispatch/record_writes.cpp
+++ b/src/dispatch/record_writes.cpp
@@ -1,5 +1,3 @@
-// Records of jobs and machines: what was read of them, which writes are wanted, and what a write
-// that was carried out changes.
 // Records of jobs and machines: what was read of them, what is to be written, and what a write that
 // was carried out changes.
 #include <spdlog/spdlog.h>
@@ -70,7 +68,7 @@
   std::vector<RecordWrite> take() { return std::move(writes_); }
 
  private:
-  static constexpr size_t kMostBytes = 48 * 1024;
+  static constexpr size_t kMostBytes = size_t{48} * 1024;
   size_t most_changes_;
   size_t changes_ = 0;
   size_t bytes_ = 0;
@@ -161,7 +159,8 @@
     if (m != machines_.end() && !m->second.accounted) hosts.insert(id);
   }
   std::vector<std::string> sorted(hosts.begin(), hosts.end());
-  if (bytes_of(sorted) > settings_.state_value_kb * 1024 * kHostsShare) return std::nullopt;
+  if (static_cast<double>(bytes_of(sorted)) > settings_.state_value_kb * 1024 * kHostsShare)
+    return std::nullopt;
   return sorted;
 }
 
--- a/src/dispatch/reports.cpp
+++ b/src/dispatch/reports.cpp
@@ -81,7 +81,7 @@
 
 LeaderCore::ReportAnswer LeaderCore::report(const WorkerReport& r, bool may_act, Seconds now) {
   note_running(now);
-  if (returned_.count(r.machine)) return {};  // held on its way until the machine was gone
+  if (returned_.contains(r.machine)) return {};  // held on its way until the machine was gone
   Machine& m = find_or_add_machine(r, now);
   ReportAnswer answer;
   if (r.sequence() <= m.latest_own || r.session < m.latest.session) return answer;
@@ -89,7 +89,8 @@
   answer.fresh = true;
   m.last_answered = now;
   m.last_report = now;
-  const bool newest = r.sequence() > m.latest, no_orders_out = !m.order_in_flight;
+  const bool newest = r.sequence() > m.latest;
+  const bool no_orders_out = !m.order_in_flight;
   if (newest) apply_report(m, r, no_orders_out, now);
   if (newest && may_act && m.token_confirmed && no_orders_out)
     answer.commands = commands_for(m, true);
@@ -103,7 +104,7 @@
   return answer;
 }
 
-void LeaderCore::orders_done(const std::string& id, const std::optional<WorkerReport>& r,
+void LeaderCore::orders_done(const std::string& id, const std::optional<WorkerReport>& report,
                              bool executed, Seconds now) {
   note_running(now);
   const auto it = machines_.find(id);
@@ -118,21 +119,22 @@
     m.next_order = now + settings_.report_s;
     for (auto& [key, run] : m.runs) run.stop_sent = false;
   }
-  if (!r || r->machine != id) return;
-  if (r->sequence() > m.latest) apply_report(m, *r, false, now);
+  if (!report || report->machine != id) return;
+  if (report->sequence() > m.latest) apply_report(m, *report, false, now);
 }
 
-void LeaderCore::probed(const std::string& id, const std::optional<WorkerReport>& r, Seconds now) {
+void LeaderCore::probed(const std::string& id, const std::optional<WorkerReport>& report,
+                        Seconds now) {
   note_running(now);
   const auto it = machines_.find(id);
   if (it == machines_.end()) return;
   Machine& m = it->second;
   m.probe_in_flight = false;
-  if (!r || r->machine != id) {
+  if (!report || report->machine != id) {
     m.probe_unanswered = report_overdue(m, now);
     return;
   }
-  if (r->sequence() > m.latest) apply_report(m, *r, false, now);
+  if (report->sequence() > m.latest) apply_report(m, *report, false, now);
 }
 
 void LeaderCore::not_probed(const std::string& id) {
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -115,7 +115,7 @@
   std::sort(out.begin(), out.end(), [&](const Job* a, const Job* b) {
     auto rank = [&](const Job* j) {
       return std::make_tuple(
-          -static_cast<int>(j->spec().priority), guaranteed_.count(j->spec().id) == 0,
+          -static_cast<int>(j->spec().priority), !guaranteed_.contains(j->spec().id),
           j->spec().priority == Priority::Low && j->spec().need.gpus == 0,
           std::floor(static_cast<double>(j->stored.submitted_ms) / together_ms),
           j->spec().kind == JobKind::Gang ? -static_cast<int>(j->spec().tasks) : 0,
@@ -133,7 +133,7 @@
   for (const auto& team : settings_.teams)
     if (has_guarantee(team)) teams.insert(team.name);
   if (teams.empty()) return;
-  const auto claims = [&teams](const Job& job) { return teams.count(job.spec().team) > 0; };
+  const auto claims = [&teams](const Job& job) { return teams.contains(job.spec().team); };
   if (std::none_of(waiting.begin(), waiting.end(), [&](const Job* job) { return claims(*job); }))
     return;
   std::vector<UnfinishedJob> unfinished;
@@ -154,10 +154,11 @@
     if (t.fetch_gb_per_s > 0 && job.spec().allows_type(t.name) && job.spec().need.fits_in(t.room))
       longest = std::max(longest, job.spec().image_gb / t.fetch_gb_per_s);
   if (job.stored.started) return longest > settings_.report_s;
-  for (const auto& o : settings_.objectives)
-    if (o.kind == "wait" && o.job_class == job.spec().job_class && longest > o.within_s)
-      return true;
-  return false;
+  return std::any_of(
+      settings_.objectives.begin(), settings_.objectives.end(), [&](const Objective& objective) {
+        return objective.kind == "wait" && objective.job_class == job.spec().job_class &&
+               longest > objective.within_s;
+      });
 }
 
 /// First on machines that have the image, where tasks of lower priority give way; what is left of
@@ -181,7 +182,7 @@
   }
 }
 
-std::optional<Demand> LeaderCore::demand(Job& job, Seconds, size_t most) {
+std::optional<Demand> LeaderCore::demand(Job& job, size_t most) {
   Demand d;
   d.spec = &job.spec();
   const bool gang = job.spec().kind == JobKind::Gang;
@@ -202,8 +203,8 @@
         if (m != machines_.end()) ++d.zones[m->second.info.zone];
       }
   d.image_first = fetch_hurts(job);
-  d.within_guarantee = guaranteed_.count(job.spec().id) > 0;
-  d.avoid = [&job](const Slot& s) { return job.failed_on.count(s.machine) > 0; };
+  d.within_guarantee = guaranteed_.contains(job.spec().id);
+  d.avoid = [&job](const Slot& s) { return job.failed_on.contains(s.machine); };
   d.has_image = [&job](const Slot& s) { return s.of && s.of->images.has(job.spec().image); };
   return d;
 }
@@ -216,7 +217,7 @@
   auto slots = picture(now, false);
   for (Job* job : waiting(now)) {
     const size_t left = quota_left(*job);
-    auto d = left > 0 ? demand(*job, now, left) : std::nullopt;
+    auto d = left > 0 ? demand(*job, left) : std::nullopt;
     if (!d) continue;
     if (d->image_first && !at_fault(*job)) place_warm(*job, *d, slots, now);
     if (!d->tasks.empty()) place_part(*job, *d, slots, now);
@@ -287,7 +288,7 @@
       victim.priority = job->spec().priority;
       victim.loss_s = loss_of(*job, run, now);
       victim.gang = gang;
-      victim.beyond_guarantee = guaranteed_.count(victim.job) == 0;
+      victim.beyond_guarantee = !guaranteed_.contains(victim.job);
       victim.stops = gang ? run.need.times(job->spec().tasks) : run.need;
       out.push_back(victim);
     }
--- a/src/dispatch/task_runs.cpp
+++ b/src/dispatch/task_runs.cpp
@@ -1,5 +1,4 @@
 // Starts of tasks on machines: where each task is or may be, how it ends, and what is to stop.
-// Starts of tasks on machines: where each task is or may be, how it ends, and what is to stop.
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
--- a/src/dispatch/zone_reachability.cpp
+++ b/src/dispatch/zone_reachability.cpp
@@ -19,7 +19,7 @@
 std::vector<std::string> ZoneReachability::update(const std::map<std::string, Count>& zones,
                                                   Seconds now, Seconds forget_after) {
   for (auto& [zone, last_counted] : cut_off_)
-    if (zones.count(zone)) last_counted = now;
+    if (zones.contains(zone)) last_counted = now;
   std::erase_if(cut_off_, [&](const auto& cut) { return now - cut.second > forget_after; });
   reachable_.clear();
   std::vector<std::string> back;
--- a/src/dispatch/zone_reachability.h
+++ b/src/dispatch/zone_reachability.h
@@ -29,10 +29,10 @@
   /// are cut off no longer.
   std::vector<std::string> update(const std::map<std::string, Count>& zones, Seconds now,
                                   Seconds forget_after);
-  bool cut_off(const std::string& zone) const { return cut_off_.count(zone) > 0; }
+  bool cut_off(const std::string& zone) const { return cut_off_.contains(zone); }
   /// Whether so many machines of the zone were heard recently that it can't be cut off: in a zone
   /// that is, fewer were by the time the first machine is late and has not answered a probe.
-  bool reachable(const std::string& zone) const { return reachable_.count(zone) > 0; }
+  bool reachable(const std::string& zone) const { return reachable_.contains(zone); }
 
  private:
   std::map<std::string, Seconds> cut_off_;  ///< and when a machine there was last counted
--- a/src/jobs/guarantees.cpp
+++ b/src/jobs/guarantees.cpp
@@ -39,7 +39,7 @@
   std::unordered_map<std::string_view, Claim> claims;
   for (const auto& team : teams)
     if (has_guarantee(team)) claims[team.name].team = &team;
-  std::erase_if(jobs, [&](const UnfinishedJob& job) { return !claims.count(job.spec->team); });
+  std::erase_if(jobs, [&](const UnfinishedJob& job) { return !claims.contains(job.spec->team); });
   std::sort(jobs.begin(), jobs.end(), earlier);
 
   JobIds within;
--- a/src/node/active_core.h
+++ b/src/node/active_core.h
@@ -30,9 +30,12 @@
     ++generation_;
     core_ = std::move(core);
   }
-  /// Ends the generation: callbacks of it find no core any more.
-  void end() { ++generation_; }
-  void release() { core_.reset(); }
+  /// Ends the generation: callbacks of it find no core any more. Returns what to `release`.
+  uint64_t end() { return ++generation_; }
+  /// Destroys the core that was ended, unless another generation has begun since.
+  void release(uint64_t ended) {
+    if (ended == generation_) core_.reset();
+  }
 
  private:
   std::unique_ptr<LeaderCore> core_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -172,11 +172,7 @@
 
 void Node::step_down() {
   // Released from inside one of its own calls the core would be destroyed while it runs.
-  asio::post(io_, [this, generation = core_.generation()] {
-    if (generation == core_.generation() && leadership_.state() == Leadership::State::Follower)
-      core_.release();
-  });
-  core_.end();
+  asio::post(io_, [this, ended = core_.end()] { core_.release(ended); });
   machine_list_.stop();
   executor_.stop();
 }
--- a/tests/arrival_forecast_test.cpp
+++ b/tests/arrival_forecast_test.cpp
@@ -57,7 +57,7 @@
   const std::vector<JobSpec> specs{spec("web", JobKind::Service, 3)};
   const auto demands = demands_of(specs);
   ASSERT_EQ(demands.size(), 1u);
-  EXPECT_EQ(demands[0].spec, &specs[0]);
+  EXPECT_EQ(demands[0].spec, specs.data());
   EXPECT_EQ(demands[0].tasks, (std::vector<uint32_t>{0, 1, 2}));
 }
 
--- a/tests/cost_test.cpp
+++ b/tests/cost_test.cpp
@@ -63,7 +63,7 @@
     return r;
   }
 
-  void report_all(uint64_t seq, TaskState state) {
+  void report_all(uint64_t seq, TaskState state) const {
     for (size_t i = 0; i < kMachines; ++i) core->report(report(i, seq, state), true, now);
   }
 
--- a/tests/guarantees_test.cpp
+++ b/tests/guarantees_test.cpp
@@ -38,8 +38,10 @@
 
 TEST(Guarantees, AJobIsWithinIfItFitsTogetherWithTheTeamsEarlierOnes) {
   const std::vector<TeamSettings> teams{team("a", 0, 4), team("b", 0, 1)};
-  const JobSpec first = spec("job-9", "a", 2, kOneGpu), second = spec("job-5", "a", 2, kOneGpu),
-                third = spec("job-1", "a", 1, kOneGpu), other = spec("job-2", "b", 1, kOneGpu);
+  const JobSpec first = spec("job-9", "a", 2, kOneGpu);
+  const JobSpec second = spec("job-5", "a", 2, kOneGpu);
+  const JobSpec third = spec("job-1", "a", 1, kOneGpu);
+  const JobSpec other = spec("job-2", "b", 1, kOneGpu);
   EXPECT_EQ(within_guarantee(teams,
                              {{&third, 1, 30}, {&second, 2, 20}, {&other, 1, 40}, {&first, 2, 10}}),
             (JobIds{"job-9", "job-5", "job-2"}));
@@ -182,6 +184,7 @@
                           static_cast<uint32_t>(*rc::gen::inRange(1, 4)), kOneGpu,
                           *rc::gen::element(Priority::Low, Priority::Normal, Priority::High)));
     std::vector<UnfinishedJob> unfinished;
+    unfinished.reserve(jobs.size());
     for (const auto& job : jobs) unfinished.push_back({&job, job.tasks, 1});
     const JobIds within = within_guarantee(teams, unfinished);
     RunningWork running(teams);
@@ -195,12 +198,12 @@
         Demand demand;
         demand.spec = &jobs[i];
         demand.tasks = {0};
-        demand.within_guarantee = within.count(jobs[i].id) > 0;
+        demand.within_guarantee = within.contains(jobs[i].id);
         Victim victim;
         victim.team = jobs[j].team;
         victim.need = victim.stops = kOneGpu;
         victim.priority = jobs[j].priority;
-        victim.beyond_guarantee = within.count(jobs[j].id) == 0;
+        victim.beyond_guarantee = !within.contains(jobs[j].id);
         stops[i][j] = preempt(demand, slots, {victim}, running).has_value();
       }
     for (size_t k = 0; k < jobs.size(); ++k)
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -213,12 +213,11 @@
   const Seconds silent_since = now;
   std::optional<Seconds> released_at;
   constexpr Seconds kBetweenTicks = 2;
-  for (int step = 0; now < silent_since + settings.lease_s * 0.8; ++step, now += 0.1) {
+  constexpr uint64_t kStepsBetweenTicks = 20;
+  for (uint64_t step = 0; now < silent_since + settings.lease_s * 0.8; ++step, now += 0.1) {
     for (int i = 2; i < 5; ++i)
-      core->report(
-          report("i-" + std::to_string(i), static_cast<uint64_t>(10 + step), uint64_t{1} << 20),
-          true, now);
-    if (step % static_cast<int>(kBetweenTicks * 10) != 0) continue;
+      core->report(report("i-" + std::to_string(i), 10 + step, uint64_t{1} << 20), true, now);
+    if (step % kStepsBetweenTicks != 0) continue;
     for (const auto& action : core->tick(now)) {
       if (const auto* probe = std::get_if<Probe>(&action))
         core->probed(probe->machine, std::nullopt, now);
@@ -581,7 +580,7 @@
     for (auto& [key, task] : workers.at(id).tasks) {
       if (task.report.state == TaskState::Exited) continue;
       const std::string& job = task.report.key.job;
-      const bool fails = mistaken.count(job) > 0 || sick.count(id) > 0;
+      const bool fails = mistaken.contains(job) || sick.contains(id);
       if (now - task.started < (fails ? kFailsAfter : kDoneAfter)) continue;
       end(task, fails ? ExitCause::Error : ExitCause::Done);
       ++(fails ? failed : done)[job];
@@ -660,7 +659,8 @@
   pass(2);
   submit("job-bad", 400);
   pass(3);
-  const size_t at_first = failed["job-bad"], rented_at_first = rented;
+  const size_t at_first = failed["job-bad"];
+  const size_t rented_at_first = rented;
   pass(200);
   EXPECT_LE(failed["job-bad"], at_first + 12) << "a few trials";
   EXPECT_GT(failed["job-bad"], at_first) << "it may have been the machines";
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -669,6 +669,7 @@
       return world.users().submit(s);
     };
     std::vector<std::string> open;
+    open.reserve(8);
     for (int i = 0; i < 8; ++i) open.push_back(submit("open", 2));
     world.run_for(15);
     const std::vector<std::string> limited{submit("limited", 2), submit("limited", 2)};
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -56,7 +56,7 @@
                  double deadline) {
     std::optional<HttpResult> result;
     client.request("POST", path, body, deadline,
-                   [&](const HttpResult& r) { result = std::move(r); });
+                   [&](const HttpResult& answer) { result = answer; });
     EXPECT_FALSE(result.has_value()) << "never from inside the call";
     run_until([&] { return result.has_value(); });
     return result.value_or(HttpResult{});
--- a/tests/node_parts_test.cpp
+++ b/tests/node_parts_test.cpp
@@ -68,14 +68,16 @@
   EXPECT_EQ(core.get(first), core.get());
   EXPECT_TRUE(core.get(first));
 
-  core.end();
+  const uint64_t ended = core.end();
   EXPECT_FALSE(core.get(first)) << "stepped down";
   EXPECT_TRUE(core) << "kept until it is released: one of its calls may be under way";
 
   core.begin(new_core(settings));
   EXPECT_FALSE(core.get(first)) << "leads anew";
   EXPECT_TRUE(core.get(core.generation()));
-  core.release();
+  core.release(ended);
+  EXPECT_TRUE(core) << "this node leads anew";
+  core.release(core.end());
   EXPECT_FALSE(core);
   EXPECT_FALSE(core.get(core.generation()));
 }
--- a/tests/rental_requests_test.cpp
+++ b/tests/rental_requests_test.cpp
@@ -8,8 +8,10 @@
 const OfferKey kOffer{"g", "e", false};
 
 TEST(RentalRequests, EachRequestHasItsOwnNameInItsOwnTerm) {
-  RentalRequests requests(7), next_leaders(8);
-  const Rent first = requests.open(kOffer, 2), second = requests.open(kOffer, 2);
+  RentalRequests requests(7);
+  RentalRequests next_leaders(8);
+  const Rent first = requests.open(kOffer, 2);
+  const Rent second = requests.open(kOffer, 2);
   EXPECT_NE(first.request, second.request);
   EXPECT_NE(first.request, next_leaders.open(kOffer, 2).request);
   EXPECT_EQ(first.type, "g");
--- a/tests/world/controller_records.cpp
+++ b/tests/world/controller_records.cpp
@@ -21,6 +21,7 @@
 
 std::vector<StateService::Change> stored(const std::vector<RecordChange>& changes) {
   std::vector<StateService::Change> out;
+  out.reserve(changes.size());
   for (const auto& change : changes) out.push_back(stored(change));
   return out;
 }
@@ -69,7 +70,7 @@
   if (!core_) return;
   std::vector<std::string> finished;
   for (const auto& [id, job] : core_->jobs())
-    if (!records_.live().count(id)) finished.push_back(id);
+    if (!records_.live().contains(id)) finished.push_back(id);
   for (const auto& id : finished) core_->job_finished(id);
   for (const auto& [id, job] : records_.live())
     core_->job_stored(job.value, job.version, env_.now());
--- a/tests/world/state_channel.cpp
+++ b/tests/world/state_channel.cpp
@@ -21,7 +21,7 @@
                                                                            StateReply reply) {
     env_.controllers.schedule_in(
         controller, asker, delay,
-        [this, settled, done, reply = std::move(reply)](ControllerProcess& process) {
+        [settled, done, reply = std::move(reply)](ControllerProcess& process) {
           if (*settled) return;
           *settled = true;
           if (reply.ok() || reply.outcome == StateOutcome::Failed) process.served_by_state();
