--- a/tests/cost_test.cpp
+++ b/tests/cost_test.cpp
@@ -67,7 +67,7 @@
     for (size_t i = 0; i < kMachines; ++i) core->report(report(i, seq, state), true, now);
   }
 
-  void take_over() {
+  void take_over() const {
     for (size_t i = 0; i < kMachines; ++i)
       core->host_stored({machine(i), "10.0.0.2:9", "g", "e", false}, now);
     core->job_stored(array("job-1", kTasks), 5, now);
