--- a/src/dispatch/job_state.h
+++ b/src/dispatch/job_state.h
@@ -32,6 +32,9 @@
   std::optional<Seconds> progress_since;  ///< when `done` came to hold numbers that aren't stored
   /// Where each task is or may be; doubt counts as presence.
   std::map<uint32_t, std::set<TaskPlacement>> placements;
+  /// Its own, or the highest of those that depend on it.
+  Priority priority = Priority::Low;
+  bool counted_as_arrival = false;  ///< by the forecast: once it is ready
   uint64_t gang_attempt = 0;        ///< the attempt that all tasks of a gang share
   std::set<std::string> failed_on;  ///< machines on which tasks failed: avoided
   /// Machines on which it failed since it last was seen to work.
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -15,6 +15,7 @@
 #include "dispatch/rental_requests.h"
 #include "dispatch/zone_reachability.h"
 #include "fleet/machine.h"
+#include "jobs/dependency_graph.h"
 #include "jobs/guarantees.h"
 #include "jobs/record.h"
 #include "leadership/delegation.h"
@@ -43,6 +44,10 @@
   void job_stored(const JobRecord& record, uint64_t version, Seconds now);
   /// The job has left the live records.
   void job_finished(const std::string& id);
+  /// How a job ended that others depend on, as its record among the finished ones tells.
+  void dependency_finished(const std::string& id, const FinishedRecord& record);
+  /// Jobs that others depend on and that are not live: the node is to tell how they ended.
+  const std::set<std::string>& unknown_dependencies() const { return dependencies_.unknown(); }
   /// A machine's record, at the takeover: tasks may be on it until its worker has reported.
   void host_stored(const HostRecord& host, Seconds now);
   /// What the leader before knew of a machine's images. A hint: placement alone looks at it.
@@ -127,13 +132,22 @@
   bool add_job_writes(WriteBatch& batch, Seconds now);
   void add_host_deletions(WriteBatch& batch);
   WriteUrgency write_urgency(const Job& job, Seconds now) const;
-  RecordWrite write_for(const Job& job) const;
+  RecordWrite write_for(const Job& job, Seconds now) const;
+  /// Cancelled because a job that it depends on is; its record doesn't say so yet.
+  bool cancelled_by_dependency(const Job& job) const;
   Ranges fitting_a_record(const Ranges& done) const;
   std::optional<std::vector<std::string>> possible_hosts(const Job& job) const;
   bool gone_everywhere(const Job& job) const {
     return job.placements.empty() && !missing_in_doubt(job);
   }
 
+  // dependents.cpp
+  bool ready(const Job& job) const { return dependencies_.ready(job.spec().id); }
+  uint64_t arrival_ms(const Job& job) const;
+  void inherit_priority(Job& job);
+  void raise_priority(const std::string& id, Priority priority);
+  void count_arrival(Job& job);
+
   // reports.cpp
   Machine& find_or_add_machine(const WorkerReport& report, Seconds now);
   void apply_report(Machine& m, const WorkerReport& r, bool absence_counts, Seconds now);
@@ -254,6 +268,7 @@
   uint64_t next_attempt_ = 1;
   size_t unaccounted_ = 0;  ///< machines of the takeover that have not told what they have
   std::unordered_map<std::string, Job> jobs_;
+  DependencyGraph dependencies_;
   std::map<std::string, Machine> machines_;
   std::map<std::string, Seconds> returned_;  ///< machines the cloud took back: they are gone
   /// By type: when the last rented of those that this leader saw boot was rented.
--- a/src/dispatch/record_transaction.cpp
+++ b/src/dispatch/record_transaction.cpp
@@ -24,7 +24,7 @@
   transaction.changes.push_back({live, DeletedRecord{}});
   transaction.changes.push_back(
       {keys::kFinished + write.job,
-       wire::FinishedRecord{write.record->state, write.record->done.count()}});
+       FinishedRecord{write.record->state, write.record->done.count(), write.record->ended_ms}});
 }
 
 std::string encode(const DeletedRecord& /*record*/) {
@@ -33,8 +33,8 @@
 std::string encode(const JobRecord& record) {
   return wire::encode_job(record);
 }
-std::string encode(const wire::FinishedRecord& record) {
-  return wire::encode_finished(record.state, record.done);
+std::string encode(const FinishedRecord& record) {
+  return wire::encode_finished(record);
 }
 std::string encode(const HostRecord& record) {
   return wire::encode_host(record);
--- a/src/dispatch/record_transaction.h
+++ b/src/dispatch/record_transaction.h
@@ -21,7 +21,7 @@
 };
 
 /// What a key is to hold after the transaction.
-using RecordValue = std::variant<DeletedRecord, JobRecord, wire::FinishedRecord, HostRecord>;
+using RecordValue = std::variant<DeletedRecord, JobRecord, FinishedRecord, HostRecord>;
 
 struct RecordChange {
   std::string key;
--- a/src/dispatch/record_writes.cpp
+++ b/src/dispatch/record_writes.cpp
@@ -83,9 +83,11 @@
   job.version = version;
   job.hosts_of_all_writes.reset();
   job.want_hosts = job.want_hosts && !next_leader_knows_all(job);
+  dependencies_.update(record);
   if (added) {
     job.done = record.done;
-    arrivals_.add(record.spec, arrival(job));
+    inherit_priority(job);
+    count_arrival(job);
     spdlog::debug("{} arrives: {} tasks of {}", record.spec.id, record.spec.tasks,
                   record.spec.job_class);
     // A report may have brought tasks of this job before its record was read.
@@ -112,6 +114,7 @@
     }
   if (!it->second.complete()) withdraw_blame(it->second);
   jobs_.erase(it);
+  dependencies_.forget(id);
 }
 
 void LeaderCore::host_stored(const HostRecord& host, Seconds now) {
@@ -131,6 +134,7 @@
   // It stays among the live records until nothing of it is left anywhere: the next leader must
   // know what may still take room and count against a limit.
   if (job.stored.state != JobState::Pending && gone_everywhere(job)) return WriteUrgency::Finished;
+  if (cancelled_by_dependency(job)) return WriteUrgency::Finished;
   // Progress of an array is written in batches, as far as its record has room for it.
   const bool due = !job.progress_since || now >= *job.progress_since + settings_.report_s;
   if (job.done.count() != job.stored.done.count() && due &&
@@ -164,14 +168,23 @@
   return sorted;
 }
 
-RecordWrite LeaderCore::write_for(const Job& job) const {
+RecordWrite LeaderCore::write_for(const Job& job, Seconds now) const {
   RecordWrite w;
   w.job = job.spec().id;
   w.version = job.version;
   w.record = job.stored;
   w.record->done = fitting_a_record(job.done);
-  if (job.stored.state == JobState::Pending && job.complete()) w.record->state = JobState::Done;
+  if (job.stored.state == JobState::Pending && job.complete()) {
+    w.record->state = JobState::Done;
+    w.record->ended_ms = static_cast<uint64_t>((now + wall_offset_) * 1000);
+  }
+  if (cancelled_by_dependency(job)) w.record->state = JobState::Cancelled;
   w.record->started = job.stored.started || job.want_started;
+  if (w.record->started && !w.record->spec.dependencies.empty()) {
+    // All of them are done: from here on only the time counts.
+    w.record->ready_ms = arrival_ms(job);
+    w.record->spec.dependencies.clear();
+  }
   if (w.record->started) w.record->hosts = possible_hosts(job);
   w.finished = w.record->state != JobState::Pending && gone_everywhere(job);
   return w;
@@ -211,7 +224,7 @@
                    [](const Candidate& a, const Candidate& b) { return a.urgency < b.urgency; });
   for (const Candidate& candidate : order) {
     if (!batch.fits(kMostChangesOfAJob) || batch.full()) return false;
-    RecordWrite write = write_for(*candidate.job);
+    RecordWrite write = write_for(*candidate.job, now);
     candidate.job->writing = true;
     keep_common_hosts(*candidate.job, write.record->hosts);
     batch.add(std::move(write));
@@ -243,7 +256,10 @@
   Job& job = it->second;
   job.writing = false;
   if (!committed) return;
-  if (w.finished) return job_finished(w.job);
+  if (w.finished) {
+    dependency_finished(w.job, {w.record->state, w.record->done.count(), w.record->ended_ms});
+    return job_finished(w.job);
+  }
   job_stored(*w.record, version, now);
   if (job.done == job.stored.done) job.progress_since.reset();
 }
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -96,7 +96,8 @@
 std::vector<Job*> LeaderCore::waiting(Seconds now) {
   std::vector<Job*> out;
   for (auto& [id, job] : jobs_) {
-    if (!job.runnable() || now < job.retry_at || missing_in_doubt(job)) continue;
+    if (!job.runnable() || !ready(job) || now < job.retry_at || missing_in_doubt(job)) continue;
+    count_arrival(job);
     if (job.placements.size() + job.done.count() >= job.spec().tasks) continue;
     if (job.spec().kind == JobKind::Gang && !job.placements.empty()) continue;
     if (at_fault(job) && !job.placements.empty()) {
@@ -115,11 +116,11 @@
   std::sort(out.begin(), out.end(), [&](const Job* a, const Job* b) {
     auto rank = [&](const Job* j) {
       return std::make_tuple(
-          -static_cast<int>(j->spec().priority), !guaranteed_.contains(j->spec().id),
-          j->spec().priority == Priority::Low && j->spec().need.gpus == 0,
-          std::floor(static_cast<double>(j->stored.submitted_ms) / together_ms),
-          j->spec().kind == JobKind::Gang ? -static_cast<int>(j->spec().tasks) : 0,
-          j->stored.submitted_ms, std::string_view(j->spec().id));
+          -static_cast<int>(j->priority), !guaranteed_.contains(j->spec().id),
+          j->priority == Priority::Low && j->spec().need.gpus == 0,
+          std::floor(static_cast<double>(arrival_ms(*j)) / together_ms),
+          j->spec().kind == JobKind::Gang ? -static_cast<int>(j->spec().tasks) : 0, arrival_ms(*j),
+          std::string_view(j->spec().id));
     };
     return rank(a) < rank(b);
   });
@@ -138,9 +139,9 @@
     return;
   std::vector<UnfinishedJob> unfinished;
   for (const auto& [id, job] : jobs_) {
-    if (!job.runnable() || !claims(job)) continue;
+    if (!job.runnable() || !ready(job) || !claims(job)) continue;
     const uint32_t ended = job.spec().kind == JobKind::Array ? job.done.count() : 0;
-    unfinished.push_back({&job.spec(), job.spec().tasks - ended, job.stored.submitted_ms});
+    unfinished.push_back({&job.spec(), job.spec().tasks - ended, arrival_ms(job)});
   }
   guaranteed_ = within_guarantee(settings_.teams, std::move(unfinished));
 }
@@ -202,6 +203,7 @@
         const auto m = machines_.find(machine);
         if (m != machines_.end()) ++d.zones[m->second.info.zone];
       }
+  if (job.priority > d.spec->priority) d.inherited_priority = job.priority;
   d.image_first = fetch_hurts(job);
   d.within_guarantee = guaranteed_.contains(job.spec().id);
   d.avoid = [&job](const Slot& s) { return job.failed_on.contains(s.machine); };
@@ -231,7 +233,7 @@
     else
       make_room(*job, *d, slots, now);
     if (d->tasks.empty()) continue;
-    if (job->spec().priority == Priority::Low) hold_beside_gpus(*d, slots);
+    if (job->priority == Priority::Low) hold_beside_gpus(*d, slots);
     unplaced_.push_back(std::move(*d));
   }
   victims_.reset();  // these look at names that the jobs own
@@ -285,7 +287,7 @@
       victim.task = key.task.task;
       victim.slot = i;
       victim.need = run.need;
-      victim.priority = job->spec().priority;
+      victim.priority = job->priority;
       victim.loss_s = loss_of(*job, run, now);
       victim.gang = gang;
       victim.beyond_guarantee = !guaranteed_.contains(victim.job);
@@ -332,7 +334,7 @@
 }
 
 Seconds LeaderCore::arrival(const Job& job) const {
-  return static_cast<double>(job.stored.submitted_ms) / 1000 - wall_offset_;
+  return static_cast<double>(arrival_ms(job)) / 1000 - wall_offset_;
 }
 
 /// Whether a boot from now on would make the job miss what users were promised for its class.
@@ -384,7 +386,7 @@
 /// Stops tasks of lower priority, or beyond other teams' guarantees, for those that found no room.
 /// Their places are free once they are proven gone; until then the room is held for this job.
 void LeaderCore::make_room(Job& job, Demand& d, std::vector<Slot>& slots, Seconds now) {
-  if (job.spec().priority == Priority::Low && !d.within_guarantee) return;
+  if (job.priority == Priority::Low && !d.within_guarantee) return;
   make_room(job, d, slots, victims_of_round(slots, now), now);
 }
 
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -12,6 +12,11 @@
 
 using wire::ShownState;
 
+/// The part of a record's value that a job's description may take, and what it may take with the
+/// names of the jobs that it depends on.
+constexpr double kDescriptionShare = 0.5;
+constexpr double kDependenciesShare = 0.9;
+
 void later_please(const Respond& respond, int status = 503) {
   respond({status, wire::error_body("try again later"), 1});
 }
@@ -78,20 +83,20 @@
 
 void Frontend::look_up(const std::string& id, const Respond& respond,
                        const std::function<void(const Versioned<JobRecord>&)>& live,
-                       const std::function<void(const wire::FinishedRecord&)>& finished,
+                       const std::function<void(const FinishedRecord&)>& finished,
                        const std::function<void()>& unknown) {
   // Over is final: no read can find it changed.
   if (const auto* known = mirror_.finished(id)) return finished(*known);
   mirror_.read_barrier([=, this](bool fresh) {
     if (!fresh) return later_please(respond);
-    if (const auto* record = mirror_.live(id)) return live(*record);
+    if (const auto* record = mirror_.live(id)) return answer_live(*record, respond, live);
     if (const auto* known = mirror_.finished(id)) return finished(*known);
     // Jobs leave the live records only for those that are over, so reading these last finds a job
     // that moves in between.
     store_.read(
         Urgency::Rest, wire::item_path(keys::kFinished + id), [=, this](const HttpResult& r) {
           // This node may have accepted it, and said so, since the question was asked.
-          if (const auto* record = mirror_.live(id)) return live(*record);
+          if (const auto* record = mirror_.live(id)) return answer_live(*record, respond, live);
           if (r.answered && r.status == 404) return unknown();
           const auto page = r.ok() ? wire::parse_item(r.body) : std::nullopt;
           const auto record = page ? wire::decode_finished(page->items[0].value) : std::nullopt;
@@ -102,6 +107,19 @@
   });
 }
 
+void Frontend::answer_live(const Versioned<JobRecord>& record, const Respond& respond,
+                           const std::function<void(const Versioned<JobRecord>&)>& live) const {
+  // How a job ended that it depends on may still be read: until then nobody can tell its state.
+  if (!mirror_.dependencies().certain(record.value.spec.id)) return later_please(respond);
+  live(record);
+}
+
+/// A job that depends on a cancelled one is cancelled, before the leader has written it down.
+JobState Frontend::current_state(const JobRecord& record) const {
+  const bool cancelled = mirror_.dependencies().cancelled(record.spec.id);
+  return record.state == JobState::Pending && cancelled ? JobState::Cancelled : record.state;
+}
+
 void Frontend::query(const std::string& id, const Respond& respond) {
   auto answer = [=](JobState state, uint32_t done, uint32_t running) {
     respond({200, wire::job_status(id, shown(state, running), done, running), 0});
@@ -110,10 +128,11 @@
       id, respond,
       [=, this](const Versioned<JobRecord>& r) {
         const auto counts = sources_.counts(id);
-        const bool pending = r.value.state == JobState::Pending;
-        answer(r.value.state, r.value.done.count(), pending ? counts.running : 0);
+        const JobState state = current_state(r.value);
+        const bool pending = state == JobState::Pending;
+        answer(state, r.value.done.count(), pending ? counts.running : 0);
       },
-      [=](const wire::FinishedRecord& r) { answer(r.state, r.done, 0); },
+      [=](const FinishedRecord& r) { answer(r.state, r.done, 0); },
       [=] {
         respond({404, wire::error_body("no such job"), 0});
       });
@@ -124,7 +143,8 @@
   look_up(
       id, respond,
       [=, this](const Versioned<JobRecord>& r) {
-        if (r.value.state != JobState::Pending) return answer(r.value.state);
+        const JobState state = current_state(r.value);
+        if (state != JobState::Pending) return answer(state);
         JobRecord cancelled = r.value;
         cancelled.state = JobState::Cancelled;
         const std::string key = keys::kLive + id;
@@ -141,7 +161,7 @@
                           later_please(respond);
                         });
       },
-      [=](const wire::FinishedRecord& r) { answer(r.state); },
+      [=](const FinishedRecord& r) { answer(r.state); },
       [=] {
         respond({404, wire::error_body("no such job"), 0});
       });
@@ -158,7 +178,56 @@
   const auto never = never_runs(spec, sources_.types(), settings_.team(spec.team));
   if (!never.empty()) return refuse_unknown(spec.id, 422, never, respond);
   if (!mirror_.loaded()) return later_please(respond);
-  accept(spec, respond);
+  auto submission = std::make_shared<Submission>();
+  submission->record.spec = spec;
+  submission->record.spec.dependencies.clear();
+  submission->record.submitted_ms = sources_.time_of_day_ms();
+  submission->unchecked = spec.dependencies;
+  check_dependencies(submission, respond);
+}
+
+/// Looks up the jobs that a submission depends on, one after another, and accepts it then. Those
+/// that are done already need no place in its record, and with one that is cancelled it is.
+void Frontend::check_dependencies(const std::shared_ptr<Submission>& submission,
+                                  const Respond& respond) {
+  while (!submission->unchecked.empty()) {
+    const std::string id = submission->unchecked.back();
+    // Of a job in the copy it is certain that it was accepted; what has happened to it since the
+    // copy was made is found out from the records of both.
+    if (const auto* record = mirror_.live(id)) {
+      submission->add(id, current_state(record->value));
+    } else if (const auto* known = mirror_.finished(id)) {
+      submission->add(id, known->state);
+    } else {
+      return look_up_dependency(id, submission, respond);
+    }
+  }
+  accept(submission->record, respond);
+}
+
+void Frontend::look_up_dependency(const std::string& id,
+                                  const std::shared_ptr<Submission>& submission,
+                                  const Respond& respond) {
+  look_up(
+      id, respond,
+      [=, this](const Versioned<JobRecord>& record) {
+        submission->add(id, current_state(record.value));
+        check_dependencies(submission, respond);
+      },
+      [=, this](const FinishedRecord& record) {
+        submission->add(id, record.state);
+        check_dependencies(submission, respond);
+      },
+      [=, this] {
+        refuse_unknown(submission->record.spec.id, 422, "depends on a job that was never accepted",
+                       respond);
+      });
+}
+
+void Frontend::Submission::add(const std::string& dependency, JobState state) {
+  unchecked.pop_back();
+  if (state == JobState::Pending) record.spec.dependencies.push_back(dependency);
+  if (state == JobState::Cancelled) record.state = JobState::Cancelled;
 }
 
 /// A job that was accepted stays so, whatever would be said of it now: another node may have known
@@ -180,26 +249,26 @@
   look_up(
       id, respond,
       [=, this](const Versioned<JobRecord>& r) {
-        answer(r.value.state, sources_.counts(id).running);
+        answer(current_state(r.value), sources_.counts(id).running);
       },
-      [=](const wire::FinishedRecord& r) { answer(r.state, 0); }, unknown);
+      [=](const FinishedRecord& r) { answer(r.state, 0); }, unknown);
 }
 
-void Frontend::accept(const JobSpec& spec, const Respond& respond) {
-  JobRecord record;
-  record.spec = spec;
-  record.submitted_ms = sources_.time_of_day_ms();
+void Frontend::accept(const JobRecord& record, const Respond& respond) {
+  const std::string& id = record.spec.id;
   const std::string value = wire::encode_job(record);
-  if (static_cast<double>(value.size()) > settings_.state_value_kb * 1024 * 0.5)
-    return refuse_unknown(spec.id, 400, "the job's description is too large", respond);
-  const std::string live = keys::kLive + spec.id;
-  const std::string finished = keys::kFinished + spec.id;
+  // Done numbers and hosts come into a record only once the jobs that it depends on have left it.
+  const double share = record.spec.dependencies.empty() ? kDescriptionShare : kDependenciesShare;
+  if (static_cast<double>(value.size()) > settings_.state_value_kb * 1024 * share)
+    return refuse_unknown(id, 400, "the job's description is too large", respond);
+  const std::string live = keys::kLive + id;
+  const std::string finished = keys::kFinished + id;
   store_.transact(
       Urgency::Record, {{live, 0}, {finished, 0}}, {{live, value, 0}},
       [=, this](const TxnResult& t) {
         if (t.outcome == TxnOutcome::Committed) {
           mirror_.wrote_job(record, t.revision);
-          return respond({201, wire::job_answer(record.spec.id, ShownState::Pending), 0});
+          return respond({201, wire::job_answer(record.spec.id, shown(record.state, 0)), 0});
         }
         if (t.outcome != TxnOutcome::Conflict) return later_please(respond);
         answer_known(record.spec.id, respond);
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -1,5 +1,6 @@
 #pragma once
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -30,7 +31,16 @@
 
  private:
   void submit(const HttpRequest& request, const Respond& respond);
-  void accept(const JobSpec& spec, const Respond& respond);
+  /// A submission while the jobs that it depends on are looked up.
+  struct Submission {
+    JobRecord record;
+    std::vector<std::string> unchecked;
+    void add(const std::string& dependency, JobState state);
+  };
+  void check_dependencies(const std::shared_ptr<Submission>& submission, const Respond& respond);
+  void look_up_dependency(const std::string& id, const std::shared_ptr<Submission>& submission,
+                          const Respond& respond);
+  void accept(const JobRecord& record, const Respond& respond);
   void answer_known(const std::string& id, const Respond& respond);
   void answer_known(const std::string& id, const Respond& respond,
                     const std::function<void()>& unknown);
@@ -41,8 +51,11 @@
   /// The job's state as of now or later; `unknown` is called only if no such job was ever accepted.
   void look_up(const std::string& id, const Respond& respond,
                const std::function<void(const Versioned<JobRecord>&)>& live,
-               const std::function<void(const wire::FinishedRecord&)>& finished,
+               const std::function<void(const FinishedRecord&)>& finished,
                const std::function<void()>& unknown);
+  void answer_live(const Versioned<JobRecord>& record, const Respond& respond,
+                   const std::function<void(const Versioned<JobRecord>&)>& live) const;
+  JobState current_state(const JobRecord& record) const;
   Respond limited(Respond respond);
 
   const Settings& settings_;
--- /dev/null
+++ b/src/jobs/dependency_graph.cpp
@@ -0,0 +1,162 @@
+#include "jobs/dependency_graph.h"
+
+#include <algorithm>
+#include <unordered_set>
+#include <utility>
+
+namespace sumacquay {
+
+const DependencyGraph::Node* DependencyGraph::find(const std::string& id) const {
+  const auto found = nodes_.find(id);
+  return found == nodes_.end() ? nullptr : &found->second;
+}
+
+void DependencyGraph::update(const JobRecord& record) {
+  const std::string& id = record.spec.id;
+  if (record.state == JobState::Pending) {
+    enter(id, State::Pending, 0);
+    const Node& node = nodes_.at(id);
+    if (node.state == State::Pending && node.dependencies.empty())
+      add_dependencies(id, record.spec.dependencies);
+    return;
+  }
+  finished(id, record.state, record.ended_ms);
+}
+
+void DependencyGraph::finished(const std::string& id, JobState state, uint64_t ended_ms) {
+  if (!nodes_.contains(id)) return;
+  enter(id, state == JobState::Done ? State::Done : State::Cancelled, ended_ms);
+}
+
+void DependencyGraph::forget(const std::string& id) {
+  const auto found = nodes_.find(id);
+  if (found == nodes_.end()) return;
+  if (!over(found->second)) enter(id, State::Unknown, 0);
+  release_dependencies(id);
+  drop_if_unneeded(id);
+}
+
+void DependencyGraph::clear() {
+  nodes_.clear();
+  unknown_.clear();
+}
+
+void DependencyGraph::enter(const std::string& id, State next, uint64_t ended_ms) {
+  Node& node = nodes_[id];
+  if (node.state == next || over(node)) return;
+  node.state = next;
+  if (next == State::Unknown)
+    unknown_.insert(id);
+  else
+    unknown_.erase(id);
+  if (!over(node)) return;
+  node.ended_ms = ended_ms;
+  if (next == State::Done) {
+    for (const auto& dependent : node.dependents) dependency_done(nodes_.at(dependent), node);
+  } else {
+    cancel_dependents(id);
+  }
+  release_dependencies(id);
+  drop_if_unneeded(id);
+}
+
+void DependencyGraph::add_dependencies(const std::string& id,
+                                       const std::vector<std::string>& dependencies) {
+  bool doomed = false;
+  for (const auto& dependency_id : dependencies) {
+    Node& dependency = nodes_[dependency_id];
+    if (!dependency.dependents.insert(id).second) continue;
+    Node& node = nodes_.at(id);
+    node.dependencies.push_back(dependency_id);
+    ++node.open;
+    if (dependency.state == State::Done) dependency_done(node, dependency);
+    if (dependency.state == State::Unknown) unknown_.insert(dependency_id);
+    doomed = doomed || dependency.cancelled;
+  }
+  if (!doomed) return;
+  nodes_.at(id).cancelled = true;
+  cancel_dependents(id);
+}
+
+void DependencyGraph::dependency_done(Node& dependent, const Node& dependency) {
+  --dependent.open;
+  dependent.ready_ms = std::max(dependent.ready_ms, dependency.ended_ms);
+}
+
+void DependencyGraph::cancel_dependents(const std::string& id) {
+  nodes_.at(id).cancelled = true;
+  std::vector<std::string> cancelled{id};
+  while (!cancelled.empty()) {
+    const std::string next = std::move(cancelled.back());
+    cancelled.pop_back();
+    for (const auto& dependent_id : nodes_.at(next).dependents) {
+      Node& dependent = nodes_.at(dependent_id);
+      if (dependent.cancelled) continue;
+      dependent.cancelled = true;
+      cancelled.push_back(dependent_id);
+    }
+  }
+}
+
+/// A job that is over waits for nobody.
+void DependencyGraph::release_dependencies(const std::string& id) {
+  const auto found = nodes_.find(id);
+  if (found == nodes_.end()) return;
+  for (const auto& dependency : std::exchange(found->second.dependencies, {})) {
+    nodes_.at(dependency).dependents.erase(id);
+    drop_if_unneeded(dependency);
+  }
+}
+
+void DependencyGraph::drop_if_unneeded(const std::string& id) {
+  const auto found = nodes_.find(id);
+  if (found == nodes_.end()) return;
+  const Node& node = found->second;
+  if (node.state == State::Pending || !node.dependents.empty()) return;
+  unknown_.erase(id);
+  nodes_.erase(found);
+}
+
+bool DependencyGraph::ready(const std::string& id) const {
+  const Node* node = find(id);
+  return !node || node->open == 0;
+}
+
+bool DependencyGraph::cancelled(const std::string& id) const {
+  const Node* node = find(id);
+  return node && node->cancelled;
+}
+
+bool DependencyGraph::certain(const std::string& id) const {
+  if (unknown_.empty() || cancelled(id)) return true;
+  std::unordered_set<std::string_view> seen{id};
+  std::vector<std::string_view> open{id};
+  while (!open.empty()) {
+    const Node* node = find(std::string(open.back()));
+    open.pop_back();
+    if (!node) continue;
+    if (node->state == State::Unknown) return false;
+    for (const auto& dependency : node->dependencies)
+      if (seen.insert(dependency).second) open.push_back(dependency);
+  }
+  return true;
+}
+
+uint64_t DependencyGraph::ready_ms(const std::string& id) const {
+  const Node* node = find(id);
+  return node ? node->ready_ms : 0;
+}
+
+const std::vector<std::string>& DependencyGraph::dependencies(const std::string& id) const {
+  static const std::vector<std::string> none;
+  const Node* node = find(id);
+  return node ? node->dependencies : none;
+}
+
+const std::set<std::string>& DependencyGraph::dependents(const std::string& id) const {
+  static const std::set<std::string> none;
+  const Node* node = find(id);
+  return node ? node->dependents : none;
+}
+
+}  // namespace sumacquay
--- a/src/jobs/spec.h
+++ b/src/jobs/spec.h
@@ -45,6 +45,8 @@
   bool one_zone = false, spread = false, spot = false;
   double estimate_s = 0, checkpoint_s = 0, save_s = 0;
   std::optional<double> deadline_s;
+  /// Jobs that have to be done before a task of this one starts; each once.
+  std::vector<std::string> dependencies;
 
   bool operator==(const JobSpec&) const = default;
   bool allows_type(const std::string& type) const;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -198,6 +198,7 @@
   for (const auto& [id, host] : mirror_.hosts()) core->host_stored(host.value, steady_now());
   for (const auto& [id, job] : mirror_.live())
     core->job_stored(job.value, job.version, steady_now());
+  tell_finished_dependencies(*core);
   for (const auto& held : peers_.images()) core->image_held(held.machine, held.image, held.gb);
   // The cloud's list is late: without this, what the leader before rented is rented once more.
   core->listed(peers_.booting(), steady_now());
@@ -215,9 +216,17 @@
     core_->job_stored(record->value, record->version, steady_now());
   else
     core_->job_finished(id);
+  tell_finished_dependencies(*core_);
   core_->request_round();
 }
 
+/// The core reads no records: it is told of finished jobs as far as others depend on them.
+void Node::tell_finished_dependencies(LeaderCore& core) const {
+  const std::set<std::string> unknown = core.unknown_dependencies();
+  for (const auto& id : unknown)
+    if (const auto* record = mirror_.finished(id)) core.dependency_finished(id, *record);
+}
+
 void Node::on_all_job_records() {
   std::vector<std::string> finished;
   for (const auto& [id, job] : core_->jobs())
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -52,6 +52,7 @@
   // records
   void on_job_record(const std::string& id);
   void on_all_job_records();
+  void tell_finished_dependencies(LeaderCore& core) const;
   // heartbeats
   Peers::Hooks peer_hooks();
   wire::Heartbeat own_heartbeat(wire::HeartbeatPart part) const;
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -102,7 +102,7 @@
 /// it.
 bool yields_to_guarantee(const Demand& d, const Victim& victim) {
   return d.within_guarantee && victim.beyond_guarantee && victim.team != d.spec->team &&
-         victim.priority <= d.spec->priority;
+         victim.priority <= d.priority();
 }
 
 /// Lower priority and work beyond a guarantee give way; but a gang, which stops on all its
@@ -111,7 +111,7 @@
   constexpr double kGoodPart = 0.4;
   const JobSpec& spec = *d.spec;
   if (victim.stopped) return false;
-  if (victim.priority >= spec.priority && !yields_to_guarantee(d, victim)) return false;
+  if (victim.priority >= d.priority() && !yields_to_guarantee(d, victim)) return false;
   if (!victim.gang) return true;
   const bool by_gpus = victim.need.gpus > 0;
   return by_gpus ? spec.need.gpus >= kGoodPart * victim.need.gpus
@@ -243,7 +243,7 @@
     double loss = 0;
     for (size_t v : order) {
       if (d.spec->need.fits_in(room)) break;
-      if (victims[v].priority >= d.spec->priority &&
+      if (victims[v].priority >= d.priority() &&
           !team_can_spare(victims[v], p.victims, victims, running))
         continue;
       room += victims[v].need;
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -36,10 +36,14 @@
   const JobSpec* spec = nullptr;
   std::vector<uint32_t> tasks;                      ///< to be placed
   std::unordered_map<std::string, uint32_t> zones;  ///< tasks of the job that are in a zone
-  bool image_first = false;                         ///< a fetch costs more than packing gains
-  bool within_guarantee = false;                    ///< its team's: other teams' must not delay it
-  std::function<bool(const Slot&)> avoid;           ///< machines the job failed on
-  std::function<bool(const Slot&)> has_image;       ///< machines that hold the image
+  /// Of the jobs that depend on this one, if it is higher than its own.
+  std::optional<Priority> inherited_priority;
+  bool image_first = false;                    ///< a fetch costs more than packing gains
+  bool within_guarantee = false;               ///< its team's: other teams' must not delay it
+  std::function<bool(const Slot&)> avoid;      ///< machines the job failed on
+  std::function<bool(const Slot&)> has_image;  ///< machines that hold the image
+
+  Priority priority() const { return inherited_priority.value_or(spec->priority); }
 };
 
 struct Placed {
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -85,6 +85,8 @@
 
 void Mirror::forget_all() {
   live_.clear();
+  dependencies_.clear();
+  reading_dependency_ = false;
   hosts_.clear();
   host_deleted_.clear();
   leader_ = {};
@@ -126,6 +128,7 @@
   enter(State::Following);
   tell_leader_changed();
   tell_job_changed("");
+  read_unknown_dependencies();
   follow();
 }
 
@@ -238,9 +241,11 @@
   // A job that is over never comes back, whatever an older change says.
   if (item.value.missing() || finished_.contains(id)) {
     live_.erase(id);
+    dependencies_.forget(id);
   } else {
     auto record = wire::decode_job(item.value);
     if (!record) return spdlog::error("record {} can't be read", item.key);
+    note_dependencies(*record);
     live_[id] = {std::move(*record), item.version};
   }
   if (loaded()) tell_job_changed(id);
@@ -280,6 +285,40 @@
   if (loaded()) tell_leader_changed();
 }
 
+/// Jobs that are over when others come to depend on them are known from memory, or read.
+void Mirror::note_dependencies(const JobRecord& record) {
+  dependencies_.update(record);
+  for (const auto& id : record.spec.dependencies)
+    if (const auto* known = finished(id)) dependencies_.finished(id, known->state, known->ended_ms);
+  if (loaded()) read_unknown_dependencies();
+}
+
+/// One at a time: they are few, but for a node that has just started.
+void Mirror::read_unknown_dependencies() {
+  if (reading_dependency_ || dependencies_.unknown().empty()) return;
+  reading_dependency_ = true;
+  const auto& unknown = dependencies_.unknown();
+  const auto next = unknown.upper_bound(dependency_read_);
+  dependency_read_ = next == unknown.end() ? *unknown.begin() : *next;
+  read_dependency(dependency_read_);
+}
+
+void Mirror::read_dependency(const std::string& id) {
+  store_.read(Urgency::Record, wire::item_path(keys::kFinished + id),
+              [this, id, generation = generation_](const HttpResult& result) {
+                if (generation != generation_) return;
+                reading_dependency_ = false;
+                const auto page = result.ok() ? wire::parse_item(result.body) : std::nullopt;
+                const auto record =
+                    page ? wire::decode_finished(page->items[0].value) : std::nullopt;
+                if (!record)
+                  return later_unless_reloaded(retry_s_, [this] { read_unknown_dependencies(); });
+                learned_finished(id, *record);
+                tell_job_changed(id);
+                read_unknown_dependencies();
+              });
+}
+
 void Mirror::tell_job_changed(const std::string& id) const {
   if (listener_.job_changed) listener_.job_changed(id);
 }
@@ -288,8 +327,10 @@
   if (listener_.leader_changed) listener_.leader_changed();
 }
 
-void Mirror::remember_finished(const std::string& id, wire::FinishedRecord record) {
+void Mirror::remember_finished(const std::string& id, FinishedRecord record) {
   live_.erase(id);
+  dependencies_.finished(id, record.state, record.ended_ms);
+  dependencies_.forget(id);
   if (!finished_.emplace(id, record).second) return;
   finished_order_.push_back(id);
   if (finished_order_.size() <= finished_kept_) return;
@@ -302,7 +343,7 @@
   return found == live_.end() ? nullptr : &found->second;
 }
 
-const wire::FinishedRecord* Mirror::finished(const std::string& id) const {
+const FinishedRecord* Mirror::finished(const std::string& id) const {
   const auto found = finished_.find(id);
   return found == finished_.end() ? nullptr : &found->second;
 }
@@ -324,11 +365,11 @@
   auto& known = live_[id];
   if (known.version >= version) return;
   known = {record, version};
+  note_dependencies(record);
   tell_job_changed(id);
 }
 
-void Mirror::wrote_finished(const std::string& id, wire::FinishedRecord record,
-                            uint64_t /*version*/) {
+void Mirror::wrote_finished(const std::string& id, FinishedRecord record, uint64_t /*version*/) {
   remember_finished(id, record);
   tell_job_changed(id);
 }
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "jobs/dependency_graph.h"
 #include "jobs/record.h"
 #include "store/store_client.h"
 #include "wire/records.h"
@@ -65,7 +66,7 @@
   const std::unordered_map<std::string, Versioned<JobRecord>>& live() const { return live_; }
   const Versioned<JobRecord>* live(const std::string& id) const;
   /// A job that is over, if it is still kept in memory.
-  const wire::FinishedRecord* finished(const std::string& id) const;
+  const FinishedRecord* finished(const std::string& id) const;
   /// Whether the job is known to be cancelled or done.
   bool ended(const std::string& id) const;
   /// Machines that may run something, by name.
@@ -75,14 +76,17 @@
   /// Who was elected last, whether or not that node still holds the lease.
   const Versioned<wire::LeaderRecord>& term() const { return term_; }
 
+  /// How the live jobs depend on one another and on finished ones.
+  const DependencyGraph& dependencies() const { return dependencies_; }
+
   // What this node itself has written, known before the watch brings it. A host without a record
   // was deleted.
   void wrote_job(const JobRecord& record, uint64_t version);
-  void wrote_finished(const std::string& id, wire::FinishedRecord record, uint64_t version);
+  void wrote_finished(const std::string& id, FinishedRecord record, uint64_t version);
   void wrote_host(const std::string& id, const HostRecord* record, uint64_t version);
   void wrote_leader(const wire::LeaderRecord& record, uint64_t version);
   /// What this node has read of a job that the copy doesn't keep.
-  void learned_finished(const std::string& id, wire::FinishedRecord record) {
+  void learned_finished(const std::string& id, FinishedRecord record) {
     remember_finished(id, record);
   }
 
@@ -124,8 +128,11 @@
   void apply_host(const std::string& id, const wire::StoreItem& item);
   void apply_leader(const wire::StoreItem& item);
   void apply_term(const wire::StoreItem& item);
-  void remember_finished(const std::string& id, wire::FinishedRecord record);
+  void remember_finished(const std::string& id, FinishedRecord record);
   bool ahead(uint64_t version) const;
+  void note_dependencies(const JobRecord& record);
+  void read_unknown_dependencies();
+  void read_dependency(const std::string& id);
   void tell_job_changed(const std::string& id) const;
   void tell_leader_changed() const;
 
@@ -147,8 +154,11 @@
   Clock::time_point loading_since_{};
 
   std::unordered_map<std::string, Versioned<JobRecord>> live_;
-  std::unordered_map<std::string, wire::FinishedRecord> finished_;
+  std::unordered_map<std::string, FinishedRecord> finished_;
   std::deque<std::string> finished_order_;  ///< the oldest first
+  DependencyGraph dependencies_;
+  bool reading_dependency_ = false;
+  std::string dependency_read_;  ///< the last one: they are read in turn
   std::map<std::string, Versioned<HostRecord>> hosts_;
   std::map<std::string, uint64_t> host_deleted_;  ///< when this node deleted it
   Versioned<wire::LeaderRecord> leader_;
--- a/src/wire/job_spec_codec.cpp
+++ b/src/wire/job_spec_codec.cpp
@@ -1,5 +1,8 @@
 #include "wire/job_spec_codec.h"
 
+#include <unordered_set>
+#include <utility>
+
 #include "wire/field_names.h"
 #include "wire/user_messages.h"
 
@@ -23,6 +26,7 @@
 constexpr const char* kCheckpoint = "mark_s";
 constexpr const char* kSave = "stow_s";
 constexpr const char* kDeadline = "due_s";
+constexpr const char* kDependencies = "awaits";
 
 constexpr Spellings<JobKind, 3> kKinds{
     {{JobKind::Array, "sweep"}, {JobKind::Gang, "ensemble"}, {JobKind::Service, "service"}}};
@@ -46,11 +50,25 @@
   }
 }
 
+/// The jobs that it depends on, each once; where the field is missing, none.
+void read_dependencies(Fields& fields, JobSpec& spec) {
+  const View dependencies = fields[kDependencies];
+  if (dependencies.missing()) return;
+  if (!dependencies.is_list()) return fields.note_invalid(kDependencies);
+  std::unordered_set<std::string> seen;
+  for (size_t i = 0; i < dependencies.size(); ++i) {
+    auto id = dependencies.at(i).text();
+    if (!id || !valid_job_id(*id)) return fields.note_invalid(kDependencies);
+    if (seen.insert(*id).second) spec.dependencies.push_back(std::move(*id));
+  }
+}
+
 uint32_t count_fields(const JobSpec& spec) {
   uint32_t count = kRequiredFields;
   if (spec.types) ++count;
   if (spec.zone) ++count;
   if (spec.deadline_s) ++count;
+  if (!spec.dependencies.empty()) ++count;
   return count;
 }
 
@@ -78,6 +96,7 @@
   spec.checkpoint_s = fields.amount(kCheckpoint);
   spec.save_s = fields.amount(kSave);
   if (!fields[kDeadline].missing()) spec.deadline_s = fields.amount(kDeadline);
+  read_dependencies(fields, spec);
 }
 
 void pack_spec(Packer& packer, const JobSpec& spec) {
@@ -105,6 +124,9 @@
   pack_field(packer, kCheckpoint, spec.checkpoint_s);
   pack_field(packer, kSave, spec.save_s);
   if (spec.deadline_s) pack_field(packer, kDeadline, *spec.deadline_s);
+  if (spec.dependencies.empty()) return;
+  pack_text(packer, kDependencies);
+  pack_texts(packer, spec.dependencies);
 }
 
 }  // namespace sumacquay::wire::codec
--- a/src/wire/records.cpp
+++ b/src/wire/records.cpp
@@ -21,6 +21,9 @@
 constexpr const char* kHosts = "hosts";
 constexpr const char* kSubmittedAt = "at_ms";
 constexpr const char* kDone = "done";
+// Since jobs may depend on others. Earlier versions ignore these and write records without them.
+constexpr const char* kReadyAt = "ready_ms";
+constexpr const char* kEndedAt = "ended_ms";
 
 constexpr const char* kId = "id";
 constexpr const char* kAddress = "addr";
@@ -52,6 +55,16 @@
   return Ranges::from_lengths(lengths, most, ranges);
 }
 
+constexpr uint32_t kRequiredFields = 5;
+
+uint32_t count_fields(const JobRecord& record) {
+  uint32_t count = kRequiredFields;
+  if (record.hosts) ++count;
+  if (record.ready_ms > 0) ++count;
+  if (record.ended_ms > 0) ++count;
+  return count;
+}
+
 std::vector<std::string> read_texts(View list) {
   std::vector<std::string> texts;
   for (size_t i = 0; i < list.size(); ++i) texts.push_back(list.at(i).text_or(""));
@@ -62,7 +75,7 @@
 
 std::string encode_job(const JobRecord& record) {
   return build([&](Packer& packer) {
-    packer.pack_map(record.hosts ? 6 : 5);
+    packer.pack_map(count_fields(record));
     codec::pack_text(packer, kSpec);
     codec::pack_spec(packer, record.spec);
     pack_field(packer, kState, spelling_of(kJobStates, record.state));
@@ -74,6 +87,8 @@
     pack_field(packer, kSubmittedAt, record.submitted_ms);
     codec::pack_text(packer, kDone);
     pack_ranges(packer, record.done);
+    if (record.ready_ms > 0) pack_field(packer, kReadyAt, record.ready_ms);
+    if (record.ended_ms > 0) pack_field(packer, kEndedAt, record.ended_ms);
   });
 }
 
@@ -92,6 +107,8 @@
   record.state = *state;
   record.started = *started;
   record.submitted_ms = *submitted_ms;
+  record.ready_ms = value[kReadyAt].count().value_or(0);
+  record.ended_ms = value[kEndedAt].count().value_or(0);
   if (const View hosts = value[kHosts]; hosts.is_list()) {
     record.hosts = read_texts(hosts);
     if (!std::is_sorted(record.hosts->begin(), record.hosts->end())) return std::nullopt;
@@ -100,11 +117,12 @@
   return record;
 }
 
-std::string encode_finished(JobState state, uint32_t done) {
+std::string encode_finished(const FinishedRecord& record) {
   return build([&](Packer& packer) {
-    packer.pack_map(2);
-    pack_field(packer, kState, spelling_of(kJobStates, state));
-    pack_field(packer, kDone, uint64_t{done});
+    packer.pack_map(record.ended_ms > 0 ? 3 : 2);
+    pack_field(packer, kState, spelling_of(kJobStates, record.state));
+    pack_field(packer, kDone, uint64_t{record.done});
+    if (record.ended_ms > 0) pack_field(packer, kEndedAt, record.ended_ms);
   });
 }
 
@@ -112,7 +130,7 @@
   const auto state = value_of(kJobStates, value[kState]);
   const auto done = value[kDone].count();
   if (!state || !done) return std::nullopt;
-  return FinishedRecord{*state, static_cast<uint32_t>(*done)};
+  return FinishedRecord{*state, static_cast<uint32_t>(*done), value[kEndedAt].count().value_or(0)};
 }
 
 std::string encode_host(const HostRecord& host) {
--- a/src/wire/records.h
+++ b/src/wire/records.h
@@ -12,11 +12,7 @@
 /// reads them.
 namespace sumacquay::wire {
 
-/// A job that is over.
-struct FinishedRecord {
-  JobState state = JobState::Done;
-  uint32_t done = 0;  ///< how many of its tasks
-};
+using sumacquay::FinishedRecord;
 
 /// Who leads, or led last.
 struct LeaderRecord {
@@ -30,7 +26,8 @@
 std::string encode_job(const JobRecord& record);
 std::optional<JobRecord> decode_job(View value);
 
-std::string encode_finished(JobState state, uint32_t done);
+/// A job that is over.
+std::string encode_finished(const FinishedRecord& record);
 std::optional<FinishedRecord> decode_finished(View value);
 
 /// A machine that may run something.
--- a/tests/encodings_test.cpp
+++ b/tests/encodings_test.cpp
@@ -111,9 +111,9 @@
             "686572c2a773636174746572c3a8626f72726f776564c2a87265636b6f6e5f7300a66d61726b5f73"
             "00a673746f775f7300a57374617465a770656e64696e67a773746172746564c2a561745f6d7300a4"
             "646f6e6590");
-  EXPECT_EQ(hex(wire::encode_finished(JobState::Done, 300)),
+  EXPECT_EQ(hex(wire::encode_finished({JobState::Done, 300})),
             "82a57374617465a4646f6e65a4646f6e65cd012c");
-  EXPECT_EQ(hex(wire::encode_finished(JobState::Cancelled, 0)),
+  EXPECT_EQ(hex(wire::encode_finished({JobState::Cancelled, 0})),
             "82a57374617465a963616e63656c6c6564a4646f6e6500");
   EXPECT_EQ(hex(wire::encode_host({"m-1", "10.0.0.1:9000", "small", "east", true})),
             "85a26964a36d2d31a461646472ad31302e302e302e313a39303030a474797065a5736d616c6ca47a"
@@ -170,7 +170,7 @@
 }
 
 TEST(Encodings, OfRequestsToTheStateServiceStayTheSame) {
-  const std::string value = wire::encode_finished(JobState::Done, 1);
+  const std::string value = wire::encode_finished({JobState::Done, 1});
   EXPECT_EQ(hex(wire::transaction_body(
                 {{"sq/term", 7}, {"sq/live/job-1", 0}},
                 {{"sq/over/job-1", value, 0}, {"sq/leader", value, 41}, {"sq/live/job-1", "", 0}})),
@@ -202,7 +202,7 @@
   EXPECT_EQ(leader_back->nonce, 77u);
   EXPECT_EQ(leader_back->term, 9u);
   EXPECT_EQ(leader_back->lease, 41u);
-  const auto finished = wire::Document::parse(wire::encode_finished(JobState::Cancelled, 12));
+  const auto finished = wire::Document::parse(wire::encode_finished({JobState::Cancelled, 12}));
   const auto finished_back = wire::decode_finished(finished->root());
   ASSERT_TRUE(finished_back.has_value());
   EXPECT_EQ(finished_back->state, JobState::Cancelled);
--- a/tests/record_transaction_test.cpp
+++ b/tests/record_transaction_test.cpp
@@ -97,7 +97,7 @@
 TEST(RecordTransaction, MovesAFinishedJobOutOfTheLiveRecordsInOneStep) {
   const auto write = finished_write("a", 4);
   const Encoded expected{{keys::kLive + "a", ""},
-                         {keys::kFinished + "a", wire::encode_finished(JobState::Done, 2)}};
+                         {keys::kFinished + "a", wire::encode_finished({JobState::Done, 2})}};
   EXPECT_EQ(encoded(record_transaction({write}, kTermVersion)), expected);
 }
 
@@ -107,7 +107,7 @@
   const Encoded expected{
       {keys::kLive + "a", wire::encode_job(job_record("a"))},
       {keys::kLive + "b", ""},
-      {keys::kFinished + "b", wire::encode_finished(JobState::Done, 2)},
+      {keys::kFinished + "b", wire::encode_finished({JobState::Done, 2})},
       {keys::kHost + "i-1", wire::encode_host({"i-1", "10.0.0.1:9", "g", "east", true})},
       {keys::kHost + "i-2", ""}};
   EXPECT_EQ(encoded(record_transaction(writes, kTermVersion)), expected);
--- a/tests/users_test.cpp
+++ b/tests/users_test.cpp
@@ -324,7 +324,7 @@
     std::optional<TxnResult> result;
     const std::string live = keys::kLive + id;
     s.store->transact(Urgency::Record, {{live, known->version}},
-                      {{live, "", 0}, {keys::kFinished + id, wire::encode_finished(end, 1), 0}},
+                      {{live, "", 0}, {keys::kFinished + id, wire::encode_finished({end, 1}), 0}},
                       [&](const TxnResult& t) { result = t; });
     until([&] { return result.has_value(); });
     if (result->outcome == TxnOutcome::Committed)
@@ -336,7 +336,7 @@
   void finish_there(const std::string& id, JobState end = JobState::Done) {
     ++state.revision;
     state.erase(keys::kLive + id);
-    state.set(keys::kFinished + id, wire::encode_finished(end, 1));
+    state.set(keys::kFinished + id, wire::encode_finished({end, 1}));
   }
 };
 
