--- /dev/null
+++ b/tests/dependency_graph_test.cpp
@@ -0,0 +1,233 @@
+#include "jobs/dependency_graph.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "generators.h"
+
+// Which jobs are ready and which are cancelled, against a model that looks at all jobs each time.
+namespace sumacquay {
+namespace {
+
+using sumacquay::testing::holds;
+
+JobRecord pending(const std::string& id, std::vector<std::string> dependencies = {}) {
+  JobRecord record;
+  record.spec.id = id;
+  record.spec.dependencies = std::move(dependencies);
+  return record;
+}
+
+JobRecord ended(const std::string& id, JobState state, uint64_t ended_ms = 0) {
+  JobRecord record = pending(id);
+  record.state = state;
+  record.ended_ms = ended_ms;
+  return record;
+}
+
+TEST(DependencyGraph, AJobIsReadyOnceAllItsDependenciesAreDone) {
+  DependencyGraph graph;
+  graph.update(pending("job-1"));
+  graph.update(pending("job-2"));
+  graph.update(pending("job-3", {"job-1", "job-2"}));
+  EXPECT_TRUE(graph.ready("job-1"));
+  EXPECT_FALSE(graph.ready("job-3"));
+  graph.update(ended("job-2", JobState::Done, 70));
+  EXPECT_FALSE(graph.ready("job-3"));
+  graph.finished("job-1", JobState::Done, 50);
+  EXPECT_TRUE(graph.ready("job-3"));
+  EXPECT_EQ(graph.ready_ms("job-3"), 70u) << "when the last of them ended";
+}
+
+TEST(DependencyGraph, ACancellationReachesAllThatDependOnTheJob) {
+  DependencyGraph graph;
+  graph.update(pending("job-1"));
+  graph.update(pending("job-2", {"job-1"}));
+  graph.update(pending("job-3", {"job-2"}));
+  graph.update(pending("job-4"));
+  graph.update(ended("job-1", JobState::Cancelled));
+  EXPECT_TRUE(graph.cancelled("job-2"));
+  EXPECT_TRUE(graph.cancelled("job-3"));
+  EXPECT_FALSE(graph.cancelled("job-4"));
+  graph.update(pending("job-5", {"job-4", "job-3"}));
+  EXPECT_TRUE(graph.cancelled("job-5")) << "it names a job that is being cancelled";
+  EXPECT_FALSE(graph.ready("job-5"));
+}
+
+TEST(DependencyGraph, AJobThatHasLeftIsUnknownUntilItsEndIsTold) {
+  DependencyGraph graph;
+  graph.update(pending("job-1"));
+  graph.update(pending("job-2", {"job-1"}));
+  graph.update(pending("job-3", {"job-2"}));
+  graph.forget("job-1");
+  EXPECT_EQ(graph.unknown(), std::set<std::string>{"job-1"});
+  EXPECT_FALSE(graph.ready("job-2"));
+  EXPECT_FALSE(graph.certain("job-3")) << "it may be cancelled two steps away";
+  graph.finished("job-1", JobState::Done, 5);
+  EXPECT_TRUE(graph.certain("job-3"));
+  EXPECT_TRUE(graph.ready("job-2"));
+}
+
+/// A job that is over never comes back, whatever an older record says.
+TEST(DependencyGraph, AnEndIsFinal) {
+  DependencyGraph graph;
+  graph.update(pending("job-1"));
+  graph.update(pending("job-2", {"job-1"}));
+  graph.update(ended("job-1", JobState::Cancelled));
+  graph.update(pending("job-1"));
+  graph.finished("job-1", JobState::Done, 5);
+  EXPECT_FALSE(graph.ready("job-2"));
+  EXPECT_TRUE(graph.cancelled("job-2"));
+}
+
+/// A record that is written once the job is ready names its dependencies no longer.
+TEST(DependencyGraph, ALaterRecordMayLeaveOutDependencies) {
+  DependencyGraph graph;
+  graph.update(pending("job-1"));
+  graph.update(pending("job-2", {"job-1"}));
+  graph.update(pending("job-2"));
+  EXPECT_FALSE(graph.ready("job-2"));
+  graph.finished("job-1", JobState::Done, 5);
+  graph.update(pending("job-2"));
+  EXPECT_TRUE(graph.ready("job-2"));
+}
+
+TEST(DependencyGraph, NothingIsKeptOfJobsThatAreOver) {
+  DependencyGraph graph;
+  for (int i = 0; i < 100; ++i) {
+    const std::string first = "job-" + std::to_string(2 * i);
+    const std::string second = "job-" + std::to_string(2 * i + 1);
+    graph.update(pending(first));
+    graph.update(pending(second, {first}));
+    graph.finished(first, JobState::Done, 1);
+    graph.forget(first);
+    graph.finished(second, i % 2 == 0 ? JobState::Done : JobState::Cancelled, 1);
+    graph.forget(second);
+  }
+  EXPECT_EQ(graph.size(), 0u);
+}
+
+/// Walks are iterative and visit each edge once: a recursive or quadratic one would not end here.
+TEST(DependencyGraph, LongChainsAndWideFansAreCheap) {
+  constexpr int kJobs = 100000;
+  DependencyGraph chain;
+  DependencyGraph fan;
+  chain.update(pending("job-0"));
+  fan.update(pending("job-0"));
+  for (int i = 1; i < kJobs; ++i) {
+    const std::string id = "job-" + std::to_string(i);
+    chain.update(pending(id, {"job-" + std::to_string(i - 1)}));
+    fan.update(pending(id, {"job-0"}));
+  }
+  const std::string last = "job-" + std::to_string(kJobs - 1);
+  chain.update(ended("job-0", JobState::Cancelled));
+  fan.update(ended("job-0", JobState::Done));
+  EXPECT_TRUE(chain.cancelled(last));
+  EXPECT_TRUE(fan.ready(last));
+  for (int i = 0; i < kJobs; ++i) {
+    chain.forget("job-" + std::to_string(i));
+    fan.forget("job-" + std::to_string(i));
+  }
+  EXPECT_EQ(chain.size(), 0u);
+  EXPECT_EQ(fan.size(), 0u);
+}
+
+/// Jobs with what is known of each, looked through whole for every question.
+class Model {
+ public:
+  enum class Known { Nothing, Pending, Done, Cancelled };
+  struct Job {
+    std::vector<size_t> dependencies;
+    Known known = Known::Nothing;
+  };
+  explicit Model(size_t jobs) : jobs_(jobs) {}
+  Job& job(size_t index) { return jobs_[index]; }
+  size_t size() const { return jobs_.size(); }
+
+  bool ready(size_t index) const {
+    const auto& dependencies = jobs_[index].dependencies;
+    return std::all_of(dependencies.begin(), dependencies.end(),
+                       [this](size_t d) { return jobs_[d].known == Known::Done; });
+  }
+  bool cancelled(size_t index) const {
+    if (jobs_[index].known == Known::Cancelled) return true;
+    if (jobs_[index].known == Known::Nothing) return false;  // nor on whom it depends
+    const auto& dependencies = jobs_[index].dependencies;
+    return std::any_of(dependencies.begin(), dependencies.end(),
+                       [this](size_t d) { return cancelled(d); });
+  }
+  bool certain(size_t index) const {
+    if (cancelled(index)) return true;
+    if (jobs_[index].known == Known::Nothing) return false;
+    if (jobs_[index].known == Known::Done) return true;
+    const auto& dependencies = jobs_[index].dependencies;
+    return std::all_of(dependencies.begin(), dependencies.end(),
+                       [this](size_t d) { return certain(d); });
+  }
+
+ private:
+  std::vector<Job> jobs_;
+};
+
+std::string id_of(size_t index) {
+  return "job-" + std::to_string(index);
+}
+
+/// Draws one thing that may happen to a job and tells both the graph and the model. Jobs become
+/// live in any order after those they depend on, may end without anybody telling how, and are told
+/// of again.
+void draw_event(DependencyGraph& graph, Model& model) {
+  const auto index = *rc::gen::inRange<size_t>(0, model.size());
+  Model::Job& job = model.job(index);
+  const bool over = job.known == Model::Known::Done || job.known == Model::Known::Cancelled;
+  const int event = *rc::gen::inRange(0, 4);
+  if (over) return;
+  if (job.known == Model::Known::Nothing || event == 0) {
+    std::vector<std::string> dependencies;
+    for (size_t d : job.dependencies) dependencies.push_back(id_of(d));
+    graph.update(pending(id_of(index), dependencies));
+    for (size_t d : job.dependencies) {
+      const auto known = model.job(d).known;
+      if (known == Model::Known::Done) graph.finished(id_of(d), JobState::Done, d);
+      if (known == Model::Known::Cancelled) graph.finished(id_of(d), JobState::Cancelled, 0);
+    }
+    job.known = Model::Known::Pending;
+  } else if (event == 1 && model.ready(index)) {
+    job.known = Model::Known::Done;
+    graph.update(ended(id_of(index), JobState::Done, index));
+  } else if (event == 2) {
+    job.known = Model::Known::Cancelled;
+    graph.finished(id_of(index), JobState::Cancelled, 0);
+    graph.forget(id_of(index));
+  }
+}
+
+TEST(DependencyGraph, TellsWhatAModelTells) {
+  EXPECT_TRUE(holds(
+      "graph and model agree",
+      [] {
+        const auto jobs = *rc::gen::inRange<size_t>(1, 12);
+        Model model(jobs);
+        for (size_t i = 0; i < jobs; ++i)
+          for (size_t d = 0; d < i; ++d)
+            if (*rc::gen::inRange(0, 3) == 0) model.job(i).dependencies.push_back(d);
+        DependencyGraph graph;
+        for (int step = 0; step < 60; ++step) {
+          draw_event(graph, model);
+          for (size_t i = 0; i < jobs; ++i) {
+            if (model.job(i).known != Model::Known::Pending) continue;
+            RC_ASSERT(graph.ready(id_of(i)) == model.ready(i));
+            RC_ASSERT(graph.cancelled(id_of(i)) == model.cancelled(i));
+            RC_ASSERT(graph.certain(id_of(i)) == model.certain(i));
+          }
+        }
+      },
+      300));
+}
+
+}  // namespace
+}  // namespace sumacquay
--- /dev/null
+++ b/tests/dependents_test.cpp
@@ -0,0 +1,235 @@
+// What the leader does with jobs that depend on others.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "dispatch/leader_core.h"
+
+namespace sumacquay {
+namespace {
+
+/// A leader with one machine whose worker reports each time it is asked.
+class Dependents : public ::testing::Test {
+ protected:
+  Dependents() {
+    settings_.report_s = 1;
+    settings_.lease_s = 10;
+    TeamSettings team;
+    team.name = "t";
+    team.cpus = 4;
+    team.cpus_max = 6;
+    settings_.teams = {team};
+    type_.name = "g";
+    type_.room = {8, 4, 64};
+    type_.zones = {"e"};
+    new_leader(1);
+  }
+
+  void new_leader(uint64_t term) {
+    core_ = std::make_unique<LeaderCore>(settings_, term, now_, now_);
+    core_->set_types({type_});
+    report();
+    report();
+  }
+
+  static JobRecord job(const std::string& id, std::vector<std::string> dependencies = {}) {
+    JobRecord record;
+    record.spec.id = id;
+    record.spec.team = "t";
+    record.spec.kind = JobKind::Array;
+    record.spec.tasks = 2;
+    record.spec.need = {1, 0, 1};
+    record.spec.dependencies = std::move(dependencies);
+    record.submitted_ms = 1;
+    return record;
+  }
+
+  void store(const JobRecord& record) { core_->job_stored(record, ++revision_, now_); }
+
+  void report(std::vector<TaskReport> tasks = {}) {
+    WorkerReport worker;
+    worker.machine = "i-1";
+    worker.addr = "10.0.0.2:9";
+    worker.type = "g";
+    worker.zone = "e";
+    worker.session = 1;
+    worker.seq = ++reports_;
+    worker.token = token_;
+    worker.tasks = std::move(tasks);
+    token_ = core_->report(worker, true, now_).token;
+  }
+
+  /// A round, and everything that the leader then wants written.
+  void round() {
+    now_ += 0.5;
+    core_->request_round();
+    core_->tick(now_);
+    for (int i = 0; i < 3; ++i)
+      for (const auto& write : core_->wanted_writes(now_, 20)) {
+        written_.push_back(write);
+        core_->write_done(write, true, ++revision_, now_);
+      }
+  }
+
+  bool placed(const std::string& id) const {
+    const auto found = core_->jobs().find(id);
+    return found != core_->jobs().end() && !found->second.placements.empty();
+  }
+
+  /// All tasks of a job that is placed have run to their end.
+  void finish(const std::string& id) {
+    std::vector<TaskReport> tasks;
+    for (const auto& [task, places] : core_->jobs().at(id).placements)
+      for (const auto& place : places)
+        tasks.push_back({{id, task}, place.attempt, TaskState::Exited, ExitCause::Done});
+    report(tasks);
+  }
+
+  const RecordWrite* last_write_of(const std::string& id) const {
+    const RecordWrite* last = nullptr;
+    for (const auto& write : written_)
+      if (write.job == id) last = &write;
+    return last;
+  }
+
+  Settings settings_;
+  MachineType type_;
+  std::unique_ptr<LeaderCore> core_;
+  std::vector<RecordWrite> written_;
+  Seconds now_ = 1000;
+  uint64_t revision_ = 100;
+  uint64_t reports_ = 0;
+  uint64_t token_ = 0;
+};
+
+/// The leader's own picture of a finished task is not enough: the write may fail.
+TEST_F(Dependents, StartOnceTheLastDependencyIsDurablyDone) {
+  store(job("job-1"));
+  store(job("job-2", {"job-1"}));
+  round();
+  EXPECT_TRUE(placed("job-1"));
+  EXPECT_FALSE(placed("job-2"));
+  finish("job-1");
+  core_->request_round();
+  core_->tick(now_ += 0.5);
+  EXPECT_FALSE(placed("job-2")) << "nothing of it is durable yet";
+  round();
+  round();
+  EXPECT_TRUE(placed("job-2"));
+}
+
+TEST_F(Dependents, StartTheSameWayUnderALeaderThatNeverSawTheDependency) {
+  new_leader(2);
+  store(job("job-2", {"job-1"}));
+  round();
+  EXPECT_FALSE(placed("job-2"));
+  EXPECT_EQ(core_->unknown_dependencies(), std::set<std::string>{"job-1"});
+  core_->dependency_finished("job-1", {JobState::Done, 2, 5000});
+  round();
+  EXPECT_TRUE(placed("job-2"));
+}
+
+TEST_F(Dependents, AreWrittenDownAsCancelledWithTheirDependency) {
+  store(job("job-1"));
+  store(job("job-2", {"job-1"}));
+  store(job("job-3", {"job-2"}));
+  auto cancelled = job("job-1");
+  cancelled.state = JobState::Cancelled;
+  store(cancelled);
+  round();
+  for (const std::string id : {"job-2", "job-3"}) {
+    ASSERT_NE(last_write_of(id), nullptr) << id;
+    EXPECT_EQ(last_write_of(id)->record->state, JobState::Cancelled);
+    EXPECT_TRUE(last_write_of(id)->finished);
+    EXPECT_FALSE(core_->jobs().contains(id));
+  }
+}
+
+/// What its record tells of the dependencies ends with the start: only when it was ready stays.
+TEST_F(Dependents, KeepTheTimeWhenTheyWereReadyInTheirRecord) {
+  store(job("job-2", {"job-1"}));
+  core_->dependency_finished("job-1", {JobState::Done, 2, 900000});
+  round();
+  ASSERT_NE(last_write_of("job-2"), nullptr);
+  const JobRecord& record = *last_write_of("job-2")->record;
+  EXPECT_TRUE(record.started);
+  EXPECT_EQ(record.ready_ms, 900000u);
+  EXPECT_TRUE(record.spec.dependencies.empty());
+}
+
+TEST_F(Dependents, TellWhenTheyWereDone) {
+  store(job("job-1"));
+  round();
+  finish("job-1");
+  round();
+  ASSERT_NE(last_write_of("job-1"), nullptr);
+  EXPECT_EQ(last_write_of("job-1")->record->state, JobState::Done);
+  EXPECT_EQ(last_write_of("job-1")->record->ended_ms, static_cast<uint64_t>(now_ * 1000));
+}
+
+/// While it waits for others a job holds nothing of its team's guarantee: with it the younger job
+/// would be beyond the four CPUs, and could stop nobody.
+TEST_F(Dependents, HoldNothingOfTheGuaranteeWhileTheyWait) {
+  TeamSettings other;
+  other.name = "other";
+  other.cpus_max = 100;
+  settings_.teams.push_back(other);
+  auto borrowed = job("job-1");
+  borrowed.spec.team = "other";
+  borrowed.spec.tasks = 8;
+  store(borrowed);
+  round();
+  ASSERT_EQ(core_->jobs().at("job-1").placements.size(), 8u);
+  auto waits = job("job-2", {"job-9"});
+  waits.spec.tasks = 4;
+  store(waits);
+  auto younger = job("job-3");
+  younger.submitted_ms = 2;
+  store(younger);
+  round();
+  finish("job-1");  // what was stopped exits; the report shows the rest as done
+  round();
+  round();
+  EXPECT_TRUE(placed("job-3"));
+}
+
+/// The younger job goes first: the older one's waiting counts from when it was ready.
+TEST_F(Dependents, ArriveWhenTheyAreReady) {
+  auto older = job("job-2", {"job-1"});
+  older.spec.tasks = 6;
+  auto younger = job("job-3");
+  younger.spec.tasks = 6;
+  younger.submitted_ms = 500000;
+  store(older);
+  store(younger);
+  core_->dependency_finished("job-1", {JobState::Done, 2, 900000});
+  round();
+  EXPECT_TRUE(placed("job-3"));
+  EXPECT_FALSE(placed("job-2"));
+}
+
+/// Users set the priority that they care about on the last job of a pipeline only.
+TEST_F(Dependents, LendTheirPriorityThroughAnyNumberOfSteps) {
+  auto last = job("job-4", {"job-3"});
+  last.spec.priority = Priority::High;
+  store(job("job-2"));
+  store(last);  // a takeover brings records in any order
+  store(job("job-3", {"job-2"}));
+  EXPECT_EQ(core_->jobs().at("job-2").priority, Priority::High);
+  EXPECT_EQ(core_->jobs().at("job-3").priority, Priority::High);
+  auto plain = job("job-5");
+  plain.spec.tasks = 6;
+  plain.submitted_ms = 0;
+  store(plain);
+  round();
+  EXPECT_TRUE(placed("job-2"));
+  EXPECT_EQ(core_->jobs().at("job-5").placements.size(), 4u) << "what the limit of 6 CPUs leaves";
+}
+
+}  // namespace
+}  // namespace sumacquay
