--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <map>
 #include <set>
 
 #include "config/settings.h"
@@ -99,6 +100,8 @@
     r.state = *rc::gen::element(JobState::Pending, JobState::Cancelled, JobState::Done);
     r.started = *rc::gen::arbitrary<bool>();
     r.submitted_ms = static_cast<uint64_t>(*rc::gen::inRange(0, 1 << 30));
+    r.ready_ms = static_cast<uint64_t>(*rc::gen::inRange(0, 1 << 30));
+    r.ended_ms = static_cast<uint64_t>(*rc::gen::inRange(0, 1 << 30));
     for (int n : *rc::gen::container<std::vector<int>>(rc::gen::inRange<int>(0, r.spec.tasks)))
       r.done.add(static_cast<uint32_t>(n));
     const auto document = wire::Document::parse(wire::encode_job(r));
@@ -155,6 +158,52 @@
   EXPECT_EQ(wire::Document::parse("\xdf\xff\xff\xff\xff"), nullptr) << "a map said to be huge";
 }
 
+/// A valid submission with one more field.
+template <class Pack>
+wire::ParsedJob submission_that_awaits(Pack&& pack) {
+  JobRecord record;
+  record.spec.id = "job-1";
+  const std::string bytes = wire::encode_job(record);
+  const auto whole = msgpack::unpack(bytes.data(), bytes.size());
+  const msgpack::object spec = whole.get().via.map.ptr[0].val;
+  msgpack::sbuffer out;
+  msgpack::packer<msgpack::sbuffer> packer(out);
+  packer.pack_map(spec.via.map.size + 1);
+  for (uint32_t i = 0; i < spec.via.map.size; ++i)
+    packer.pack(spec.via.map.ptr[i].key).pack(spec.via.map.ptr[i].val);
+  packer.pack("awaits");
+  pack(packer);
+  return wire::parse_job({out.data(), out.size()});
+}
+
+TEST(Submissions, NameTheJobsThatTheyDependOnEachOnce) {
+  using Ids = std::vector<std::string>;
+  const auto parse = [](const auto& value) {
+    return submission_that_awaits([&](auto& packer) { packer.pack(value); });
+  };
+  EXPECT_EQ(parse(Ids{"job-7", "job-3", "job-7"}).spec->dependencies, (Ids{"job-7", "job-3"}));
+  EXPECT_EQ(parse(Ids{}).spec->dependencies, Ids{});
+  const auto null = submission_that_awaits([](auto& packer) { packer.pack_nil(); });
+  EXPECT_EQ(null.spec->dependencies, Ids{});
+}
+
+TEST(Submissions, AnythingElseThanAListOfJobsToDependOnIsRefused) {
+  using Ids = std::vector<std::string>;
+  const auto refused = [](const auto& value) {
+    const auto parsed = submission_that_awaits([&](auto& packer) { packer.pack(value); });
+    return !parsed.spec && parsed.error.find("awaits") != std::string::npos && parsed.id == "job-1";
+  };
+  EXPECT_TRUE(refused("job-7"));
+  EXPECT_TRUE(refused(7));
+  EXPECT_TRUE(refused(false));
+  EXPECT_TRUE(refused(std::vector<int>{7}));
+  EXPECT_TRUE(refused(std::vector<Ids>{{"job-7"}}));
+  EXPECT_TRUE(refused(std::map<std::string, bool>{{"job-7", true}}));
+  for (const std::string id : {"", "job-", "job-x", "job-7/0", "7", "job-7 "})
+    EXPECT_TRUE(refused(Ids{"job-7", id})) << id;
+  EXPECT_TRUE(refused(Ids{"job-" + std::string(100, '7')})) << "longer than any name";
+}
+
 TEST(Submissions, EachWrongFieldIsNamed) {
   auto body = [](const char* field, auto value) {
     JobRecord r;
--- a/tests/generators.h
+++ b/tests/generators.h
@@ -1,6 +1,8 @@
 #pragma once
 #include <rapidcheck.h>
 
+#include <set>
+
 #include "jobs/record.h"
 
 namespace sumacquay::testing {
@@ -50,6 +52,8 @@
     s.checkpoint_s = *rc::gen::inRange(0, 100) * 1.0;
     s.save_s = *rc::gen::inRange(0, 10) * 1.0;
     if (*rc::gen::arbitrary<bool>()) s.deadline_s = *rc::gen::inRange(0, 1000) * 1.0;
+    const auto dependencies = *rc::gen::container<std::set<int>>(rc::gen::inRange(0, 1000));
+    for (int number : dependencies) s.dependencies.push_back("job-" + std::to_string(number));
     return s;
   });
 }
