--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -69,11 +69,22 @@
   settings.cancel_s = workers.number("cancel_s", kAnySpan);
 }
 
+/// The stricter of the limit now and of the one to come, if there is one of this name.
+double stricter(const TomlTable& now, const std::optional<TomlTable>& to_come, const char* name,
+                SettingRange range) {
+  const double limit = now.number(name, range);
+  return to_come ? std::min(limit, to_come->number_or(name, limit, range)) : limit;
+}
+
+/// The service lowers its limits without notice, so everything written keeps to both from the
+/// start.
 void read_state_limits(const TomlTable& state, Settings& settings) {
-  settings.state_rps = state.number("rps", kStateRateRange);
-  settings.state_write_rps = state.number("write_rps", kStateRateRange);
-  settings.state_value_kb = state.number("value_kb", kValueSizeRange);
-  settings.state_txn_ops = static_cast<int>(state.number("txn_ops", kTransactionOpsRange));
+  const std::optional<TomlTable> to_come = state.optional_child("next");
+  settings.state_rps = stricter(state, to_come, "rps", kStateRateRange);
+  settings.state_write_rps = stricter(state, to_come, "write_rps", kStateRateRange);
+  settings.state_value_kb = stricter(state, to_come, "value_kb", kValueSizeRange);
+  settings.state_txn_ops =
+      static_cast<int>(stricter(state, to_come, "txn_ops", kTransactionOpsRange));
 }
 
 void read_cloud_limits(const TomlTable& cloud, Settings& settings) {
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -1,4 +1,5 @@
 #pragma once
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <vector>
@@ -52,12 +53,23 @@
   std::vector<TeamSettings> teams;
   std::vector<Objective> objectives;
   double report_s = 1, lease_s = 10, gang_wait_s = 30, gang_peer_s = 5, cancel_s = 40;
+  /// Limits of the state service: requests and changes a second, KiB of a value in JSON form, and
+  /// changes of a transaction. Where the platform announces others to come, each is the stricter of
+  /// the two: the service may change over at any moment.
   double state_rps = 100, state_write_rps = 30, state_value_kb = 8;
   int state_txn_ops = 24;
   double cloud_rps = 3, list_lag_s = 8;
   double max_sockets = 600;
   Tuning tuning;
 
+  /// The most conditions that a transaction may have.
+  size_t state_most_guards() const {
+    constexpr size_t kGuardsPerChange = 4;
+    return kGuardsPerChange * static_cast<size_t>(state_txn_ops);
+  }
+  /// The most bytes of a value in JSON form.
+  size_t state_value_bytes() const { return static_cast<size_t>(state_value_kb * 1024); }
+
   /// None if there is no such team.
   const TeamSettings* team(const std::string& name) const;
   /// For how long past the last word from the state service workers may be answered. A job may have
--- a/src/config/toml_table.cpp
+++ b/src/config/toml_table.cpp
@@ -2,7 +2,6 @@
 
 #include <charconv>
 #include <cmath>
-#include <optional>
 #include <utility>
 
 namespace sumacquay {
@@ -16,6 +15,13 @@
   return {source_, path_of(name), table};
 }
 
+std::optional<TomlTable> TomlTable::optional_child(const char* name) const {
+  const toml::node* node = table_->get(name);
+  if (!node) return std::nullopt;
+  if (!node->is_table()) refuse(name, "must be a table");
+  return TomlTable(source_, path_of(name), node->as_table());
+}
+
 std::vector<TomlTable> TomlTable::children(const char* name) const {
   std::vector<TomlTable> tables;
   const toml::node* node = table_->get(name);
--- a/src/config/toml_table.h
+++ b/src/config/toml_table.h
@@ -1,6 +1,7 @@
 #pragma once
 #include <toml++/toml.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,9 @@
   /// A table that must be there.
   TomlTable child(const char* name) const;
 
+  /// A table that may be missing.
+  std::optional<TomlTable> optional_child(const char* name) const;
+
   /// A list of tables; empty if it is missing.
   std::vector<TomlTable> children(const char* name) const;
 
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -82,6 +82,46 @@
   EXPECT_NE(settings_error(kToml, "[services]", "[services").find("line"), std::string::npos);
 }
 
+/// The platform's file with a table of limits to come.
+std::string with_limits_to_come(const std::string& lines) {
+  const std::string text = kToml;
+  const std::string next_table = "[params.cloud]";
+  return std::string(text).insert(text.find(next_table), "[params.state.next]\n" + lines + "\n");
+}
+
+TEST(Settings, OfTheLimitsNowAndToComeTheStricterHolds) {
+  const Settings now = parse_settings(kToml, "f.toml");
+  EXPECT_EQ(now.state_txn_ops, 24);
+  EXPECT_EQ(now.state_most_guards(), 96u);
+  EXPECT_EQ(now.state_value_bytes(), 8192u);
+  const Settings lower = parse_settings(
+      with_limits_to_come("value_kb = 2.0\ntxn_ops = 8\nwrite_rps = 21.0"), "f.toml");
+  EXPECT_DOUBLE_EQ(lower.state_value_kb, 2);
+  EXPECT_EQ(lower.state_value_bytes(), 2048u);
+  EXPECT_EQ(lower.state_txn_ops, 8);
+  EXPECT_EQ(lower.state_most_guards(), 32u);
+  EXPECT_DOUBLE_EQ(lower.state_write_rps, 21);
+  EXPECT_DOUBLE_EQ(lower.state_rps, 250) << "no change to come";
+  const Settings mixed = parse_settings(with_limits_to_come("rps = 99\ntxn_ops = 50"), "f.toml");
+  EXPECT_DOUBLE_EQ(mixed.state_rps, 99);
+  EXPECT_EQ(mixed.state_txn_ops, 24) << "what is raised later doesn't hold yet";
+  EXPECT_DOUBLE_EQ(mixed.state_value_kb, 8);
+}
+
+TEST(Settings, AnErrorInTheLimitsToComeNamesTheField) {
+  const std::string text = with_limits_to_come("value_kb = 2.0\ntxn_ops = 8\nwrite_rps = 21.0");
+  for (const auto& [from, to, field] : {std::tuple{"txn_ops = 8", "txn_ops = 1", "txn_ops"},
+                                        {"write_rps = 21.0", "write_rps = \"x\"", "write_rps"},
+                                        {"write_rps = 21.0", "rps = nan", "rps"},
+                                        {"value_kb = 2.0", "value_kb = 0.0", "value_kb"}}) {
+    const std::string error = settings_error(text, from, to);
+    EXPECT_NE(error.find(std::string("params.state.next.") + field), std::string::npos) << error;
+    EXPECT_EQ(error.find('\n'), std::string::npos);
+  }
+  const std::string no_table = settings_error(kToml, "txn_ops = 24", "txn_ops = 24\nnext = 3");
+  EXPECT_NE(no_table.find("params.state.next"), std::string::npos) << no_table;
+}
+
 TEST(Settings, OperatorsSettingsAreCheckedByName) {
   EXPECT_EQ(parse_tuning("# none\n", "t.hcl").start_tries, 3);
   const Tuning t = parse_tuning("leader_lease = 0.25\nstart_tries = 5\n", "t.hcl");
