--- /dev/null
+++ b/src/wire/json_size.cpp
@@ -0,0 +1,142 @@
+#include "wire/json_size.h"
+
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <vector>
+
+namespace sumacquay::wire {
+namespace {
+
+constexpr size_t kQuotes = 2;
+constexpr size_t kBrackets = 2;
+constexpr size_t kShortEscape = 2;    // \n and its like
+constexpr size_t kUnicodeEscape = 6;  // \u0000
+constexpr size_t kNull = 4;
+constexpr size_t kTrue = 4;
+constexpr size_t kFalse = 5;
+
+using Pending = std::vector<const msgpack::object*>;
+
+constexpr unsigned char kFirstContinuation = 0x80;
+constexpr unsigned char kFirstLead = 0xc0;
+constexpr unsigned char kFirstLeadOfThree = 0xe0;
+constexpr unsigned char kFirstLeadOfFour = 0xf0;
+
+size_t ascii_size(unsigned char byte) {
+  constexpr unsigned char kFirstPrintable = 0x20;
+  constexpr unsigned char kDelete = 0x7f;
+  if (byte == '"' || byte == '\\') return kShortEscape;
+  return byte < kFirstPrintable || byte == kDelete ? kUnicodeEscape : 1;
+}
+
+/// How many bytes follow the first of a UTF-8 character outside ASCII.
+int continuations_after(unsigned char lead) {
+  if (lead >= kFirstLeadOfFour) return 3;
+  return lead >= kFirstLeadOfThree ? 2 : 1;
+}
+
+size_t decimal_size(uint64_t number) {
+  size_t digits = 1;
+  for (; number >= 10; number /= 10) ++digits;
+  return digits;
+}
+
+size_t negative_size(int64_t number) {
+  return 1 + decimal_size(uint64_t{0} - static_cast<uint64_t>(number));
+}
+
+size_t real_size(double number) {
+  constexpr double kLeastFixed = 1e-6;
+  constexpr double kMostFixed = 1e21;
+  constexpr size_t kMostBytes = 64;
+  constexpr size_t kPointZero = 2;
+  if (!std::isfinite(number)) return kNull;
+  const double magnitude = std::abs(number);
+  const bool fixed = magnitude == 0 || (magnitude >= kLeastFixed && magnitude < kMostFixed);
+  std::array<char, kMostBytes> text{};
+  const auto* end = std::to_chars(text.data(), text.data() + text.size(), number,
+                                  fixed ? std::chars_format::fixed : std::chars_format::scientific)
+                        .ptr;
+  const auto size = static_cast<size_t>(end - text.data());
+  return std::trunc(number) == number ? size + kPointZero : size;
+}
+
+/// Commas between members, and the brackets around them.
+size_t frame_size(uint32_t members) {
+  return kBrackets + (members > 0 ? members - 1 : 0);
+}
+
+size_t list_size(const msgpack::object_array& list, Pending& pending) {
+  for (uint32_t i = 0; i < list.size; ++i) pending.push_back(&list.ptr[i]);
+  return frame_size(list.size);
+}
+
+/// Names of other types than text are written as texts.
+size_t map_size(const msgpack::object_map& map, Pending& pending) {
+  size_t size = frame_size(map.size);
+  for (uint32_t i = 0; i < map.size; ++i) {
+    pending.push_back(&map.ptr[i].key);
+    pending.push_back(&map.ptr[i].val);
+    ++size;  // the colon
+    if (map.ptr[i].key.type != msgpack::type::STR) size += kQuotes;
+  }
+  return size;
+}
+
+/// The bytes of a value without its members, which become pending.
+size_t own_size(const msgpack::object& value, Pending& pending) {
+  switch (value.type) {
+    case msgpack::type::BOOLEAN:
+      return value.via.boolean ? kTrue : kFalse;
+    case msgpack::type::POSITIVE_INTEGER:
+      return decimal_size(value.via.u64);
+    case msgpack::type::NEGATIVE_INTEGER:
+      return negative_size(value.via.i64);
+    case msgpack::type::FLOAT32:
+    case msgpack::type::FLOAT64:
+      return real_size(value.via.f64);
+    case msgpack::type::STR:
+      return json_size(std::string_view(value.via.str.ptr, value.via.str.size));
+    case msgpack::type::ARRAY:
+      return list_size(value.via.array, pending);
+    case msgpack::type::MAP:
+      return map_size(value.via.map, pending);
+    default:
+      return kNull;  // bodies hold no other types
+  }
+}
+
+}  // namespace
+
+size_t json_size(std::string_view text) {
+  size_t size = kQuotes;
+  int continuations = 0;  // bytes that belong to the character before
+  for (const char letter : text) {
+    const auto byte = static_cast<unsigned char>(letter);
+    if (byte >= kFirstContinuation && byte < kFirstLead && continuations > 0) {
+      --continuations;
+      continue;
+    }
+    continuations = byte >= kFirstLead ? continuations_after(byte) : 0;
+    if (byte < kFirstContinuation)
+      size += ascii_size(byte);
+    else  // four bytes are written as a surrogate pair
+      size += byte >= kFirstLeadOfFour ? 2 * kUnicodeEscape : kUnicodeEscape;
+  }
+  return size;
+}
+
+size_t json_size(View value) {
+  if (!value.object()) return 0;
+  Pending pending{value.object()};
+  size_t size = 0;
+  while (!pending.empty()) {
+    const msgpack::object* next = pending.back();
+    pending.pop_back();
+    size += own_size(*next, pending);
+  }
+  return size;
+}
+
+}  // namespace sumacquay::wire
--- a/src/wire/view.h
+++ b/src/wire/view.h
@@ -29,6 +29,10 @@
   size_t size() const { return is_list() ? object_->via.array.size : 0; }
   View at(size_t i) const { return View(&object_->via.array.ptr[i]); }
 
+  /// The decoded value itself, for what looks at all of it whatever it holds; null if there is
+  /// none.
+  const msgpack::object* object() const { return object_; }
+
   std::optional<std::string_view> text_view() const {
     if (!object_ || object_->type != msgpack::type::STR) return std::nullopt;
     return std::string_view(object_->via.str.ptr, object_->via.str.size);
