--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -135,7 +135,7 @@
   RecordWrite write_for(const Job& job, Seconds now) const;
   /// Cancelled because a job that it depends on is; its record doesn't say so yet.
   bool cancelled_by_dependency(const Job& job) const;
-  Ranges fitting_a_record(const Ranges& done) const;
+  static Ranges done_for_record(const Job& job);
   std::optional<std::vector<std::string>> possible_hosts(const Job& job) const;
   bool gone_everywhere(const Job& job) const {
     return job.placements.empty() && !missing_in_doubt(job);
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -4,6 +4,8 @@
 
 #include <chrono>
 
+#include "wire/json_size.h"
+#include "wire/record_room.h"
 #include "wire/store_messages.h"
 #include "wire/user_messages.h"
 
@@ -145,7 +147,7 @@
       [=, this](const Versioned<JobRecord>& r) {
         const JobState state = current_state(r.value);
         if (state != JobState::Pending) return answer(state);
-        JobRecord cancelled = r.value;
+        JobRecord cancelled = wire::fitting_record(r.value, settings_.state_value_bytes());
         cancelled.state = JobState::Cancelled;
         const std::string key = keys::kLive + id;
         store_.transact(Urgency::Record, {{key, r.version}},
@@ -259,7 +261,8 @@
   const std::string value = wire::encode_job(record);
   // Done numbers and hosts come into a record only once the jobs that it depends on have left it.
   const double share = record.spec.dependencies.empty() ? kDescriptionShare : kDependenciesShare;
-  if (static_cast<double>(value.size()) > settings_.state_value_kb * 1024 * share)
+  const size_t size = wire::json_size(wire::Document::parse(value)->root());
+  if (static_cast<double>(size) > static_cast<double>(settings_.state_value_bytes()) * share)
     return refuse_unknown(id, 400, "the job's description is too large", respond);
   const std::string live = keys::kLive + id;
   const std::string finished = keys::kFinished + id;
