--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -13,6 +13,8 @@
 
 struct Sums {
   size_t starts = 0, jobs = 0, delegated = 0, terms = 0, late_reports = 0, late_writes = 0;
+  size_t pipelines_done = 0, pipelines_cancelled = 0, starts_of_dependents = 0;
+  size_t inherited_cancellations = 0, answers_after_cancel = 0;
 };
 
 Sums play(uint64_t seeds, WorldOptions options) {
@@ -24,6 +26,8 @@
     world.run(300, 250);
     EXPECT_EQ(world.checker().violations(), std::vector<std::string>{}) << "seed " << seed;
     EXPECT_EQ(world.unfinished(), 0u) << "seed " << seed;
+    EXPECT_EQ(world.pipelines().stages_not_accepted(), 0u) << "seed " << seed;
+    EXPECT_EQ(world.cancellations_not_recorded(), 0u) << "seed " << seed;
     // Who acts without having seen the cancellation does so for a leader's lease at most, beside
     // what its last look takes.
     EXPECT_LE(world.checker().ordered_after_cancel(), 3.5) << "seed " << seed;
@@ -33,6 +37,11 @@
     sums.terms += world.checker().terms();
     sums.late_reports += world.workers().copies_heard_by_new_leader();
     sums.late_writes += world.state().late_writes_tried();
+    sums.pipelines_done += world.pipelines().done();
+    sums.pipelines_cancelled += world.pipelines().cancelled_in_the_middle();
+    sums.starts_of_dependents += world.checker().starts_of_dependents();
+    sums.inherited_cancellations += world.checker().inherited_cancellations();
+    sums.answers_after_cancel += world.checker().answers_after_cancel();
     if (::testing::Test::HasFailure()) break;
   }
   return sums;
@@ -47,6 +56,11 @@
   EXPECT_GT(sums.terms, 600u);
   EXPECT_GT(sums.late_reports, 150u);
   EXPECT_GT(sums.late_writes, 150u);
+  EXPECT_GT(sums.pipelines_done, 100u);
+  EXPECT_GT(sums.pipelines_cancelled, 50u);
+  EXPECT_GT(sums.starts_of_dependents, 500u);
+  EXPECT_GT(sums.inherited_cancellations, 100u);
+  EXPECT_GT(sums.answers_after_cancel, 1000u);
 }
 
 TEST(Histories, KeepTheRulesWithLittleTimeForCancellationsOfLongTasks) {
@@ -58,6 +72,9 @@
   EXPECT_GT(sums.jobs, 1000u);
   EXPECT_GT(sums.starts, 3000u);
   EXPECT_GT(sums.terms, 400u);
+  EXPECT_GT(sums.pipelines_done, 60u);
+  EXPECT_GT(sums.pipelines_cancelled, 40u);
+  EXPECT_GT(sums.starts_of_dependents, 350u);
 }
 
 }  // namespace
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -1,6 +1,7 @@
 // Troubles that meet: each scripted over fixed seeds, with proof that the meeting came about.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <optional>
 
 #include "world/world.h"
@@ -8,7 +9,12 @@
 namespace sumacquay {
 namespace {
 
+using simulation::chain;
 using simulation::CopyDelivery;
+using simulation::diamond;
+using simulation::fan;
+using simulation::PipelinePlan;
+using simulation::StageCancellation;
 using simulation::World;
 using simulation::WorldOptions;
 
@@ -75,6 +81,8 @@
     world.finish();
     EXPECT_EQ(world.checker().violations(), std::vector<std::string>{}) << "seed " << seed;
     EXPECT_EQ(world.unfinished(), 0u) << "seed " << seed;
+    EXPECT_EQ(world.pipelines().stages_not_accepted(), 0u) << "seed " << seed;
+    EXPECT_EQ(world.cancellations_not_recorded(), 0u) << "seed " << seed;
   }
   EXPECT_GE(meetings, least_meetings) << "the meeting hardly came about";
 }
@@ -812,5 +820,121 @@
       5 * kSeeds);
 }
 
+// ---- pipelines
+
+JobSpec one_task_stage(World& world) {
+  JobSpec s = world.users().any_spec();
+  s.kind = JobKind::Array;
+  s.tasks = 1;
+  s.team = "open";
+  s.one_zone = s.spread = false;
+  return s;
+}
+
+TEST(Meetings, AStageIsCancelledAsTheLeaderChanges) {
+  meet_in_both([](World& world) -> size_t {
+    world.run_until([&] { return world.leader().has_value(); }, 20);
+    world.run_for(10);
+    std::vector<size_t> pipelines;
+    for (size_t i = 0; i < 4; ++i) {
+      PipelinePlan plan;
+      plan.shape = i % 2 ? diamond(2) : chain(4);
+      plan.stage_spec = [&world] { return one_task_stage(world); };
+      plan.cancellation =
+          StageCancellation{.stage = i % 3, .after_acceptance = world.between(1, 6)};
+      pipelines.push_back(world.pipelines().begin(plan));
+    }
+    world.run_for(world.between(0.5, 4));
+    const Seconds began = world.now();
+    // The old one may stand still with what it knew, and go on while another leads.
+    if (world.chance(0.5))
+      world.faults().end_process(world.leader_or_first(), world.between(0.2, 5));
+    else
+      world.faults().stand_still(world.leader_or_first(), world.between(3, 12));
+    if (world.chance(0.5)) world.faults().slow(10);
+    world.run_for(20);
+    size_t met = 0;
+    for (const size_t pipeline : pipelines)
+      for (size_t stage = 0; stage < 4; ++stage) {
+        const auto id = world.pipelines().job(pipeline, stage);
+        const auto at = id ? world.cancelled_at(*id) : std::nullopt;
+        met += at && *at >= began && *at <= began + 10;
+      }
+    return met;
+  });
+}
+
+TEST(Meetings, AStagesLastTaskEndsWhileItIsCancelledThroughTwoControllersAtOnce) {
+  WorldOptions o;
+  o.task_least = 3;
+  o.task_most = 8;
+  size_t done = 0;
+  size_t cancelled = 0;
+  meet(
+      o,
+      [&](World& world) -> size_t {
+        world.run_until([&] { return world.leader().has_value(); }, 20);
+        std::vector<size_t> pipelines;
+        for (size_t i = 0; i < 12; ++i) {
+          PipelinePlan plan;
+          plan.shape = i % 2 ? fan(2) : chain(3);
+          plan.stage_spec = [&world] { return one_task_stage(world); };
+          plan.cancellation = StageCancellation{.stage = i % 2,
+                                                .when = StageCancellation::When::AsItsLastTaskEnds,
+                                                .through_two_controllers = true};
+          pipelines.push_back(world.pipelines().begin(plan));
+          world.run_for(3);
+          if (i == 6) world.faults().end_process(world.leader_or_first(), 2);
+        }
+        world.run_for(60);
+        size_t met = 0;
+        for (const size_t pipeline : pipelines) {
+          const auto id = world.pipelines().job(pipeline, pipeline % 2);
+          met += id && world.pipelines().stage_complete(pipeline, pipeline % 2);
+          const bool lost = id && world.cancelled_at(*id);
+          cancelled += lost;
+          done += id && !lost;
+        }
+        return met;
+      },
+      8 * kSeeds);
+  EXPECT_GE(cancelled, kSeeds) << "hardly any cancellation came first";
+  EXPECT_GE(done, 1u) << "no end came first";
+}
+
+/// Its record names the others where the controller that accepts it has not heard of their ends.
+TEST(Meetings, TheLastStageIsSubmittedWhenTheOthersAreOverAndANewLeaderThatNeverSawThemTakesOver) {
+  meet_in_both([](World& world) -> size_t {
+    world.run_until([&] { return world.leader().has_value(); }, 20);
+    world.run_for(10);
+    std::vector<size_t> pipelines;
+    for (size_t i = 0; i < 4; ++i) {
+      PipelinePlan plan;
+      plan.shape = i % 2 ? fan(3) : diamond(2);
+      plan.stage_spec = [&world] { return one_task_stage(world); };
+      plan.last_when_others_are_over = true;
+      if (i == 3) plan.cancellation = StageCancellation{.stage = 0, .after_acceptance = 3};
+      pipelines.push_back(world.pipelines().begin(plan));
+    }
+    const auto submitted = [&world](size_t pipeline) {
+      return world.pipelines().job(pipeline, 3).has_value();
+    };
+    EXPECT_TRUE(world.run_until(
+        [&] { return std::any_of(pipelines.begin(), pipelines.end(), submitted); }, 300));
+    const size_t leader = world.leader_or_first();
+    const size_t before = world.checker().terms();
+    // All begin anew, so that no copy holds the jobs that are over.
+    for (size_t controller = 0; controller < 3; ++controller)
+      world.faults().end_process(controller, controller == leader ? 8 : world.between(0.1, 1));
+    world.run_until([&] { return world.checker().terms() > before; }, 30);
+    world.run_until([&] { return std::all_of(pipelines.begin(), pipelines.end(), submitted); },
+                    300);
+    world.run_for(120);
+    size_t met = 0;
+    for (const size_t pipeline : pipelines) met += world.pipelines().stage_complete(pipeline, 3);
+    return world.checker().terms() > before ? met : 0;
+  });
+}
+
 }  // namespace
 }  // namespace sumacquay
--- a/tests/world/checker.h
+++ b/tests/world/checker.h
@@ -27,6 +27,10 @@
   void records_changed(const std::vector<StateService::Change>& changes);
   /// A user was told the state of a job that is over.
   void user_told(const std::string& id, JobState state);
+  /// A user was told that an accepted job is pending or running.
+  void user_told_unfinished(const std::string& id, Seconds asked_at);
+  /// A user was told that there is no such job, or none of those that a submission names.
+  void user_told_unknown(const std::string& id);
   /// All faults are over: from now on nobody may wait beside room that fits.
   void faults_ended();
   /// Called at each step.
@@ -35,6 +39,12 @@
   const std::vector<std::string>& violations() const { return violations_; }
   size_t starts() const { return starts_; }
   size_t cancellations() const { return cancellations_; }
+  /// Starts of tasks of jobs that depend on others.
+  size_t starts_of_dependents() const { return starts_of_dependents_; }
+  /// Jobs told as cancelled that nobody asked to cancel: one before them was.
+  size_t inherited_cancellations() const { return inherited_cancellations_; }
+  /// Times that a user asked for a job after one before it was cancelled, and was answered.
+  size_t answers_after_cancel() const { return answers_after_cancel_; }
   size_t starts_after_cancel() const { return starts_after_cancel_; }
   Seconds ordered_after_cancel() const { return ordered_after_cancel_; }
   uint64_t highest_term() const { return terms_.empty() ? 0 : terms_.rbegin()->first; }
@@ -51,6 +61,8 @@
 
   void violated(const std::string& rule, const TaskKey& key, const std::string& where);
   void violated(const std::string& what);
+  void check_dependencies_done(const SimulatedMachine& machine, const TaskKey& key);
+  bool dependencies_done(const JobSpec& spec) const;
   void check_cancelled_and_quota();
   void check_waiting();
   Usage usage() const;
@@ -70,6 +82,7 @@
   bool quiet_ = false;
   Seconds next_wait_check_ = 0;
   size_t starts_ = 0, cancellations_ = 0, starts_after_cancel_ = 0;
+  size_t starts_of_dependents_ = 0, inherited_cancellations_ = 0, answers_after_cancel_ = 0;
   Seconds ordered_after_cancel_ = 0;
 };
 
--- a/tests/world/controller_process.cpp
+++ b/tests/world/controller_process.cpp
@@ -185,6 +185,7 @@
   core_->set_types({machine_type(env_.options)});
   for (const auto& [id, machine] : records_.hosts()) core_->host_stored(machine.value, now);
   for (const auto& [id, job] : records_.live()) core_->job_stored(job.value, job.version, now);
+  tell_finished_dependencies();
   send_heartbeats();
   links_.workers.send_kept_copies();
 }
--- a/tests/world/controller_process.h
+++ b/tests/world/controller_process.h
@@ -64,6 +64,9 @@
   void read_records(ReadDone done = nullptr);
   /// A job's record that this process has written on behalf of a user.
   void wrote_job(const JobRecord& record, uint64_t version);
+  /// Reads how a job ended that the copy doesn't hold; `done(process, answered)`: whether it is
+  /// known now whether the job is over.
+  void read_finished(const std::string& id, ReadDone done);
   void served_by_state() { served_at_ = env_.now(); }
 
   /// The answer to a worker that asked this controller itself: also as the leader's delegate.
@@ -114,6 +117,9 @@
   void leader_record_changed();
   void job_record_changed(const std::string& id);
   void all_job_records_changed();
+  /// The core reads no records: it is told of finished jobs as far as others depend on them.
+  void tell_finished_dependencies();
+  void read_unknown_dependencies();
   void write_records();
   void records_written(const std::vector<RecordWrite>& writes, const StateReply& reply);
   void apply_written(const RecordWrite& write, uint64_t revision);
@@ -143,7 +149,9 @@
   std::map<size_t, uint64_t> peer_terms_;  ///< the terms that the others follow
   bool writing_ = false;                   ///< a transaction of the leader is under way
   bool reading_ = false;                   ///< the regular read of the records is under way
-  bool revoked_ = false;  ///< the lease of an earlier process on this host was revoked
+  bool reading_dependency_ = false;
+  std::string dependency_read_;  ///< the last one: they are read in turn
+  bool revoked_ = false;         ///< the lease of an earlier process on this host was revoked
   Seconds next_read_ = 0, next_heartbeat_ = 0, served_at_ = 0;
   std::optional<KnownLeader> known_leader_;
 };
--- a/tests/world/record_copy.h
+++ b/tests/world/record_copy.h
@@ -1,15 +1,19 @@
 #pragma once
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "jobs/dependency_graph.h"
 #include "store/mirror.h"
 #include "world/state_channel.h"
 
 namespace sumacquay::simulation {
 
-/// A controller's copy of the records.
+/// A controller's copy of the records. As in the node, jobs that were over before it was loaded are
+/// not in it, and it keeps only the last that ended: others are read when somebody asks for them.
 class RecordCopy {
  public:
   template <class T>
@@ -34,6 +38,8 @@
   void wrote_finished(const std::string& id, const wire::FinishedRecord& record);
   void wrote_host(const std::string& id, const HostRecord& record, uint64_t version);
   void deleted_host(const std::string& id, uint64_t version);
+  /// What this controller has read of a job that the copy doesn't hold.
+  void learned_finished(const std::string& id, const wire::FinishedRecord& record);
 
   bool loaded() const { return loaded_; }
   uint64_t revision() const { return revision_; }
@@ -43,6 +49,10 @@
   const std::map<std::string, Versioned<HostRecord>>& hosts() const { return hosts_; }
   const Versioned<wire::LeaderRecord>& leader() const { return leader_; }
   const Versioned<wire::LeaderRecord>& term() const { return term_; }
+  /// How the live jobs depend on one another and on finished ones.
+  const DependencyGraph& dependencies() const { return dependencies_; }
+  /// How a job ended, as long as it is kept or others wait for it.
+  std::optional<wire::FinishedRecord> dependency_end(const std::string& id) const;
   /// Whether the job is known to be cancelled or finished.
   bool ended(const std::string& id) const;
 
@@ -52,12 +62,15 @@
   void apply_host(const StateService::Change& change);
   void apply_leader(const StateService::Change& change, Update& update);
   void apply_term(const StateService::Change& change, Update& update);
+  void note_dependencies(const JobRecord& record);
 
   bool loaded_ = false;
   uint64_t revision_ = 0;
   Seconds known_at_ = 0;
   std::map<std::string, Versioned<JobRecord>> live_;
   std::map<std::string, wire::FinishedRecord> finished_;
+  std::deque<std::string> finished_order_;  ///< the oldest first
+  DependencyGraph dependencies_;
   std::map<std::string, Versioned<HostRecord>> hosts_;
   std::map<std::string, uint64_t> host_deleted_;
   Versioned<wire::LeaderRecord> leader_, term_;
--- a/tests/world/state_channel.cpp
+++ b/tests/world/state_channel.cpp
@@ -95,6 +95,16 @@
   };
 }
 
+StateChannel::Operation StateChannel::read_item(const std::string& key) {
+  return [this, key] {
+    StateReply reply;
+    const auto* item = service_.find(key);
+    reply.outcome = item ? StateOutcome::Ok : StateOutcome::Failed;
+    if (item) reply.changes.push_back(*item);
+    return reply;
+  };
+}
+
 StateChannel::Operation StateChannel::grant(Seconds duration) {
   return [this, duration] {
     StateReply reply;
--- a/tests/world/state_channel.h
+++ b/tests/world/state_channel.h
@@ -49,6 +49,8 @@
                         std::optional<WriterTerm> writer = std::nullopt);
   /// Everything, or only what has changed after a revision.
   Operation read(std::optional<uint64_t> after);
+  /// One key's item; fails if there is none.
+  Operation read_item(const std::string& key);
   Operation grant(Seconds duration);
   Operation renew(uint64_t lease);
   Operation revoke(uint64_t lease);
--- a/tests/world/state_service.cpp
+++ b/tests/world/state_service.cpp
@@ -47,6 +47,11 @@
   return out;
 }
 
+const StateService::Change* StateService::find(const std::string& key) const {
+  const auto item = items_.find(key);
+  return item == items_.end() ? nullptr : &item->second;
+}
+
 uint64_t StateService::grant(Seconds now, Seconds duration) {
   leases_[++last_lease_] = {now + duration, duration};
   return last_lease_;
--- a/tests/world/state_service.h
+++ b/tests/world/state_service.h
@@ -36,6 +36,8 @@
   uint64_t revision() const { return revision_; }
   std::vector<Change> changes_after(uint64_t revision) const;
   std::vector<Change> all() const;
+  /// A key's item, none if there is no such key.
+  const Change* find(const std::string& key) const;
 
   uint64_t grant(Seconds now, Seconds duration);
   /// False: the lease has ended.
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -10,6 +10,7 @@
 #include "world/faults.h"
 #include "world/frontend.h"
 #include "world/order_channel.h"
+#include "world/pipelines.h"
 #include "world/random_faults.h"
 #include "world/state_channel.h"
 #include "world/users.h"
@@ -41,6 +42,7 @@
 
   // The parts.
   Users& users() { return users_; }
+  Pipelines& pipelines() { return pipelines_; }
   Faults& faults() { return faults_; }
   const Checker& checker() const { return env_.checker; }
   const StateChannel& state() const { return state_; }
@@ -55,8 +57,10 @@
 
   // Jobs and machines.
   size_t submitted() const { return env_.jobs.size(); }
-  /// Jobs that were accepted, not cancelled, and are not done.
+  /// Jobs that were accepted, not cancelled, directly or through others, and are not done.
   size_t unfinished() const;
+  /// Cancelled jobs and those that depend on them, as far as the records still call them pending.
+  size_t cancellations_not_recorded() const;
   std::optional<Seconds> cancelled_at(const std::string& job) const;
   /// When the first of its tasks ran, none: not yet.
   std::optional<Seconds> began_at(const std::string& job) const;
@@ -81,6 +85,7 @@
   Controllers controllers_;
   Frontend frontend_;
   Users users_;
+  Pipelines pipelines_;
   Faults faults_;
   RandomFaults random_faults_;
 };
