--- a/tests/dependents_test.cpp
+++ b/tests/dependents_test.cpp
@@ -41,7 +41,9 @@
     return record;
   }
   /// A machine that nobody has accounted for: what may be on it stays among the live records.
-  void add_silent_machine() { core->host_stored({"i-1", "10.0.0.1:9", "g", "e", false}, kNow); }
+  void add_silent_machine() const {
+    core->host_stored({"i-1", "10.0.0.1:9", "g", "e", false}, kNow);
+  }
 };
 
 TEST_F(LeaderOfDependents, WritesDownThatTheyAreCancelledWhicheverRecordItReadsFirst) {
