--- a/tests/dependents_test.cpp
+++ b/tests/dependents_test.cpp
@@ -14,9 +14,9 @@
 namespace {
 
 /// A leader with one machine whose worker reports each time it is asked.
-class Dependents : public ::testing::Test {
+class DependentJobs : public ::testing::Test {
  protected:
-  Dependents() {
+  DependentJobs() {
     settings_.report_s = 1;
     settings_.lease_s = 10;
     TeamSettings team;
@@ -115,7 +115,7 @@
 };
 
 /// The leader's own picture of a finished task is not enough: the write may fail.
-TEST_F(Dependents, StartOnceTheLastDependencyIsDurablyDone) {
+TEST_F(DependentJobs, StartOnceTheLastDependencyIsDurablyDone) {
   store(job("job-1"));
   store(job("job-2", {"job-1"}));
   round();
@@ -130,7 +130,7 @@
   EXPECT_TRUE(placed("job-2"));
 }
 
-TEST_F(Dependents, StartTheSameWayUnderALeaderThatNeverSawTheDependency) {
+TEST_F(DependentJobs, StartTheSameWayUnderALeaderThatNeverSawTheDependency) {
   new_leader(2);
   store(job("job-2", {"job-1"}));
   round();
@@ -141,7 +141,7 @@
   EXPECT_TRUE(placed("job-2"));
 }
 
-TEST_F(Dependents, AreWrittenDownAsCancelledWithTheirDependency) {
+TEST_F(DependentJobs, AreWrittenDownAsCancelledWithTheirDependency) {
   store(job("job-1"));
   store(job("job-2", {"job-1"}));
   store(job("job-3", {"job-2"}));
@@ -158,7 +158,7 @@
 }
 
 /// What its record tells of the dependencies ends with the start: only when it was ready stays.
-TEST_F(Dependents, KeepTheTimeWhenTheyWereReadyInTheirRecord) {
+TEST_F(DependentJobs, KeepTheTimeWhenTheyWereReadyInTheirRecord) {
   store(job("job-2", {"job-1"}));
   core_->dependency_finished("job-1", {JobState::Done, 2, 900000});
   round();
@@ -169,7 +169,7 @@
   EXPECT_TRUE(record.spec.dependencies.empty());
 }
 
-TEST_F(Dependents, TellWhenTheyWereDone) {
+TEST_F(DependentJobs, TellWhenTheyWereDone) {
   store(job("job-1"));
   round();
   finish("job-1");
@@ -181,7 +181,7 @@
 
 /// While it waits for others a job holds nothing of its team's guarantee: with it the younger job
 /// would be beyond the four CPUs, and could stop nobody.
-TEST_F(Dependents, HoldNothingOfTheGuaranteeWhileTheyWait) {
+TEST_F(DependentJobs, HoldNothingOfTheGuaranteeWhileTheyWait) {
   TeamSettings other;
   other.name = "other";
   other.cpus_max = 100;
@@ -205,7 +205,7 @@
 }
 
 /// The younger job goes first: the older one's waiting counts from when it was ready.
-TEST_F(Dependents, ArriveWhenTheyAreReady) {
+TEST_F(DependentJobs, ArriveWhenTheyAreReady) {
   auto older = job("job-2", {"job-1"});
   older.spec.tasks = 6;
   auto younger = job("job-3");
@@ -220,7 +220,7 @@
 }
 
 /// Users set the priority that they care about on the last job of a pipeline only.
-TEST_F(Dependents, LendTheirPriorityThroughAnyNumberOfSteps) {
+TEST_F(DependentJobs, LendTheirPriorityThroughAnyNumberOfSteps) {
   auto last = job("job-4", {"job-3"});
   last.spec.priority = Priority::High;
   store(job("job-1"));
