--- a/src/dispatch/dependents.cpp
+++ b/src/dispatch/dependents.cpp
@@ -24,6 +24,10 @@
       {job.stored.submitted_ms, job.stored.ready_ms, dependencies_.ready_ms(job.spec().id)});
 }
 
+Seconds LeaderCore::arrival(const Job& job) const {
+  return static_cast<double>(arrival_ms(job)) / 1000 - wall_offset_;
+}
+
 /// Called when the job is met first. Those that depend on it may have been met before.
 void LeaderCore::inherit_priority(Job& job) {
   job.priority = job.spec().priority;
--- a/src/dispatch/leader_core.cpp
+++ b/src/dispatch/leader_core.cpp
@@ -1,5 +1,4 @@
 // What a tick does and in which order, and lookups that all parts of the leader use.
-// The leader's turn: what a tick does, in its order, and what all other parts look up.
 #include "dispatch/leader_core.h"
 
 #include <spdlog/spdlog.h>
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -145,6 +145,7 @@
   void note_dependencies(const JobRecord& record);
   bool ready(const Job& job) const { return dependencies_.ready(job.spec().id); }
   uint64_t arrival_ms(const Job& job) const;
+  Seconds arrival(const Job& job) const;
   void inherit_priority(Job& job);
   void raise_priority(const std::string& id, Priority priority);
   void count_arrival(Job& job);
@@ -192,35 +193,39 @@
   bool runs_well(const Job& job, Seconds now) const;
   bool sick_for_certain(const Machine& m, Seconds now) const;
 
+  // waiting_jobs.cpp
+  std::vector<Job*> waiting(Seconds now);
+  bool may_be_placed(Job& job, Seconds now);
+  bool missing_in_doubt(const Job& job) const;
+  size_t quota_left(const Job& job) const;
+  void count_usage();
+  void find_guaranteed(const std::vector<Job*>& waiting);
+
   // rounds.cpp
   void round(Seconds now);
   std::vector<Slot> picture(Seconds now, bool booting) const;
-  std::vector<Job*> waiting(Seconds now);
-  bool missing_in_doubt(const Job& job) const;
   bool picture_settled(Seconds now) const;
   std::optional<Demand> demand(Job& job, size_t most);
   bool fetch_hurts(const Job& job) const;
   void place_warm(Job& job, Demand& demand, std::vector<Slot>& slots, Seconds now);
   void place_part(Job& job, Demand& demand, std::vector<Slot>& slots, Seconds now);
-  size_t quota_left(const Job& job) const;
   void start_placed(Job& job, const std::vector<Placed>& placed, const std::vector<Slot>& slots,
                     Seconds now);
+  bool usable(const Machine& m, Seconds now) const;
+
+  // preemption.cpp
   void make_room(Job& job, Demand& demand, std::vector<Slot>& slots, Seconds now);
   void gather(Job& job, Demand& demand, std::vector<Slot>& slots, Seconds now);
   void make_room(Job& job, Demand& demand, std::vector<Slot>& slots,
                  const std::vector<Victim>& candidates, Seconds now);
   std::optional<Seconds> soonest_rented(const JobSpec& spec, Seconds now) const;
-  Seconds arrival(const Job& job) const;
   bool late(const Job& job, Seconds takes, Seconds now) const;
   bool preemptible(Demand demand, std::vector<Slot> slots,
                    const std::vector<Victim>& candidates) const;
   Seconds loss_of(const Job& job, const Run& run, Seconds now) const;
   std::vector<Victim> victims(const std::vector<Slot>& slots, Seconds now) const;
   const std::vector<Victim>& victims_of_round(const std::vector<Slot>& slots, Seconds now);
-  void find_guaranteed(const std::vector<Job*>& waiting);
   void forget_victim(const Victim& gone);
-  void count_usage();
-  bool usable(const Machine& m, Seconds now) const;
 
   // moves.cpp
   void move_replicas(Seconds now);
--- a/src/dispatch/reports.cpp
+++ b/src/dispatch/reports.cpp
@@ -1,5 +1,4 @@
 // What workers say, in reports of their own and in answers to orders and probes.
-// What workers say: reports of their own, and those that answer orders and probes.
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
--- /dev/null
+++ b/src/dispatch/waiting_jobs.cpp
@@ -0,0 +1,141 @@
+// Which jobs wait for machines, in which order, and what their teams' limits leave them.
+#include <algorithm>
+#include <cmath>
+#include <compare>
+#include <string_view>
+#include <vector>
+
+#include "dispatch/leader_core.h"
+
+namespace sumacquay {
+namespace {
+
+/// Decides the order in which a round places jobs: a smaller rank goes first.
+struct PlacementRank {
+  /// A job that might preempt another goes before it: started the other way round, the other would
+  /// only be stopped again.
+  int negated_priority = 0;
+  /// A job within its team's guarantee need not wait for other teams, and what it has stopped must
+  /// not be back in its place before it.
+  bool beyond_guarantee = false;
+  /// Of those that can stop nobody: tasks that need no GPUs fit into every gap and would take the
+  /// CPUs beside all GPUs.
+  bool fits_every_gap = false;
+  double arrival_period = 0;  ///< jobs that arrive within one report period arrive together
+  int negated_gang_size = 0;  ///< of these the largest gang goes first
+  uint64_t arrival_ms = 0;
+  std::string_view id;
+  auto operator<=>(const PlacementRank&) const = default;
+};
+
+PlacementRank rank_of(const Job& job, bool within_guarantee, uint64_t arrival_ms, Seconds period) {
+  constexpr double kMsPerSecond = 1000;
+  const JobSpec& spec = job.spec();
+  PlacementRank rank;
+  rank.negated_priority = -static_cast<int>(job.priority);
+  rank.beyond_guarantee = !within_guarantee;
+  rank.fits_every_gap = job.priority == Priority::Low && spec.need.gpus == 0;
+  rank.arrival_period = std::floor(static_cast<double>(arrival_ms) / (period * kMsPerSecond));
+  rank.negated_gang_size = spec.kind == JobKind::Gang ? -static_cast<int>(spec.tasks) : 0;
+  rank.arrival_ms = arrival_ms;
+  rank.id = spec.id;
+  return rank;
+}
+
+struct RankedJob {
+  PlacementRank rank;
+  Job* job = nullptr;
+};
+
+}  // namespace
+
+void LeaderCore::count_usage() {
+  used_.clear();
+  for (const auto& [id, job] : jobs_) {
+    size_t n = 0;
+    for (const auto& [task, places] : job.placements) n += places.size();
+    // What nobody has accounted for since the takeover may be running somewhere. Of a gang that is
+    // done some tasks may not have exited yet.
+    if (missing_in_doubt(job)) {
+      const uint32_t gone = job.spec().kind == JobKind::Array ? job.stored.done.count() : 0;
+      n = std::max<size_t>(n, job.spec().tasks - std::min(job.spec().tasks, gone));
+    }
+    used_[job.spec().team] += job.spec().need.times(static_cast<double>(n));
+  }
+}
+
+/// Whether tasks of the job may be on machines that nobody has accounted for since the takeover.
+bool LeaderCore::missing_in_doubt(const Job& job) const {
+  if (!job.stored.started || all_accounted()) return false;
+  if (!job.stored.hosts) return true;
+  return std::any_of(job.stored.hosts->begin(), job.stored.hosts->end(), [this](const auto& id) {
+    const auto m = machines_.find(id);
+    return m != machines_.end() && !m->second.accounted;
+  });
+}
+
+size_t LeaderCore::quota_left(const Job& job) const {
+  const TeamSettings* team = settings_.team(job.spec().team);
+  if (!team) return 0;
+  const auto it = used_.find(team->name);
+  const Amounts used = it == used_.end() ? Amounts{} : it->second;
+  auto fits = [](double limit, double used, double need) {
+    if (limit <= 0 || need <= 0) return 1e9;
+    return std::max(0.0, std::floor((limit - used) / need + 1e-6));
+  };
+  return static_cast<size_t>(std::min(fits(team->cpus_max, used.cpus, job.spec().need.cpus),
+                                      fits(team->gpus_max, used.gpus, job.spec().need.gpus)));
+}
+
+/// Whether a round may start anything of the job.
+bool LeaderCore::may_be_placed(Job& job, Seconds now) {
+  if (!job.runnable() || !ready(job) || now < job.retry_at || missing_in_doubt(job)) return false;
+  if (!job.start_recordable()) return false;
+  count_arrival(job);
+  if (job.placements.size() + job.done.count() >= job.spec().tasks) return false;
+  if (job.spec().kind == JobKind::Gang && !job.placements.empty()) return false;
+  if (!at_fault(job) || job.placements.empty()) return true;
+  if (!runs_well(job, now)) return false;
+  count_success(job, now);
+  return true;
+}
+
+/// The jobs that a round may place something of, in the order of their ranks.
+std::vector<Job*> LeaderCore::waiting(Seconds now) {
+  std::vector<Job*> jobs;
+  for (auto& [id, job] : jobs_)
+    if (may_be_placed(job, now)) jobs.push_back(&job);
+  find_guaranteed(jobs);
+  std::vector<RankedJob> ranked;
+  ranked.reserve(jobs.size());
+  for (Job* job : jobs) {
+    const bool within_guarantee = guaranteed_.contains(job->spec().id);
+    ranked.push_back({rank_of(*job, within_guarantee, arrival_ms(*job), settings_.report_s), job});
+  }
+  std::sort(ranked.begin(), ranked.end(),
+            [](const RankedJob& a, const RankedJob& b) { return a.rank < b.rank; });
+  std::transform(ranked.begin(), ranked.end(), jobs.begin(),
+                 [](const RankedJob& entry) { return entry.job; });
+  return jobs;
+}
+
+/// Finds the jobs within guarantees, if any of those that wait could be one of them.
+void LeaderCore::find_guaranteed(const std::vector<Job*>& waiting) {
+  guaranteed_.clear();
+  JobIds teams;
+  for (const auto& team : settings_.teams)
+    if (has_guarantee(team)) teams.insert(team.name);
+  if (teams.empty()) return;
+  const auto claims = [&teams](const Job& job) { return teams.contains(job.spec().team); };
+  if (std::none_of(waiting.begin(), waiting.end(), [&](const Job* job) { return claims(*job); }))
+    return;
+  std::vector<UnfinishedJob> unfinished;
+  for (const auto& [id, job] : jobs_) {
+    if (!job.runnable() || !ready(job) || !claims(job)) continue;
+    const uint32_t ended = job.spec().kind == JobKind::Array ? job.done.count() : 0;
+    unfinished.push_back({&job.spec(), job.spec().tasks - ended, arrival_ms(job)});
+  }
+  guaranteed_ = within_guarantee(settings_.teams, std::move(unfinished));
+}
+
+}  // namespace sumacquay
