--- a/src/dispatch/job_state.h
+++ b/src/dispatch/job_state.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "jobs/record.h"
+#include "wire/record_room.h"
 
 namespace sumacquay {
 
@@ -21,6 +22,7 @@
 /// A job as the leader sees it: its record, what is to be written of it, and where its tasks are.
 struct Job {
   JobRecord stored;           ///< what the state service holds
+  wire::RecordRoom room;      ///< what the record may hold beside the job's description
   uint64_t version = 0;       ///< of the stored record; guards the next write
   bool writing = false;       ///< a write of the record is under way
   bool want_started = false;  ///< tasks were placed: the record must say so before they start
@@ -48,6 +50,8 @@
   }
   /// Whether all tasks are done, stored or not.
   bool complete() const { return done.count() == stored.spec.tasks; }
+  /// Whether its record can come to name a machine: without, no task of it could start there.
+  bool start_recordable() const { return room.any() || (stored.started && !stored.hosts); }
   /// Whether its tasks are to run.
   bool runnable() const { return stored.state == JobState::Pending && !complete(); }
 };
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -128,7 +128,7 @@
   void add_host_deletions(WriteBatch& batch);
   WriteUrgency write_urgency(const Job& job, Seconds now) const;
   RecordWrite write_for(const Job& job) const;
-  Ranges fitting_a_record(const Ranges& done) const;
+  static Ranges done_for_record(const Job& job);
   std::optional<std::vector<std::string>> possible_hosts(const Job& job) const;
   bool gone_everywhere(const Job& job) const {
     return job.placements.empty() && !missing_in_doubt(job);
--- a/src/dispatch/record_writes.cpp
+++ b/src/dispatch/record_writes.cpp
@@ -11,27 +11,10 @@
 namespace sumacquay {
 namespace {
 
-/// The part of a record's value that its done numbers may take, and the most a span takes.
-constexpr double kDoneShare = 0.4;
-constexpr size_t kSpanBytes = 10;
-/// The same for the names of its machines, and what a name takes beside its letters.
-constexpr double kHostsShare = 0.2;
-constexpr size_t kTextBytes = 2;
-/// What a record takes beside its done numbers and hosts.
-constexpr size_t kRecordBytes = 1200;
 /// A job's record is written in place, or moved: one deleted, another written.
 constexpr size_t kMostChangesOfAJob = 2;
-
-size_t bytes_of(const std::vector<std::string>& hosts) {
-  size_t bytes = 0;
-  for (const auto& id : hosts) bytes += id.size() + kTextBytes;
-  return bytes;
-}
-
-size_t bytes_of(const JobRecord& record) {
-  return kRecordBytes + record.done.spans() * kSpanBytes +
-         (record.hosts ? bytes_of(*record.hosts) : 0);
-}
+/// What a machine's record takes at most, or nearly so.
+constexpr size_t kHostBytes = 300;
 
 void keep_common_hosts(Job& job, const std::optional<std::vector<std::string>>& hosts) {
   if (!hosts) return;
@@ -60,9 +43,10 @@
   explicit WriteBatch(size_t most_changes) : most_changes_(most_changes) {}
   bool fits(size_t changes) const { return changes_ + changes <= most_changes_; }
   bool full() const { return bytes_ > kMostBytes; }
-  void add(RecordWrite write) {
+  /// `bytes`: what its value takes at most.
+  void add(RecordWrite write, size_t bytes) {
     changes_ += write.changes();
-    if (write.record) bytes_ += bytes_of(*write.record);
+    bytes_ += bytes;
     writes_.push_back(std::move(write));
   }
   std::vector<RecordWrite> take() { return std::move(writes_); }
@@ -85,6 +69,9 @@
   job.want_hosts = job.want_hosts && !next_leader_knows_all(job);
   if (added) {
     job.done = record.done;
+    job.room = wire::record_room(record, settings_.state_value_bytes());
+    if (!job.room.any())
+      spdlog::error("{}: its description leaves no room in a record", record.spec.id);
     arrivals_.add(record.spec, arrival(job));
     spdlog::debug("{} arrives: {} tasks of {}", record.spec.id, record.spec.tasks,
                   record.spec.job_class);
@@ -126,23 +113,27 @@
 /// Whether a job's record is to be written, and how urgently.
 LeaderCore::WriteUrgency LeaderCore::write_urgency(const Job& job, Seconds now) const {
   if (job.writing || job.version == 0) return WriteUrgency::None;
+  const bool over = job.stored.state != JobState::Pending || job.complete();
+  // A record of a version before these limits: the job can still be moved to the finished ones.
+  if (!job.room.any() && !(over && gone_everywhere(job))) return WriteUrgency::None;
   if ((job.want_started && !job.stored.started) || job.want_hosts) return WriteUrgency::Start;
   if (job.stored.state == JobState::Pending && job.complete()) return WriteUrgency::Done;
   // It stays among the live records until nothing of it is left anywhere: the next leader must
   // know what may still take room and count against a limit.
   if (job.stored.state != JobState::Pending && gone_everywhere(job)) return WriteUrgency::Finished;
-  // Progress of an array is written in batches, as far as its record has room for it.
+  // Progress of an array is written in batches, as far as its record has room for it. Only more
+  // than is stored is progress: a record of larger limits isn't rewritten for what it would lose.
   const bool due = !job.progress_since || now >= *job.progress_since + settings_.report_s;
   if (job.done.count() != job.stored.done.count() && due &&
-      !(fitting_a_record(job.done) == job.stored.done))
+      done_for_record(job).count() > job.stored.done.count())
     return WriteUrgency::Progress;
   return WriteUrgency::None;
 }
 
-/// What finds no room in a record stays with the workers until earlier tasks close the gaps.
-Ranges LeaderCore::fitting_a_record(const Ranges& done) const {
-  return done.first_spans(static_cast<size_t>(settings_.state_value_kb * 1024 * kDoneShare) /
-                          kSpanBytes);
+/// What finds no room in a record stays with the workers until earlier tasks close the gaps. What
+/// is stored has been cleared there, and goes first.
+Ranges LeaderCore::done_for_record(const Job& job) {
+  return job.done.first_spans(job.room.spans, job.stored.done);
 }
 
 /// Where the job's tasks may be, for the next leader: what that one can't account for then holds
@@ -159,8 +150,7 @@
     if (m != machines_.end() && !m->second.accounted) hosts.insert(id);
   }
   std::vector<std::string> sorted(hosts.begin(), hosts.end());
-  if (static_cast<double>(bytes_of(sorted)) > settings_.state_value_kb * 1024 * kHostsShare)
-    return std::nullopt;
+  if (!job.room.holds(sorted)) return std::nullopt;
   return sorted;
 }
 
@@ -169,11 +159,12 @@
   w.job = job.spec().id;
   w.version = job.version;
   w.record = job.stored;
-  w.record->done = fitting_a_record(job.done);
   if (job.stored.state == JobState::Pending && job.complete()) w.record->state = JobState::Done;
   w.record->started = job.stored.started || job.want_started;
   if (w.record->started) w.record->hosts = possible_hosts(job);
   w.finished = w.record->state != JobState::Pending && gone_everywhere(job);
+  // Of a job that is over only their number is kept.
+  w.record->done = w.finished ? job.done : done_for_record(job);
   return w;
 }
 
@@ -192,7 +183,7 @@
     RecordWrite write;
     write.host = id;
     write.host_record = m.info;
-    batch.add(std::move(write));
+    batch.add(std::move(write), kHostBytes);
   }
 }
 
@@ -214,7 +205,8 @@
     RecordWrite write = write_for(*candidate.job);
     candidate.job->writing = true;
     keep_common_hosts(*candidate.job, write.record->hosts);
-    batch.add(std::move(write));
+    const size_t bytes = write.finished ? 0 : candidate.job->room.taken_by(*write.record);
+    batch.add(std::move(write), bytes);
   }
   return true;
 }
@@ -225,7 +217,7 @@
     if (!host_record_writes_.begin(id)) continue;
     RecordWrite write;
     write.host = id;
-    batch.add(std::move(write));
+    batch.add(std::move(write), kHostBytes);
   }
 }
 
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -97,6 +97,7 @@
   std::vector<Job*> out;
   for (auto& [id, job] : jobs_) {
     if (!job.runnable() || now < job.retry_at || missing_in_doubt(job)) continue;
+    if (!job.start_recordable()) continue;
     if (job.placements.size() + job.done.count() >= job.spec().tasks) continue;
     if (job.spec().kind == JobKind::Gang && !job.placements.empty()) continue;
     if (at_fault(job) && !job.placements.empty()) {
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -4,6 +4,8 @@
 
 #include <chrono>
 
+#include "wire/json_size.h"
+#include "wire/record_room.h"
 #include "wire/store_messages.h"
 #include "wire/user_messages.h"
 
@@ -125,7 +127,7 @@
       id, respond,
       [=, this](const Versioned<JobRecord>& r) {
         if (r.value.state != JobState::Pending) return answer(r.value.state);
-        JobRecord cancelled = r.value;
+        JobRecord cancelled = wire::fitting_record(r.value, settings_.state_value_bytes());
         cancelled.state = JobState::Cancelled;
         const std::string key = keys::kLive + id;
         store_.transact(Urgency::Record, {{key, r.version}},
@@ -190,7 +192,7 @@
   record.spec = spec;
   record.submitted_ms = sources_.time_of_day_ms();
   const std::string value = wire::encode_job(record);
-  if (static_cast<double>(value.size()) > settings_.state_value_kb * 1024 * 0.5)
+  if (2 * wire::json_size(wire::Document::parse(value)->root()) > settings_.state_value_bytes())
     return refuse_unknown(spec.id, 400, "the job's description is too large", respond);
   const std::string live = keys::kLive + spec.id;
   const std::string finished = keys::kFinished + spec.id;
--- a/src/jobs/ranges.h
+++ b/src/jobs/ranges.h
@@ -2,6 +2,7 @@
 #include <cstdint>
 #include <iterator>
 #include <map>
+#include <utility>
 #include <vector>
 
 namespace sumacquay {
@@ -44,13 +45,18 @@
   size_t spans() const { return spans_.size(); }
   bool operator==(const Ranges& o) const { return spans_ == o.spans_; }
 
-  /// The first spans of the set: what a record of limited size can hold.
-  Ranges first_spans(size_t most) const {
+  /// At most so many spans of the set: those that hold numbers of `kept` go first, so that a record
+  /// of limited size loses nothing that it holds already, then the first of the others.
+  Ranges first_spans(size_t most, const Ranges& kept) const {
     if (spans_.size() <= most) return *this;
     Ranges out;
-    for (auto it = spans_.begin(); out.spans_.size() < most; ++it) {
-      out.spans_.insert(*it);
-      out.count_ += it->second - it->first;
+    for (const auto& [first, last] : kept.spans_) {
+      if (out.spans_.size() >= most) return out;
+      if (contains(first)) out.insert_span(*std::prev(spans_.upper_bound(first)));
+    }
+    for (const auto& span : spans_) {
+      if (out.spans_.size() >= most) return out;
+      out.insert_span(span);
     }
     return out;
   }
@@ -84,6 +90,10 @@
   }
 
  private:
+  void insert_span(const std::pair<const uint32_t, uint32_t>& span) {
+    if (spans_.insert(span).second) count_ += span.second - span.first;
+  }
+
   std::map<uint32_t, uint32_t> spans_;  ///< first -> one past last; never touching
   uint32_t count_ = 0;
 };
--- a/src/node/record_writer.cpp
+++ b/src/node/record_writer.cpp
@@ -9,15 +9,16 @@
 
 RecordWriter::RecordWriter(const Settings& settings, StoreClient& store, Mirror& mirror,
                            ActiveCore& core, std::function<void()> committed)
-    : settings_(settings),
-      store_(store),
+    : store_(store),
       mirror_(mirror),
       core_(core),
-      committed_(std::move(committed)) {}
+      committed_(std::move(committed)),
+      pacing_(settings) {}
 
 void RecordWriter::write_wanted() {
   if (state_ != State::Idle || !mirror_.loaded()) return;
-  const auto most_changes = static_cast<size_t>(settings_.state_txn_ops);
+  if (!pacing_.may_write(steady_now())) return;
+  const size_t most_changes = pacing_.most_changes(steady_now());
   const auto writes = core_->wanted_writes(steady_now(), most_changes);
   if (writes.empty()) return;
   const auto transaction = record_transaction(writes, mirror_.term().version);
@@ -30,6 +31,10 @@
 
 void RecordWriter::on_answer(const std::vector<RecordWrite>& writes, const TxnResult& result) {
   const bool committed = result.outcome == TxnOutcome::Committed;
+  if (result.outcome == TxnOutcome::TooLarge) {
+    spdlog::warn("a transaction of {} records is too large for the state service", writes.size());
+    pacing_.too_large(steady_now());
+  }
   if (committed)
     for (const auto& write : writes) update_copy(write, result.revision);
   if (!core_) return;
--- a/src/node/record_writer.h
+++ b/src/node/record_writer.h
@@ -4,6 +4,7 @@
 
 #include "config/settings.h"
 #include "node/active_core.h"
+#include "node/write_pacing.h"
 #include "store/mirror.h"
 #include "store/store_client.h"
 
@@ -14,7 +15,8 @@
 ///
 /// Guarantees that one transaction at a time is under way, that what it wrote is in this node's
 /// copy of the records before the core hears of it, and that after a failure or without an answer
-/// nothing more is written before the records have been read again.
+/// nothing more is written before the records have been read again. No refusal is final: what was
+/// refused is wanted again, in smaller transactions (see WritePacing).
 class RecordWriter {
  public:
   /// `committed` is called after each transaction that was carried out.
@@ -35,12 +37,12 @@
   void update_copy(const RecordWrite& write, uint64_t revision);
   void reread(const TxnResult& result);
 
-  const Settings& settings_;
   StoreClient& store_;
   Mirror& mirror_;
   ActiveCore& core_;
   std::function<void()> committed_;
   State state_ = State::Idle;
+  WritePacing pacing_;
 };
 
 }  // namespace sumacquay
--- /dev/null
+++ b/src/node/write_pacing.cpp
@@ -0,0 +1,34 @@
+#include "node/write_pacing.h"
+
+#include <algorithm>
+
+namespace sumacquay {
+namespace {
+
+/// A job that finishes leaves one key and enters another.
+constexpr size_t kFewestChanges = 2;
+/// How long transactions stay small / the report period.
+constexpr double kCautionReports = 30;
+
+/// A transaction of more changes than the service takes in a second might never be taken.
+size_t changes_within_limits(const Settings& settings) {
+  const auto in_a_second = static_cast<size_t>(settings.state_write_rps);
+  const auto in_a_transaction = static_cast<size_t>(settings.state_txn_ops);
+  return std::max(kFewestChanges, std::min(in_a_second, in_a_transaction));
+}
+
+}  // namespace
+
+WritePacing::WritePacing(const Settings& settings)
+    : most_changes_(changes_within_limits(settings)), report_s_(settings.report_s) {}
+
+size_t WritePacing::most_changes(Seconds now) const {
+  return now < cautious_until_ ? kFewestChanges : most_changes_;
+}
+
+void WritePacing::too_large(Seconds now) {
+  paused_until_ = now + report_s_;
+  cautious_until_ = now + kCautionReports * report_s_;
+}
+
+}  // namespace sumacquay
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -1,5 +1,7 @@
 #include "store/store_client.h"
 
+#include <algorithm>
+
 namespace sumacquay {
 namespace {
 
@@ -23,7 +25,7 @@
 constexpr int kStatusTooManyRequests = 429;
 constexpr int kStatusUnavailable = 503;
 
-TxnResult read_transaction_answer(const HttpResult& answer) {
+TxnResult read_transaction_answer(const HttpResult& answer, bool with_lease) {
   TxnResult result;
   if (!answer.answered) return result;
   const auto revision = wire::parse_revision(answer.body);
@@ -37,7 +39,7 @@
       result.failed = wire::parse_failed(answer.body);
       break;
     case 400:
-      result.outcome = TxnOutcome::NoLease;
+      result.outcome = with_lease ? TxnOutcome::NoLease : TxnOutcome::TooLarge;
       break;
     default:
       result.outcome = TxnOutcome::Refused;
@@ -150,8 +152,10 @@
                            std::function<void(TxnResult)> done) {
   Request request{"POST", wire::path::kTransaction, wire::transaction_body(guards, changes),
                   static_cast<double>(changes.size()), nullptr};
-  request.done = [done = std::move(done)](const HttpResult& result) {
-    done(read_transaction_answer(result));
+  const bool with_lease = std::any_of(changes.begin(), changes.end(),
+                                      [](const wire::Change& change) { return change.lease != 0; });
+  request.done = [done = std::move(done), with_lease](const HttpResult& result) {
+    done(read_transaction_answer(result, with_lease));
   };
   submit(urgency, std::move(request));
 }
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -15,6 +15,7 @@
   Committed,
   Conflict,  ///< a guard failed: nothing was changed
   NoLease,   ///< the lease of a value has ended: nothing was changed
+  TooLarge,  ///< without a lease in it: the service's limits are lower now; nothing was changed
   Refused,   ///< not executed: over a limit, or an outage
   Unknown,   ///< may have been executed, or may still be
 };
--- /dev/null
+++ b/src/wire/record_room.cpp
@@ -0,0 +1,92 @@
+#include "wire/record_room.h"
+
+#include <cmath>
+#include <utility>
+
+#include "wire/json_size.h"
+#include "wire/records.h"
+
+namespace sumacquay::wire {
+namespace {
+
+/// The part of the room that is left free / the limit on a value.
+constexpr double kReserveShare = 1.0 / 32;
+/// Of what the description leaves, the part that done numbers may take. Hosts get the rest.
+constexpr double kDoneShare = 2.0 / 3;
+constexpr size_t kComma = 1;
+
+size_t json_size_of(const JobRecord& record) {
+  return json_size(Document::parse(encode_job(record))->root());
+}
+
+/// The bytes of a record without hosts and done numbers, in whichever state takes the most.
+size_t described_size(const JobRecord& record) {
+  JobRecord described = record;
+  described.state = JobState::Cancelled;
+  described.started = false;
+  described.hosts.emplace();
+  described.done = {};
+  return json_size_of(described);
+}
+
+size_t names_size(const std::vector<std::string>& names) {
+  size_t size = 0;
+  for (const auto& name : names) size += json_size(name) + kComma;
+  return size;
+}
+
+/// The most bytes that so many spans take, wherever they lie. Their lengths and those of the gaps
+/// before them add up to the number of tasks at most, and take the most digits if all are equal.
+double spans_size(size_t spans, uint32_t tasks) {
+  constexpr double kFirstDigitAndComma = 2;
+  constexpr double kEmptyFirstGap = 2;
+  if (spans == 0) return 0;
+  const auto lengths = 2 * static_cast<double>(spans);
+  return lengths * (std::log10(tasks / lengths) + kFirstDigitAndComma) + kEmptyFirstGap;
+}
+
+/// How many spans of done numbers find room in so many bytes.
+size_t spans_within(double bytes, uint32_t tasks) {
+  size_t fit = 0;
+  size_t too_many = (size_t{tasks} + 1) / 2 + 1;  // between two spans is a task that isn't done
+  while (too_many - fit > 1) {
+    const size_t middle = fit + (too_many - fit) / 2;
+    if (spans_size(middle, tasks) <= bytes)
+      fit = middle;
+    else
+      too_many = middle;
+  }
+  return fit;
+}
+
+}  // namespace
+
+bool RecordRoom::holds(const std::vector<std::string>& names) const {
+  return names_size(names) <= hosts;
+}
+
+size_t RecordRoom::taken_by(const JobRecord& record) const {
+  const double done = spans_size(record.done.spans(), record.spec.tasks);
+  const size_t named = record.hosts ? names_size(*record.hosts) : 0;
+  return described + named + static_cast<size_t>(std::ceil(done));
+}
+
+RecordRoom record_room(const JobRecord& record, size_t most_bytes) {
+  RecordRoom room;
+  room.described = described_size(record);
+  const auto limit = static_cast<double>(most_bytes);
+  const double left = limit * (1 - kReserveShare) - static_cast<double>(room.described);
+  if (left <= 0) return room;
+  room.spans = spans_within(left * kDoneShare, record.spec.tasks);
+  room.hosts = static_cast<size_t>(left - spans_size(room.spans, record.spec.tasks));
+  return room;
+}
+
+JobRecord fitting_record(JobRecord record, size_t most_bytes) {
+  const RecordRoom room = record_room(record, most_bytes);
+  if (record.hosts && !room.holds(*record.hosts)) record.hosts.reset();
+  record.done = record.done.first_spans(room.spans, record.done);
+  return record;
+}
+
+}  // namespace sumacquay::wire
--- /dev/null
+++ b/src/wire/record_room.h
@@ -0,0 +1,35 @@
+#pragma once
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "jobs/record.h"
+
+/// How much of a job's progress and places its record can hold: the state service limits the size
+/// of a value in JSON form. The leader and the frontend, who write the records, call it.
+namespace sumacquay::wire {
+
+/// What a job's record may hold beside its description. It depends on the description alone, so it
+/// is worked out once for each job.
+struct RecordRoom {
+  size_t described = 0;  ///< bytes of the record without hosts and done numbers
+  size_t hosts = 0;      ///< bytes for the names of its hosts
+  size_t spans = 0;      ///< spans of done numbers, wherever they lie
+
+  /// Whether there is any: without, the record can't be written.
+  bool any() const { return spans > 0; }
+  /// Whether a record with these hosts fits.
+  bool holds(const std::vector<std::string>& names) const;
+  /// The bytes of a record that fits, or a little more.
+  size_t taken_by(const JobRecord& record) const;
+};
+
+/// `most_bytes`: the limit on a value.
+RecordRoom record_room(const JobRecord& record, size_t most_bytes);
+
+/// The same record, or as much of it as fits: without its hosts, which means that its tasks may be
+/// anywhere, and with the first spans of its done numbers. One whose description leaves no room is
+/// as small as it can be.
+JobRecord fitting_record(JobRecord record, size_t most_bytes);
+
+}  // namespace sumacquay::wire
--- a/tests/node_parts_test.cpp
+++ b/tests/node_parts_test.cpp
@@ -6,6 +6,7 @@
 #include "node/active_core.h"
 #include "node/heartbeat_details.h"
 #include "node/worker_clients.h"
+#include "node/write_pacing.h"
 
 namespace sumacquay {
 namespace {
@@ -82,6 +83,34 @@
   EXPECT_FALSE(core.get(core.generation()));
 }
 
+Settings with_state_limits(int transaction_changes, double changes_per_second) {
+  Settings settings;
+  settings.report_s = 2;
+  settings.state_txn_ops = transaction_changes;
+  settings.state_write_rps = changes_per_second;
+  return settings;
+}
+
+TEST(WritePacing, TransactionsHaveAsManyChangesAsTheServiceTakes) {
+  EXPECT_EQ(WritePacing(with_state_limits(24, 30)).most_changes(0), 24u);
+  EXPECT_EQ(WritePacing(with_state_limits(24, 7.5)).most_changes(0), 7u) << "all in one second";
+  EXPECT_EQ(WritePacing(with_state_limits(24, 1)).most_changes(0), 2u) << "a job that moves";
+  EXPECT_EQ(WritePacing(with_state_limits(2, 30)).most_changes(0), 2u);
+}
+
+TEST(WritePacing, AfterARefusalForItsSizeTransactionsPauseAndStaySmallForAWhile) {
+  WritePacing pacing(with_state_limits(24, 30));
+  EXPECT_TRUE(pacing.may_write(100));
+  pacing.too_large(100);
+  EXPECT_FALSE(pacing.may_write(101.9)) << "a report period";
+  EXPECT_TRUE(pacing.may_write(102));
+  EXPECT_EQ(pacing.most_changes(102), 2u);
+  pacing.too_large(102);
+  EXPECT_FALSE(pacing.may_write(103.9)) << "again";
+  EXPECT_EQ(pacing.most_changes(161.9), 2u);
+  EXPECT_EQ(pacing.most_changes(162), 24u) << "it was tried long enough";
+}
+
 HttpResult answer(int status, const std::string& body = "") {
   HttpResult result;
   result.answered = true;
--- /dev/null
+++ b/tests/record_room_test.cpp
@@ -0,0 +1,266 @@
+// Records of jobs within the limit on values, whatever is to be written in them.
+#include "wire/record_room.h"
+
+#include <gtest/gtest.h>
+
+#include "dispatch/leader_core.h"
+#include "generators.h"
+#include "wire/json_size.h"
+#include "wire/records.h"
+
+namespace sumacquay {
+namespace {
+
+using testing::holds;
+
+size_t size_of(const JobRecord& record) {
+  return wire::json_size(wire::Document::parse(wire::encode_job(record))->root());
+}
+
+/// Done numbers with gaps of any size between them.
+Ranges scattered(uint32_t tasks) {
+  Ranges done;
+  const auto widest = *rc::gen::element<uint32_t>(2, 3, 12, 130, 1100);
+  uint32_t task = *rc::gen::inRange<uint32_t>(0, widest);
+  while (task < tasks) {
+    done.add(task);
+    task += *rc::gen::inRange<uint32_t>(1, widest);
+  }
+  return done;
+}
+
+std::vector<std::string> many_hosts() {
+  const std::string name =
+      *rc::gen::element<std::string>("i-", "\"\\", "\xc3\xa9", "machine-name-");
+  std::vector<std::string> hosts;
+  for (int i = *rc::gen::inRange(0, 600); i > 0; --i) hosts.push_back(name + std::to_string(i));
+  std::sort(hosts.begin(), hosts.end());
+  return hosts;
+}
+
+JobRecord hostile_record() {
+  JobRecord record;
+  record.spec = *testing::job_spec();
+  record.spec.tasks = *rc::gen::element<uint32_t>(1, 2, 17, 100, 3000, 20000);
+  record.state = *rc::gen::element(JobState::Pending, JobState::Cancelled, JobState::Done);
+  record.started = *rc::gen::arbitrary<bool>();
+  record.submitted_ms = *rc::gen::arbitrary<uint64_t>();
+  if (*rc::gen::arbitrary<bool>()) record.hosts = many_hosts();
+  record.done = scattered(record.spec.tasks);
+  return record;
+}
+
+TEST(RecordRoom, WhatFitsIsWithinTheLimitWhateverItHolds) {
+  int with_room = 0;
+  for (const size_t most_bytes : {size_t{2048}, size_t{8192}})
+    EXPECT_TRUE(holds("records fit", [&] {
+      const JobRecord record = hostile_record();
+      const wire::RecordRoom room = wire::record_room(record, most_bytes);
+      RC_ASSERT(room.any() || 2 * room.described > most_bytes);
+      if (!room.any()) return;
+      ++with_room;
+      const JobRecord fitting = wire::fitting_record(record, most_bytes);
+      RC_ASSERT(size_of(fitting) <= most_bytes);
+      RC_ASSERT(size_of(fitting) <= room.taken_by(fitting));
+      RC_ASSERT(wire::fitting_record(fitting, most_bytes) == fitting);
+      // Hosts and done numbers both take all that they may.
+      JobRecord fullest = record;
+      fullest.hosts.emplace();
+      while (room.holds(*fullest.hosts)) fullest.hosts->push_back("i-1234");
+      fullest.hosts->pop_back();
+      fullest.done = fitting.done;
+      RC_ASSERT(size_of(fullest) <= most_bytes);
+    }));
+  EXPECT_GT(with_room, 200);
+}
+
+TEST(RecordRoom, ASmallJobsRecordHoldsAllOfIt) {
+  JobRecord record;
+  record.spec.id = "job-000398";
+  record.spec.tasks = 100;
+  record.hosts.emplace();
+  for (int i = 100; i < 160; ++i) record.hosts->push_back("i-" + std::to_string(i));
+  for (uint32_t task = 0; task < record.spec.tasks; task += 2) record.done.add(task);
+  EXPECT_EQ(wire::fitting_record(record, 2048), record) << "50 spans and 60 hosts";
+}
+
+TEST(RecordRoom, WhereTheDescriptionTakesAllThereIsNone) {
+  JobRecord record;
+  record.spec.id = "job-1";
+  record.spec.types = std::vector<std::string>(10, std::string(200, 'x'));
+  EXPECT_FALSE(wire::record_room(record, 2048).any());
+  EXPECT_TRUE(wire::record_room(record, 8192).any());
+}
+
+TEST(Ranges, WhatIsKeptGoesFirst) {
+  EXPECT_TRUE(holds("what is kept stays", [] {
+    Ranges kept;
+    Ranges all;
+    for (const auto n : *rc::gen::container<std::vector<uint32_t>>(rc::gen::inRange(0u, 80u))) {
+      all.add(n);
+      if (*rc::gen::arbitrary<bool>()) kept.add(n);
+    }
+    const auto most = *rc::gen::inRange<size_t>(0, 20);
+    const Ranges chosen = all.first_spans(most, kept);
+    RC_ASSERT(chosen.spans() == std::min(most, all.spans()));
+    uint32_t count = 0;
+    for (uint32_t n = 0; n < 80; ++n) {
+      count += chosen.contains(n);
+      RC_ASSERT(all.contains(n) || !chosen.contains(n));
+      if (kept.spans() <= most) RC_ASSERT(chosen.contains(n) || !kept.contains(n));
+    }
+    RC_ASSERT(chosen.count() == count);
+  }));
+}
+
+// A leader that is given what earlier versions stored under larger limits.
+
+struct LoweredLimits : ::testing::Test {
+  static constexpr size_t kMostBytes = 2048;
+  static constexpr uint64_t kToken = uint64_t{2} << 20;
+  Settings settings;
+  JobRecord record;
+  double now = 1000;
+  uint64_t revision = 100;
+  std::unique_ptr<LeaderCore> core;
+
+  LoweredLimits() {
+    settings.state_value_kb = 2;
+    TeamSettings team;
+    team.name = "t";
+    settings.teams = {team};
+    record.spec.id = "job-1";
+    record.spec.team = "t";
+    record.spec.kind = JobKind::Array;
+    record.spec.tasks = 4000;
+    record.spec.need = {1, 0, 1};
+    record.submitted_ms = 1;
+    record.started = true;
+    core = std::make_unique<LeaderCore>(settings, 2, now, now);
+    MachineType type;
+    type.name = "g";
+    type.room = {16, 4, 64};
+    type.zones = {"e"};
+    core->set_types({type});
+    core->host_stored({"i-9", "10.0.0.1:9", "g", "e", false}, now);
+  }
+
+  /// Far more than two KiB of done numbers, and of hosts that are all gone.
+  void store_oversized() {
+    for (uint32_t task = 0; task < record.spec.tasks; task += 4) record.done.add(task);
+    record.hosts.emplace();
+    for (int i = 100; i < 500; ++i) record.hosts->push_back("i-" + std::to_string(i));
+    record.hosts->push_back("i-9");
+    ASSERT_GT(size_of(record), kMostBytes);
+    core->job_stored(record, ++revision, now);
+  }
+
+  void report(uint64_t seq, std::vector<TaskReport> tasks) const {
+    WorkerReport r;
+    r.machine = "i-9";
+    r.addr = "10.0.0.1:9";
+    r.type = "g";
+    r.zone = "e";
+    r.session = 1;
+    r.seq = seq;
+    r.token = kToken;
+    r.tasks = std::move(tasks);
+    core->report(r, true, now);
+  }
+
+  static TaskReport done(uint32_t task) {
+    return {{"job-1", task}, 7, TaskState::Exited, ExitCause::Done};
+  }
+
+  /// How many records of jobs the leader writes in so many seconds. Each has to fit.
+  int writes_within(int seconds) {
+    int writes = 0;
+    for (int i = 0; i < seconds; ++i) {
+      now += 1;
+      core->tick(now);
+      for (const auto& write : core->wanted_writes(now, 20)) {
+        if (write.host.empty() && !write.finished) {
+          ++writes;
+          EXPECT_LE(size_of(*write.record), kMostBytes);
+        }
+        core->write_done(write, true, ++revision, now);
+      }
+    }
+    return writes;
+  }
+
+  const Job& job() const { return core->jobs().at("job-1"); }
+};
+
+TEST_F(LoweredLimits, ARecordThatIsTooLargeIsNotRewrittenForNothing) {
+  store_oversized();
+  report(1, {done(1)});
+  EXPECT_EQ(writes_within(5), 0) << "it would lose more than it gains";
+  EXPECT_EQ(job().stored.done.count(), 1000u);
+}
+
+TEST_F(LoweredLimits, ARecordThatIsTooLargeFitsOnceItIsWritten) {
+  store_oversized();
+  std::vector<TaskReport> most;
+  for (uint32_t task = 0; task < 3800; ++task) most.push_back(done(task));
+  report(1, most);
+  EXPECT_EQ(writes_within(20), 1);
+  EXPECT_LE(size_of(job().stored), kMostBytes);
+  EXPECT_GE(job().stored.done.count(), 3800u);
+  EXPECT_EQ(job().done.count(), 3850u) << "the leader forgets nothing";
+}
+
+TEST_F(LoweredLimits, HostsThatFindNoRoomAreLeftOut) {
+  for (int i = 100; i < 400; ++i)
+    core->host_stored({"i-" + std::to_string(i), "10.0.0.1:9", "g", "e", false}, now);
+  record.hosts.emplace();
+  for (int i = 100; i < 400; ++i) record.hosts->push_back("i-" + std::to_string(i));
+  core->job_stored(record, ++revision, now);
+  report(1, {done(0)});
+  EXPECT_EQ(writes_within(2), 1) << "all of them are still unaccounted for";
+  EXPECT_FALSE(job().stored.hosts) << "its tasks may be anywhere";
+}
+
+TEST_F(LoweredLimits, AJobThatIsOverIsFinishedWithAllItsDoneNumbers) {
+  record.state = JobState::Cancelled;
+  store_oversized();
+  report(1, {});
+  const auto writes = core->wanted_writes(now, 20);
+  ASSERT_EQ(writes.size(), 1u);
+  EXPECT_TRUE(writes[0].finished);
+  EXPECT_EQ(writes[0].record->done.count(), 1000u);
+}
+
+TEST_F(LoweredLimits, WhatIsStoredStaysStoredAsTheGapsFill) {
+  core->job_stored(record, ++revision, now);
+  std::vector<TaskReport> tasks;
+  for (uint32_t task = 3999; task > 1000; task -= 7) tasks.push_back(done(task));
+  report(1, tasks);
+  EXPECT_EQ(writes_within(5), 1);
+  const Ranges stored = job().stored.done;
+  ASSERT_LT(stored.count(), tasks.size()) << "there is no room for all";
+  for (uint32_t task = 0; task < 1000; task += 3) tasks.push_back(done(task));
+  report(2, tasks);
+  EXPECT_EQ(writes_within(5), 0) << "the room is taken";
+  for (uint32_t task = 1; task < 4000; ++task) tasks.push_back(done(task));
+  report(3, tasks);
+  EXPECT_EQ(writes_within(5), 1);
+  EXPECT_EQ(job().stored.done.count(), 4000u);
+}
+
+TEST_F(LoweredLimits, AJobThatLeavesNoRoomKeepsNobodyBack) {
+  record.started = false;
+  record.spec.types = std::vector<std::string>(12, std::string(190, 'x'));
+  record.spec.types->push_back("g");
+  core->job_stored(record, ++revision, now);
+  record.spec.types.reset();
+  record.spec.id = "job-2";
+  core->job_stored(record, ++revision, now);
+  report(1, {});
+  EXPECT_GT(writes_within(3), 0);
+  EXPECT_TRUE(core->jobs().at("job-2").stored.started);
+  EXPECT_FALSE(job().stored.started);
+}
+
+}  // namespace
+}  // namespace sumacquay
--- a/tests/users_test.cpp
+++ b/tests/users_test.cpp
@@ -7,6 +7,8 @@
 #include <utility>
 
 #include "frontend/frontend.h"
+#include "node/record_writer.h"
+#include "wire/json_size.h"
 
 namespace sumacquay {
 namespace {
@@ -41,6 +43,9 @@
   int late_writes = 0;   ///< transactions that are carried out later, without an answer
   int held_answers = 0;  ///< transactions that are carried out and answered later
   bool log_backwards = false;
+  size_t most_value_bytes = 8192;  ///< in JSON form; may be lowered at any time
+  size_t most_changes = 24;
+  int transactions = 0;  ///< that came to be looked at
   /// Called before a request is handled, once.
   std::function<bool(const HttpRequest&)> before;
   uint64_t revision = 1;
@@ -156,10 +161,19 @@
     p.pack_array(static_cast<uint32_t>(count));
   }
 
+  bool too_large(wire::View apply) const {
+    if (apply.size() > most_changes) return true;
+    for (size_t i = 0; i < apply.size(); ++i)
+      if (wire::json_size(apply.at(i)["v"]) > most_value_bytes) return true;
+    return false;
+  }
+
   int transact(const HttpRequest& r, Packer& p) {
     const auto document = wire::Document::parse(r.body);
     const auto guards = document->root()["guards"];
     const auto apply = document->root()["apply"];
+    ++transactions;
+    if (too_large(apply)) return p.pack_map(0), 400;
     bool holds = true;
     for (size_t i = 0; i < guards.size(); ++i) {
       const auto it = keys.find(*guards.at(i)["path"].text());
@@ -720,6 +734,113 @@
   EXPECT_TRUE(b.mirror->hosts().count("i-2"));
 }
 
+// Limits that the state service lowers without notice.
+
+/// Larger than the lowered limit: hundreds of hosts, and done numbers far apart.
+JobRecord record_of_larger_limits(const std::string& id) {
+  JobRecord record;
+  record.spec.id = id;
+  record.spec.team = "t";
+  record.spec.tasks = 1000;
+  record.spec.need = {1, 1, 1};
+  record.submitted_ms = 1;
+  record.started = true;
+  record.hosts.emplace();
+  for (int i = 100; i < 400; ++i) record.hosts->push_back("i-" + std::to_string(i));
+  for (uint32_t task = 0; task < record.spec.tasks; task += 2) record.done.add(task);
+  return record;
+}
+
+TEST_F(TwoNodes, ARecordOfLargerLimitsIsReadAndCancelledAfterTheyWereLowered) {
+  ++state.revision;
+  state.set(keys::kLive + "job-1", wire::encode_job(record_of_larger_limits("job-1")));
+  b.settings.state_value_kb = 2;
+  prepare(b);
+  b.mirror->start();
+  until([&] { return b.mirror->loaded(); });
+  state.most_value_bytes = 2048;
+  EXPECT_EQ(ask(b, "GET", "/work/job-1"), "200 pending");
+  EXPECT_EQ(ask(b, "POST", "/work/job-1/cancel"), "200 cancelled");
+  EXPECT_EQ(ask(a, "GET", "/work/job-1"), "200 cancelled");
+  const auto* cancelled = a.mirror->live("job-1");
+  ASSERT_NE(cancelled, nullptr);
+  EXPECT_FALSE(cancelled->value.hosts) << "its tasks may be anywhere";
+  EXPECT_GT(cancelled->value.done.count(), 0u);
+}
+
+TEST_F(TwoNodes, ADescriptionIsMeasuredInJsonForm) {
+  static msgpack::zone zone;
+  const std::string body = submission("job-1", [](Fields& f) {
+    f["bolt"] = msgpack::object(std::string(190, '\1'), zone);  // each is escaped
+  });
+  b.settings.state_value_kb = 2;
+  prepare(b);
+  b.mirror->start();
+  until([&] { return b.mirror->loaded(); });
+  ASSERT_LT(2 * body.size(), b.settings.state_value_bytes());
+  EXPECT_EQ(ask(b, "POST", "/work", body), "400 ");
+  EXPECT_EQ(ask(a, "POST", "/work", body), "201 pending") << "where more is allowed";
+}
+
+TEST_F(TwoNodes, ATransactionThatIsTooLargeNowIsToldApartAndCarriedOutOnceItIsSmaller) {
+  std::optional<TxnResult> result;
+  const auto transact = [&](size_t changes, uint64_t lease) {
+    std::vector<wire::Change> all;
+    for (size_t i = 0; i < changes; ++i)
+      all.push_back({keys::kHost + std::to_string(i),
+                     wire::encode_host({"i-1", "127.0.0.1:1", "g", "e", false}), lease});
+    result.reset();
+    a.store->transact(Urgency::Record, {}, all, [&](const TxnResult& t) { result = t; });
+    until([&] { return result.has_value(); });
+    return result->outcome;
+  };
+  EXPECT_EQ(transact(24, 0), TxnOutcome::Committed);
+  state.most_changes = 8;
+  EXPECT_EQ(transact(24, 0), TxnOutcome::TooLarge);
+  EXPECT_EQ(transact(24, 7), TxnOutcome::NoLease) << "as far as anybody can tell";
+  EXPECT_EQ(transact(8, 0), TxnOutcome::Committed);
+  state.most_value_bytes = 16;
+  EXPECT_EQ(transact(1, 0), TxnOutcome::TooLarge);
+}
+
+TEST_F(TwoNodes, ASubmissionThatTheServiceRefusesForItsSizeIsNotRefusedForGood) {
+  state.most_value_bytes = 16;
+  EXPECT_EQ(ask(a, "POST", "/work", submission("job-1")), "503 ");
+  state.most_value_bytes = 2048;
+  EXPECT_EQ(ask(a, "POST", "/work", submission("job-1")), "201 pending");
+}
+
+/// Jobs whose tasks are all done: each moves to the finished ones, which takes two changes.
+TEST_F(TwoNodes, TheLeadersRecordsAreWrittenInSmallPartsAfterARefusalForSize) {
+  constexpr int kJobs = 6;
+  std::vector<std::string> ids;
+  for (int i = 1; i <= kJobs; ++i) ids.push_back("job-" + std::to_string(i));
+  ActiveCore active;
+  a.settings.report_s = 0.4;
+  active.begin(std::make_unique<LeaderCore>(a.settings, 1, 0, 0));
+  for (const auto& id : ids) {
+    JobRecord record;
+    record.spec.id = id;
+    record.done.add(0);
+    ++state.revision;
+    state.set(keys::kLive + id, wire::encode_job(record));
+    active->job_stored(record, state.revision, 0);
+  }
+  EXPECT_EQ(ask(a, "GET", "/work/job-1"), "200 pending");
+  RecordWriter writer(a.settings, *a.store, *a.mirror, active, [] {});
+  state.most_changes = 4;
+  const auto all_finished = [&] {
+    writer.write_wanted();
+    return std::all_of(ids.begin(), ids.end(),
+                       [&](const auto& id) { return state.has(keys::kFinished + id); });
+  };
+  const auto began = std::chrono::steady_clock::now();
+  until(all_finished);
+  const std::chrono::duration<double> took = std::chrono::steady_clock::now() - began;
+  EXPECT_EQ(state.transactions, 1 + kJobs) << "one refusal, then a job at a time";
+  EXPECT_GE(took.count(), a.settings.report_s) << "paused after the refusal";
+}
+
 // Nothing stays stuck.
 
 struct Troubles : TwoNodes {
