--- a/src/dispatch/dependents.cpp
+++ b/src/dispatch/dependents.cpp
@@ -10,6 +10,14 @@
   dependencies_.finished(id, record.state, record.ended_ms);
 }
 
+/// A job that is over stays among the live ones until nothing of it is left anywhere, and the graph
+/// keeps it only for those that it knows to depend on it.
+void LeaderCore::note_dependencies(const JobRecord& record) {
+  dependencies_.update(record);
+  for (const auto& id : record.spec.dependencies)
+    if (const Job* dependency = find_job(id)) dependencies_.update(dependency->stored);
+}
+
 /// A job that depends on others arrives when the last of them is done.
 uint64_t LeaderCore::arrival_ms(const Job& job) const {
   return std::max(
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -142,6 +142,7 @@
   }
 
   // dependents.cpp
+  void note_dependencies(const JobRecord& record);
   bool ready(const Job& job) const { return dependencies_.ready(job.spec().id); }
   uint64_t arrival_ms(const Job& job) const;
   void inherit_priority(Job& job);
--- a/src/dispatch/record_writes.cpp
+++ b/src/dispatch/record_writes.cpp
@@ -83,7 +83,7 @@
   job.version = version;
   job.hosts_of_all_writes.reset();
   job.want_hosts = job.want_hosts && !next_leader_knows_all(job);
-  dependencies_.update(record);
+  note_dependencies(record);
   if (added) {
     job.done = record.done;
     inherit_priority(job);
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -254,6 +254,18 @@
       [=](const FinishedRecord& r) { answer(r.state, 0); }, unknown);
 }
 
+/// What it depends on was known from a copy that may be old: one of these may be cancelled, and
+/// somebody told so.
+void Frontend::answer_accepted(const JobRecord& record, const Respond& respond) {
+  const std::string& id = record.spec.id;
+  auto answer = [=](JobState state) { respond({201, wire::job_answer(id, shown(state, 0)), 0}); };
+  const bool waits = record.state == JobState::Pending && !record.spec.dependencies.empty();
+  if (!waits) return answer(record.state);
+  look_up(
+      id, respond, [=, this](const Versioned<JobRecord>& r) { answer(current_state(r.value)); },
+      [=](const FinishedRecord& r) { answer(r.state); }, [=] { later_please(respond); });
+}
+
 void Frontend::accept(const JobRecord& record, const Respond& respond) {
   const std::string& id = record.spec.id;
   const std::string value = wire::encode_job(record);
@@ -263,16 +275,15 @@
     return refuse_unknown(id, 400, "the job's description is too large", respond);
   const std::string live = keys::kLive + id;
   const std::string finished = keys::kFinished + id;
-  store_.transact(
-      Urgency::Record, {{live, 0}, {finished, 0}}, {{live, value, 0}},
-      [=, this](const TxnResult& t) {
-        if (t.outcome == TxnOutcome::Committed) {
-          mirror_.wrote_job(record, t.revision);
-          return respond({201, wire::job_answer(record.spec.id, shown(record.state, 0)), 0});
-        }
-        if (t.outcome != TxnOutcome::Conflict) return later_please(respond);
-        answer_known(record.spec.id, respond);
-      });
+  store_.transact(Urgency::Record, {{live, 0}, {finished, 0}}, {{live, value, 0}},
+                  [=, this](const TxnResult& t) {
+                    if (t.outcome == TxnOutcome::Committed) {
+                      mirror_.wrote_job(record, t.revision);
+                      return answer_accepted(record, respond);
+                    }
+                    if (t.outcome != TxnOutcome::Conflict) return later_please(respond);
+                    answer_known(record.spec.id, respond);
+                  });
 }
 
 }  // namespace sumacquay
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -41,6 +41,7 @@
   void look_up_dependency(const std::string& id, const std::shared_ptr<Submission>& submission,
                           const Respond& respond);
   void accept(const JobRecord& record, const Respond& respond);
+  void answer_accepted(const JobRecord& record, const Respond& respond);
   void answer_known(const std::string& id, const Respond& respond);
   void answer_known(const std::string& id, const Respond& respond,
                     const std::function<void()>& unknown);
--- a/src/jobs/dependency_graph.cpp
+++ b/src/jobs/dependency_graph.cpp
@@ -147,6 +147,15 @@
   return node ? node->ready_ms : 0;
 }
 
+std::optional<FinishedRecord> DependencyGraph::end_of(const std::string& id) const {
+  const Node* node = find(id);
+  if (!node || !over(*node)) return std::nullopt;
+  FinishedRecord record;
+  record.state = node->state == State::Done ? JobState::Done : JobState::Cancelled;
+  record.ended_ms = node->ended_ms;
+  return record;
+}
+
 const std::vector<std::string>& DependencyGraph::dependencies(const std::string& id) const {
   static const std::vector<std::string> none;
   const Node* node = find(id);
--- a/src/jobs/dependency_graph.h
+++ b/src/jobs/dependency_graph.h
@@ -1,5 +1,6 @@
 #pragma once
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -38,6 +39,9 @@
   /// Time of day at which the last dependency ended; 0: there was none, or it is not known.
   uint64_t ready_ms(const std::string& id) const;
 
+  /// How a job ended that others wait for, without its count of tasks; none: it isn't known here.
+  std::optional<FinishedRecord> end_of(const std::string& id) const;
+
   const std::vector<std::string>& dependencies(const std::string& id) const;
   /// Jobs that depend on this one and are not over.
   const std::set<std::string>& dependents(const std::string& id) const;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -224,7 +224,7 @@
 void Node::tell_finished_dependencies(LeaderCore& core) const {
   const std::set<std::string> unknown = core.unknown_dependencies();
   for (const auto& id : unknown)
-    if (const auto* record = mirror_.finished(id)) core.dependency_finished(id, *record);
+    if (const auto record = mirror_.dependency_end(id)) core.dependency_finished(id, *record);
 }
 
 void Node::on_all_job_records() {
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -285,11 +285,14 @@
   if (loaded()) tell_leader_changed();
 }
 
-/// Jobs that are over when others come to depend on them are known from memory, or read.
+/// Jobs that are over when others come to depend on them are known from memory, or read. They stay
+/// among the live ones until nothing of them is left anywhere.
 void Mirror::note_dependencies(const JobRecord& record) {
   dependencies_.update(record);
-  for (const auto& id : record.spec.dependencies)
+  for (const auto& id : record.spec.dependencies) {
     if (const auto* known = finished(id)) dependencies_.finished(id, known->state, known->ended_ms);
+    if (const auto* known = live(id)) dependencies_.update(known->value);
+  }
   if (loaded()) read_unknown_dependencies();
 }
 
@@ -338,6 +341,11 @@
   finished_order_.pop_front();
 }
 
+std::optional<FinishedRecord> Mirror::dependency_end(const std::string& id) const {
+  if (const auto* record = finished(id)) return *record;
+  return dependencies_.end_of(id);
+}
+
 const Versioned<JobRecord>* Mirror::live(const std::string& id) const {
   const auto found = live_.find(id);
   return found == live_.end() ? nullptr : &found->second;
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -3,6 +3,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -79,6 +80,10 @@
   /// How the live jobs depend on one another and on finished ones.
   const DependencyGraph& dependencies() const { return dependencies_; }
 
+  /// How a job ended, as long as it is kept in memory or others wait for it; its count of tasks may
+  /// be missing.
+  std::optional<FinishedRecord> dependency_end(const std::string& id) const;
+
   // What this node itself has written, known before the watch brings it. A host without a record
   // was deleted.
   void wrote_job(const JobRecord& record, uint64_t version);
--- /dev/null
+++ b/tests/dependents_test.cpp
@@ -0,0 +1,70 @@
+// The leader and jobs that depend on others: what it knows of them from their records.
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <set>
+#include <utility>
+
+#include "dispatch/leader_core.h"
+
+namespace sumacquay {
+namespace {
+
+constexpr Seconds kNow = 1000;
+constexpr Seconds kFence = 1002;
+constexpr size_t kMostChanges = 12;
+
+struct LeaderOfDependents : ::testing::Test {
+  Settings settings;
+  std::unique_ptr<LeaderCore> core;
+
+  LeaderOfDependents() {
+    TeamSettings team;
+    team.name = "t";
+    settings.teams = {team};
+    core = std::make_unique<LeaderCore>(settings, 1, kNow, kFence);
+  }
+
+  static JobRecord job(const std::string& id, std::vector<std::string> dependencies = {}) {
+    JobRecord record;
+    record.spec.id = id;
+    record.spec.team = "t";
+    record.spec.need = {1, 1, 1};
+    record.spec.dependencies = std::move(dependencies);
+    record.submitted_ms = 1;
+    return record;
+  }
+  static JobRecord ended(const std::string& id, JobState state) {
+    JobRecord record = job(id);
+    record.state = state;
+    record.started = true;
+    return record;
+  }
+  /// A machine that nobody has accounted for: what may be on it stays among the live records.
+  void add_silent_machine() { core->host_stored({"i-1", "10.0.0.1:9", "g", "e", false}, kNow); }
+};
+
+TEST_F(LeaderOfDependents, WritesDownThatTheyAreCancelledWhicheverRecordItReadsFirst) {
+  add_silent_machine();
+  core->job_stored(ended("job-1", JobState::Cancelled), 1, kNow);
+  core->job_stored(job("job-3", {"job-2"}), 1, kNow);
+  core->job_stored(job("job-2", {"job-1"}), 1, kNow);
+  EXPECT_TRUE(core->unknown_dependencies().empty());
+  std::set<std::string> cancelled;
+  for (const auto& write : core->wanted_writes(kNow, kMostChanges))
+    if (write.finished && write.record->state == JobState::Cancelled) cancelled.insert(write.job);
+  const std::set<std::string> dependents{"job-2", "job-3"};
+  EXPECT_EQ(cancelled, dependents) << "tasks of the first may still run";
+}
+
+TEST_F(LeaderOfDependents, KnowsOfAnEndAmongTheLiveRecords) {
+  add_silent_machine();
+  core->job_stored(ended("job-1", JobState::Done), 1, kNow);
+  core->job_stored(job("job-2", {"job-1"}), 1, kNow);
+  EXPECT_TRUE(core->unknown_dependencies().empty());
+  core->job_stored(job("job-3", {"job-9"}), 1, kNow);
+  EXPECT_EQ(core->unknown_dependencies(), std::set<std::string>{"job-9"});
+}
+
+}  // namespace
+}  // namespace sumacquay
--- a/tests/users_test.cpp
+++ b/tests/users_test.cpp
@@ -29,6 +29,7 @@
     int status = 0;           ///< nothing is executed, everything is answered so; 0: none
     bool silent = false;      ///< nothing is executed or answered
     bool lists_wait = false;  ///< lists are refused: a copy that loads stays so
+    bool items_wait = false;  ///< reads of single keys are refused
     std::vector<Respond> watches;
   };
 
@@ -122,6 +123,7 @@
       if (door.lists_wait) return respond({503, {}, 0});
       list(p, argument(r.query, "under"));
     } else {
+      if (door.items_wait) return respond({503, {}, 0});
       const std::string key = r.path.substr(std::string("/store/").size());
       status = keys.contains(key) ? 200 : 404;
       if (status == 200)
@@ -230,6 +232,12 @@
   return submission(id, [](Fields& f) { f["vcpus"] = msgpack::object(1e6); });
 }
 
+/// Depends on other jobs.
+std::string submission_after(const std::string& id, const std::vector<std::string>& dependencies) {
+  static msgpack::zone zone;
+  return submission(id, [&](Fields& f) { f["awaits"] = msgpack::object(dependencies, zone); });
+}
+
 struct TwoNodes : ::testing::Test {
   asio::io_context io;
   StateStandIn state{io};
@@ -651,6 +659,196 @@
   }
 }
 
+// Jobs that depend on others.
+
+struct Dependents : TwoNodes {
+  void submit_chain() {
+    EXPECT_EQ(ask(a, "POST", "/work", submission("job-1")), "201 pending");
+    EXPECT_EQ(ask(a, "POST", "/work", submission_after("job-2", {"job-1"})), "201 pending");
+    EXPECT_EQ(ask(a, "POST", "/work", submission_after("job-3", {"job-2"})), "201 pending");
+  }
+  /// A node whose copy holds a chain as pending, and is not told of changes until it asks.
+  void show_chain(Side& s) {
+    for (const char* id : {"job-1", "job-2", "job-3"})
+      EXPECT_EQ(ask(s, "GET", std::string("/work/") + id), "200 pending");
+  }
+  void start_again(Side& s) {
+    prepare(s);
+    s.mirror->start();
+    until([&] { return s.mirror->loaded(); });
+  }
+  /// An end that is in the job's live record and goes no further, as while its tasks stop.
+  void set_state_there(const std::string& id, JobState end) {
+    const auto known = wire::Document::parse(state.keys.at(keys::kLive + id).value);
+    JobRecord record = *wire::decode_job(known->root());
+    record.state = end;
+    ++state.revision;
+    state.set(keys::kLive + id, wire::encode_job(record));
+  }
+};
+
+TEST_F(Dependents, OnlyOfAcceptedJobsAreAccepted) {
+  for (Side* s : all) {
+    EXPECT_EQ(ask(*s, "POST", "/work", submission_after("job-2", {"job-1"})), "422 ");
+    EXPECT_EQ(ask(*s, "GET", "/work/job-2"), "404 ");
+  }
+  EXPECT_EQ(ask(a, "POST", "/work", submission("job-1")), "201 pending");
+  EXPECT_EQ(ask(b, "POST", "/work", submission_after("job-2", {"job-1", "job-9"})), "422 ");
+  EXPECT_EQ(ask(b, "POST", "/work", submission_after("job-2", {"job-9", "job-1"})), "422 ");
+  EXPECT_FALSE(state.has(keys::kLive + "job-2"));
+  EXPECT_EQ(ask(c, "POST", "/work", submission_after("job-2", {"job-1"})), "201 pending")
+      << "though no watch has told it of the other";
+}
+
+TEST_F(Dependents, AreNeitherAcceptedNorRefusedWhileNobodyKnowsWhatTheyName) {
+  EXPECT_EQ(ask(a, "POST", "/work", submission("job-1")), "201 pending");
+  state.refuse = true;
+  for (Side* s : all)
+    EXPECT_EQ(ask(*s, "POST", "/work", submission_after("job-2", {"job-1"})), "503 ");
+  state.refuse = false;
+  finish_there("job-1");
+  b.door->items_wait = true;
+  EXPECT_EQ(ask(b, "POST", "/work", submission_after("job-2", {"job-9"})), "503 ");
+  b.door->items_wait = false;
+  EXPECT_EQ(ask(b, "POST", "/work", submission_after("job-2", {"job-9"})), "422 ");
+  EXPECT_EQ(ask(b, "POST", "/work", submission_after("job-2", {"job-1"})), "201 pending");
+}
+
+TEST_F(Dependents, ThatWereAcceptedAreAnsweredFromTheirRecordWhateverARepeatNames) {
+  submit_chain();
+  for (Side* s : all) {
+    EXPECT_EQ(ask(*s, "POST", "/work", submission_after("job-2", {"job-9"})), "200 pending");
+    EXPECT_EQ(ask(*s, "POST", "/work", submission_after("job-3", {"job-3"})), "200 pending");
+  }
+  EXPECT_EQ(ask(b, "POST", "/work/job-1/cancel"), "200 cancelled");
+  for (Side* s : all)
+    EXPECT_EQ(ask(*s, "POST", "/work", submission_after("job-2", {"job-9"})), "200 cancelled");
+}
+
+TEST_F(Dependents, OfJobsThatAreDoneNameThemNoMore) {
+  submit_chain();
+  finish_there("job-1");
+  EXPECT_EQ(ask(b, "POST", "/work", submission_after("job-4", {"job-1", "job-2"})), "201 pending");
+  const auto* record = b.mirror->live("job-4");
+  ASSERT_NE(record, nullptr);
+  EXPECT_EQ(record->value.spec.dependencies, std::vector<std::string>{"job-2"});
+}
+
+TEST_F(Dependents, OfACancelledJobAreAcceptedAndCancelled) {
+  EXPECT_EQ(ask(a, "POST", "/work", submission("job-1")), "201 pending");
+  EXPECT_EQ(ask(b, "POST", "/work/job-1/cancel"), "200 cancelled");
+  EXPECT_EQ(ask(c, "POST", "/work", submission_after("job-2", {"job-1"})), "201 cancelled");
+  expect_all("job-2", "200 cancelled", "after the submission");
+  finish_there("job-1", JobState::Cancelled);
+  EXPECT_EQ(ask(a, "POST", "/work", submission_after("job-3", {"job-1"})), "201 cancelled");
+  EXPECT_EQ(ask(b, "POST", "/work", submission_after("job-4", {"job-3"})), "201 cancelled");
+  expect_all("job-4", "200 cancelled", "two steps away");
+}
+
+/// The node that accepts it has not heard of the cancellation, which its user was told of.
+TEST_F(Dependents, OfACancelledJobAreNotCalledPendingByANodeThatHasNotHeardOfIt) {
+  submit_chain();
+  show_chain(b);
+  EXPECT_EQ(ask(a, "POST", "/work/job-1/cancel"), "200 cancelled");
+  EXPECT_EQ(ask(b, "POST", "/work", submission_after("job-4", {"job-1"})), "201 cancelled");
+}
+
+TEST_F(Dependents, AreCancelledEverywhereOnceACancellationBeforeThemIsConfirmed) {
+  submit_chain();
+  show_chain(b), show_chain(c);
+  EXPECT_EQ(ask(b, "POST", "/work/job-1/cancel"), "200 cancelled");
+  EXPECT_EQ(ask(c, "GET", "/work/job-3"), "200 cancelled") << "two steps away";
+  expect_all("job-3", "200 cancelled", "two steps away");
+  expect_all("job-2", "200 cancelled", "one step away");
+  EXPECT_EQ(ask(a, "POST", "/work/job-3/cancel"), "200 cancelled");
+  finish_there("job-1", JobState::Cancelled);
+  expect_all("job-3", "200 cancelled", "after the end of the first");
+}
+
+/// Its record names a job that is pending itself, and cancelled by another before it.
+TEST_F(Dependents, ThatArriveAfterTheCancellationInheritIt) {
+  submit_chain();
+  show_chain(b);
+  EXPECT_EQ(ask(a, "POST", "/work/job-1/cancel"), "200 cancelled");
+  ask(b, "POST", "/work", submission_after("job-4", {"job-3"}));
+  const auto* record = b.mirror->live("job-4");
+  ASSERT_NE(record, nullptr);
+  EXPECT_EQ(record->value.spec.dependencies, std::vector<std::string>{"job-3"}) << "as b knew it";
+  expect_all("job-4", "200 cancelled", "three steps away");
+}
+
+TEST_F(Dependents, GoOnIfTheEndCameBeforeTheCancellation) {
+  submit_chain();
+  state.before = [&](const HttpRequest& r) {
+    if (r.path != "/multi") return false;
+    finish_there("job-1");
+    return true;
+  };
+  EXPECT_EQ(ask(b, "POST", "/work/job-1/cancel"), "200 done");
+  expect_all("job-2", "200 pending", "after the end of the first");
+  expect_all("job-3", "200 pending", "after the end of the first");
+}
+
+TEST_F(Dependents, AreNotToldOfUntilANodeThatWasStartedLaterHasReadHowOthersEnded) {
+  for (const JobState end : {JobState::Done, JobState::Cancelled}) {
+    const std::string mark = end == JobState::Done ? "1" : "2";
+    const std::string first = "job-1" + mark;
+    const std::string second = "job-2" + mark;
+    const std::string third = "job-3" + mark;
+    EXPECT_EQ(ask(a, "POST", "/work", submission(first)), "201 pending");
+    EXPECT_EQ(ask(a, "POST", "/work", submission_after(second, {first})), "201 pending");
+    EXPECT_EQ(ask(a, "POST", "/work", submission_after(third, {second})), "201 pending");
+    finish_there(first, end);
+    c.door->items_wait = true;
+    start_again(c);
+    EXPECT_EQ(ask(c, "GET", "/work/" + third), "503 ");
+    EXPECT_EQ(ask(c, "POST", "/work/" + third + "/cancel"), "503 ");
+    c.door->items_wait = false;
+    const std::string expected = end == JobState::Done ? "200 pending" : "200 cancelled";
+    until([&] { return ask(c, "GET", "/work/" + third) != "503 "; });
+    expect_all(third, expected, "once it is read");
+    expect_all(second, expected, "once it is read");
+  }
+}
+
+/// The leader moves a job to the finished ones once nothing of it is left, which may take long.
+TEST_F(Dependents, OfJobsThatAreOverAndStillLiveAreToldOfAtOnceByANodeThatWasStartedLater) {
+  submit_chain();
+  EXPECT_EQ(ask(a, "POST", "/work", submission("job-4")), "201 pending");
+  EXPECT_EQ(ask(a, "POST", "/work", submission_after("job-5", {"job-4"})), "201 pending");
+  set_state_there("job-1", JobState::Cancelled);
+  set_state_there("job-4", JobState::Done);
+  start_again(c);
+  EXPECT_EQ(ask(c, "GET", "/work/job-3"), "200 cancelled");
+  EXPECT_EQ(ask(c, "GET", "/work/job-5"), "200 pending");
+}
+
+/// As above, for a node that saw the end when nothing depended on that job yet.
+TEST_F(Dependents, ThatNameAJobWhoseEndIsStillLiveAreToldOfAtOnce) {
+  EXPECT_EQ(ask(a, "POST", "/work", submission("job-1")), "201 pending");
+  EXPECT_EQ(ask(b, "GET", "/work/job-1"), "200 pending");
+  EXPECT_EQ(ask(a, "POST", "/work/job-1/cancel"), "200 cancelled");
+  ask(b, "POST", "/work", submission_after("job-2", {"job-1"}));
+  expect_all("job-2", "200 cancelled", "while the first is among the live ones");
+}
+
+/// The leader's node tells its core how they ended, also when that has left its memory.
+TEST_F(Dependents, FindTheEndOfAJobThatLeftMemory) {
+  prepare(b, 1);
+  b.mirror->start();
+  until([&] { return b.mirror->loaded(); });
+  for (const char* id : {"job-1", "job-2", "job-3"})
+    EXPECT_EQ(ask(b, "POST", "/work", submission(id)), "201 pending");
+  EXPECT_EQ(ask(b, "POST", "/work", submission_after("job-4", {"job-1", "job-2"})), "201 pending");
+  finish_there("job-1"), finish_there("job-3");
+  EXPECT_EQ(ask(b, "GET", "/work/job-3"), "200 done");
+  EXPECT_EQ(ask(b, "GET", "/work/job-4"), "200 pending");
+  EXPECT_EQ(b.mirror->finished("job-1"), nullptr);
+  const auto end = b.mirror->dependency_end("job-1");
+  ASSERT_TRUE(end.has_value());
+  EXPECT_EQ(end->state, JobState::Done);
+}
+
 // Records in transit.
 
 TEST_F(TwoNodes, JobsThatLeftMemoryAreReadAgain) {
