--- /dev/null
+++ b/apps/fleetload/main.cpp
@@ -0,0 +1,122 @@
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <filesystem>
+#include <iostream>
+#include <stdexcept>
+
+#include "fleetload/fit.h"
+#include "fleetload/sweep.h"
+
+namespace {
+
+using namespace sumacquay::fleetload;
+
+constexpr int kUnusable = 2;     ///< status if settings, or what they name, can't be used
+constexpr int kRulesBroken = 3;  ///< status if the checker found a broken rule
+
+struct Arguments {
+  std::string settings, program = "target/sumacquay", tuning, table;
+  std::string quantity, column = "leader_cores", plot;
+  std::vector<double> values;
+  std::vector<std::string> tables;
+  bool resume = false;
+};
+
+LoadSettings settings_of(const Arguments& arguments) {
+  LoadSettings settings;
+  if (!arguments.settings.empty()) settings = load_settings_file(arguments.settings);
+  return settings;
+}
+
+/// A directory for the controllers' settings and logs, which stays: its logs tell what happened.
+TrialOptions options_of(const Arguments& arguments) {
+  std::string directory = (std::filesystem::temp_directory_path() / "fleetload-XXXXXX").string();
+  if (!mkdtemp(directory.data())) throw std::runtime_error("no directory can be made for the logs");
+  spdlog::info("settings and logs of the controllers: {}", directory);
+  TrialOptions options;
+  options.program = std::filesystem::absolute(arguments.program).string();
+  options.directory = directory;
+  if (!arguments.tuning.empty()) options.tuning = sumacquay::read_settings_file(arguments.tuning);
+  return options;
+}
+
+int sweep(const Arguments& arguments) {
+  const LoadSettings settings = settings_of(arguments);
+  const SweepPlan plan{arguments.quantity, arguments.values};
+  check_plan(plan, settings, arguments.settings.empty() ? "settings" : arguments.settings);
+  run_sweep(plan, settings, options_of(arguments), arguments.table, arguments.resume);
+  return 0;
+}
+
+int faults(const Arguments& arguments) {
+  const LoadSettings settings = settings_of(arguments);
+  check_fits_this_machine(settings, arguments.settings.empty() ? "settings" : arguments.settings);
+  Trial trial(settings, options_of(arguments));
+  append_rows(arguments.table, {trial.measure_load()});
+  append_rows(arguments.table, trial.measure_faults());
+  for (const auto& violation : trial.violations()) spdlog::error("broken rule: {}", violation);
+  return trial.violations().empty() ? 0 : kRulesBroken;
+}
+
+int tables(const Arguments& arguments) {
+  std::vector<Measurement> rows;
+  for (const auto& table : arguments.tables)
+    for (auto& row : read_table(table)) rows.push_back(std::move(row));
+  std::cout << fit_table(rows);
+  return 0;
+}
+
+int plot(const Arguments& arguments) {
+  draw_plot(read_table(arguments.table), arguments.quantity, arguments.column, arguments.plot);
+  return 0;
+}
+
+void add_load_options(CLI::App& command, Arguments& arguments) {
+  command.add_option("--settings", arguments.settings, "size and load (operators' format)");
+  command.add_option("--controller", arguments.program, "the controller's program");
+  command.add_option("--tuning", arguments.tuning, "the controllers' operators' settings");
+  command.add_option("--out", arguments.table, "CSV file that rows are added to")->required();
+}
+
+int run(int argc, char** argv) {
+  CLI::App app{
+      "Measures controllers on this machine against hollow workers, users, a state service "
+      "and a cloud."};
+  app.require_subcommand(1);
+  Arguments arguments;
+  auto& sweep_command = *app.add_subcommand("sweep", "measure one quantity at several sizes");
+  add_load_options(sweep_command, arguments);
+  sweep_command.add_option("quantity", arguments.quantity, "a field of the settings")->required();
+  sweep_command.add_option("values", arguments.values, "its values")->required();
+  sweep_command.add_flag("--resume", arguments.resume, "pass over what the CSV file has");
+  auto& faults_command =
+      *app.add_subcommand("faults", "end the leader and a follower, silence a zone, check rules");
+  add_load_options(faults_command, arguments);
+  auto& tables_command = *app.add_subcommand("tables", "measurements and fits as Markdown");
+  tables_command.add_option("tables", arguments.tables, "CSV files")->required();
+  auto& plot_command = *app.add_subcommand("plot", "draw a fit as SVG (needs gnuplot)");
+  plot_command.add_option("table", arguments.table, "CSV file")->required();
+  plot_command.add_option("quantity", arguments.quantity)->required();
+  plot_command.add_option("column", arguments.column)->required();
+  plot_command.add_option("file", arguments.plot, "SVG file")->required();
+  CLI11_PARSE(app, argc, argv);
+  if (sweep_command.parsed()) return sweep(arguments);
+  if (faults_command.parsed()) return faults(arguments);
+  if (tables_command.parsed()) return tables(arguments);
+  return plot(arguments);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  spdlog::set_default_logger(spdlog::stderr_logger_mt("fleetload"));
+  spdlog::set_pattern("%H:%M:%S %l %v");
+  try {
+    return run(argc, argv);
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << "\n";
+    return kUnusable;
+  }
+}
--- /dev/null
+++ b/src/config/number_file.cpp
@@ -0,0 +1,63 @@
+#include "config/number_file.h"
+
+#include <confuse.h>
+
+#include <array>
+#include <cmath>
+#include <cstdarg>
+#include <cstdio>
+#include <memory>
+
+namespace sumacquay {
+namespace {
+
+using Parser = std::unique_ptr<cfg_t, decltype(&cfg_free)>;
+
+/// libconfuse hands its complaint to a callback without a place for data of ours.
+std::string& parser_complaint() {
+  static std::string text;
+  return text;
+}
+
+void take_complaint(cfg_t* parser, const char* format, va_list arguments) {
+  std::array<char, 300> text{};
+  vsnprintf(text.data(), text.size(), format, arguments);
+  const int line = parser ? parser->line : 0;
+  parser_complaint() = "line " + std::to_string(line) + ": " + text.data();
+}
+
+/// The options as the library wants them: the list ends with an empty one.
+std::vector<cfg_opt_t> options_of(const std::vector<NumberField>& fields) {
+  std::vector<cfg_opt_t> options;
+  options.reserve(fields.size() + 1);
+  for (const auto& field : fields)
+    options.push_back(CFG_FLOAT(field.name, *field.value, CFGF_NONE));
+  options.push_back(CFG_END());
+  return options;
+}
+
+void parse_into(const Parser& parser, const std::string& text, const std::string& source) {
+  parser_complaint() = "not a list of settings";
+  cfg_set_error_function(parser.get(), take_complaint);
+  if (cfg_parse_buf(parser.get(), text.c_str()) == CFG_SUCCESS) return;
+  throw SettingsError(source + ": " + parser_complaint());
+}
+
+}  // namespace
+
+void read_numbers(const std::string& text, const std::string& source,
+                  const std::vector<NumberField>& fields) {
+  std::vector<cfg_opt_t> options = options_of(fields);
+  const Parser parser(cfg_init(options.data(), CFGF_NONE), cfg_free);
+  if (!parser) throw SettingsError(source + ": can't be read");
+  parse_into(parser, text, source);
+  for (const auto& field : fields) {
+    const double value = cfg_getfloat(parser.get(), field.name);
+    check_range(source, field.name, value, field.range);
+    if (field.whole && value != std::floor(value))
+      refuse_setting(source, field.name, "must be a whole number");
+    *field.value = value;
+  }
+}
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/fleetload/controller_process.cpp
@@ -0,0 +1,112 @@
+#include "fleetload/controller_process.h"
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <system_error>
+#include <utility>
+
+extern char** environ;
+
+namespace sumacquay::fleetload {
+namespace {
+
+std::string proc_path(pid_t process, const char* file) {
+  return "/proc/" + std::to_string(process) + "/" + file;
+}
+
+/// User and system time: the 14th and 15th fields of the process's line.
+double cpu_seconds(pid_t process) {
+  std::ifstream file(proc_path(process, "stat"));
+  std::string line;
+  std::getline(file, line);
+  const auto name_end = line.rfind(')');  // the name may hold spaces
+  if (name_end == std::string::npos) return 0;
+  std::istringstream fields(line.substr(name_end + 1));
+  constexpr int kFieldsBefore = 11;
+  std::string skipped;
+  for (int i = 0; i < kFieldsBefore; ++i) fields >> skipped;
+  double user = 0;
+  double system = 0;
+  fields >> user >> system;
+  return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+double peak_memory_mb(pid_t process) {
+  constexpr double kKilobytesPerMegabyte = 1024;
+  const std::string name = "VmHWM:";
+  std::ifstream file(proc_path(process, "status"));
+  for (std::string line; std::getline(file, line);)
+    if (line.starts_with(name)) return std::stod(line.substr(name.size())) / kKilobytesPerMegabyte;
+  return 0;
+}
+
+size_t open_files(pid_t process) {
+  std::error_code error;
+  size_t count = 0;
+  for (std::filesystem::directory_iterator it(proc_path(process, "fd"), error), end;
+       !error && it != end; it.increment(error))
+    ++count;
+  return count;
+}
+
+}  // namespace
+
+ProcessUsage usage_of(pid_t process) {
+  if (process <= 0) return {};
+  return {cpu_seconds(process), peak_memory_mb(process), open_files(process)};
+}
+
+ControllerProcess::ControllerProcess(std::string name, Files files)
+    : name_(std::move(name)), files_(std::move(files)) {}
+
+ControllerProcess::ControllerProcess(ControllerProcess&& other) noexcept
+    : name_(std::move(other.name_)),
+      files_(std::move(other.files_)),
+      process_(std::exchange(other.process_, 0)) {}
+
+ControllerProcess::~ControllerProcess() {
+  kill();
+}
+
+void ControllerProcess::start() {
+  std::array<std::string, 5> words{files_.program, "--tuning", files_.tuning, "--config",
+                                   files_.settings};
+  std::array<char*, words.size() + 1> arguments{};
+  for (size_t i = 0; i < words.size(); ++i) arguments[i] = words[i].data();
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  constexpr mode_t kOwnerOnly = 0600;
+  posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, files_.log.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, kOwnerOnly);
+  // The thousands of sockets of this process are none of the controller's business.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
+  const int error =
+      posix_spawn(&process_, files_.program.c_str(), &actions, nullptr, arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (error == 0) return;
+  process_ = 0;
+  throw std::system_error(error, std::generic_category(), files_.program);
+}
+
+void ControllerProcess::kill() {
+  if (process_ <= 0) return;
+  ::kill(process_, SIGKILL);
+  waitpid(process_, nullptr, 0);
+  process_ = 0;
+}
+
+bool ControllerProcess::ended_by_itself() {
+  if (process_ <= 0 || waitpid(process_, nullptr, WNOHANG) != process_) return false;
+  process_ = 0;
+  return true;
+}
+
+}  // namespace sumacquay::fleetload
--- /dev/null
+++ b/src/fleetload/controller_settings.cpp
@@ -0,0 +1,85 @@
+#include "fleetload/controller_settings.h"
+
+#include <sstream>
+
+namespace sumacquay::fleetload {
+namespace {
+
+constexpr const char* kLoopback = "127.0.0.1";
+
+Endpoint at_port(const LoadSettings& settings, size_t offset) {
+  return {kLoopback,
+          static_cast<unsigned short>(settings.first_port + static_cast<double>(offset))};
+}
+
+}  // namespace
+
+Addresses addresses_of(const LoadSettings& settings) {
+  Addresses out;
+  const auto count = static_cast<size_t>(settings.controllers);
+  for (size_t i = 0; i < count; ++i) {
+    out.controllers.push_back(at_port(settings, 2 * i));
+    out.peers.push_back(at_port(settings, 2 * i + 1));
+  }
+  out.state = at_port(settings, 2 * count);
+  out.cloud = at_port(settings, 2 * count + 1);
+  out.workers_port = at_port(settings, 2 * count + 2).port;
+  return out;
+}
+
+std::string controller_name(size_t controller) {
+  return "controller-" + std::to_string(controller);
+}
+
+std::string zone_name(size_t zone) {
+  return "zone-" + std::to_string(zone);
+}
+
+std::vector<TeamSettings> teams_of(const LoadSettings& settings) {
+  constexpr double kGuaranteedShare = 0.5;
+  constexpr double kLimitShares = 3;  // a team may borrow what others leave
+  const auto capacity = static_cast<double>(settings.tasks());
+  const double share = capacity / settings.teams;
+  std::vector<TeamSettings> teams;
+  for (size_t i = 0; i < static_cast<size_t>(settings.teams); ++i) {
+    TeamSettings team;
+    team.name = "team-" + std::to_string(i);
+    team.gpus = std::max(1.0, kGuaranteedShare * share);
+    team.gpus_max = std::max(kLimitShares * share, 64.0);
+    teams.push_back(team);
+  }
+  return teams;
+}
+
+std::string controller_toml(const LoadSettings& settings, size_t controller) {
+  const Addresses addresses = addresses_of(settings);
+  const auto zones = static_cast<size_t>(settings.zones);
+  std::ostringstream out;
+  out << "label = \"" << controller_name(controller) << "\"\n"
+      << "area = \"" << zone_name(controller % zones) << "\"\n"
+      << "listen = \"" << addresses.controllers[controller].text() << "\"\n"
+      << "back = \"" << addresses.peers[controller].text() << "\"\n";
+  for (size_t peer = 0; peer < addresses.peers.size(); ++peer)
+    if (peer != controller)
+      out << "[[known]]\nlabel = \"" << controller_name(peer) << "\"\narea = \""
+          << zone_name(peer % zones) << "\"\npeer_addr = \"" << addresses.peers[peer].text()
+          << "\"\n";
+  out << "[services]\ncloud = \"" << addresses.cloud.text() << "\"\nstate = \""
+      << addresses.state.text() << "\"\n[params]\nzones = [";
+  for (size_t zone = 0; zone < zones; ++zone)
+    out << (zone ? ", " : "") << '"' << zone_name(zone) << '"';
+  out << "]\n";
+  for (const auto& team : teams_of(settings))
+    out << "[[params.teams]]\nname = \"" << team.name << "\"\ngpus = " << team.gpus
+        << "\ngpus_max = " << team.gpus_max << "\n";
+  out << "[params.workers]\nreport_s = " << settings.report_s << "\nlease_s = " << settings.lease_s
+      << "\ngang_wait_s = 30.0\ngang_peer_s = 5.0\ncancel_s = " << settings.cancel_s
+      << "\n[params.state]\nrps = " << settings.state_rps
+      << "\nwrite_rps = " << settings.state_write_rps << "\nvalue_kb = " << settings.state_value_kb
+      << "\ntxn_ops = " << settings.state_txn_ops
+      << "\n[params.cloud]\nrps = " << settings.cloud_rps
+      << "\nlist_lag_s = 8.0\n[params.quota]\nfd_limit = " << settings.controller_sockets << "\n";
+  return out.str();
+}
+
+}  // namespace sumacquay::fleetload
--- /dev/null
+++ b/src/fleetload/controller_settings.h
@@ -0,0 +1,26 @@
+#pragma once
+#include <string>
+#include <vector>
+
+#include "config/settings.h"
+#include "fleetload/load_settings.h"
+
+namespace sumacquay::fleetload {
+
+/// Where the parts of a deployment listen on this machine.
+struct Addresses {
+  std::vector<Endpoint> controllers;  ///< for users and workers
+  std::vector<Endpoint> peers;        ///< for the other controllers
+  Endpoint state, cloud;
+  unsigned short workers_port = 0;
+};
+Addresses addresses_of(const LoadSettings& settings);
+
+std::string controller_name(size_t controller);
+std::string zone_name(size_t zone);
+std::vector<TeamSettings> teams_of(const LoadSettings& settings);
+
+/// The platform's settings file of one controller.
+std::string controller_toml(const LoadSettings& settings, size_t controller);
+
+}  // namespace sumacquay::fleetload
--- /dev/null
+++ b/src/fleetload/quantiles.cpp
@@ -0,0 +1,26 @@
+#include "fleetload/quantiles.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace sumacquay::fleetload {
+
+prometheus::Summary::Quantiles Quantiles::wanted() {
+  return {{0.5, 0.01}, {0.9, 0.005}, {0.99, 0.001}};
+}
+
+void Quantiles::observe(double value) {
+  summary_.Observe(value);
+  largest_ = std::max(largest_, value);
+  ++count_;
+}
+
+double Quantiles::quantile(double which) const {
+  const auto metric = summary_.Collect();
+  for (const auto& quantile : metric.summary.quantile)
+    if (std::abs(quantile.quantile - which) < 1e-9) return quantile.value;
+  return std::numeric_limits<double>::quiet_NaN();
+}
+
+}  // namespace sumacquay::fleetload
--- /dev/null
+++ b/src/fleetload/sweep.cpp
@@ -0,0 +1,112 @@
+#include "fleetload/sweep.h"
+
+#include <spawn.h>
+#include <spdlog/spdlog.h>
+#include <sys/wait.h>
+
+#include <algorithm>
+#include <array>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+#include "fleetload/fit.h"
+
+extern char** environ;
+
+namespace sumacquay::fleetload {
+namespace {
+
+LoadSettings at_point(const LoadSettings& base, const std::string& quantity, double value,
+                      const std::string& source) {
+  LoadSettings settings = base;
+  for (const auto& field : fields_of(settings)) {
+    if (quantity != field.name) continue;
+    check_range(source, quantity, value, field.range);
+    *field.value = value;
+    return settings;
+  }
+  refuse_setting(source, quantity, "is no quantity of the load");
+}
+
+bool measured(const std::vector<Measurement>& rows, const std::string& quantity, double value) {
+  return std::any_of(rows.begin(), rows.end(), [&](const Measurement& row) {
+    return row.quantity == quantity && row.value == value;
+  });
+}
+
+const Column& column_named(const std::string& name) {
+  for (const auto& column : columns())
+    if (name == column.name) return column;
+  refuse_setting("plot", name, "is no column");
+}
+
+/// Runs gnuplot on a script; throws if it isn't there or refuses it.
+void run_gnuplot(const std::string& script) {
+  std::array<std::string, 2> words{"gnuplot", script};
+  std::array<char*, 3> arguments{words[0].data(), words[1].data(), nullptr};
+  pid_t process = 0;
+  int status = 0;
+  const bool started =
+      posix_spawnp(&process, "gnuplot", nullptr, nullptr, arguments.data(), environ) == 0;
+  if (!started || waitpid(process, &status, 0) != process || status != 0)
+    throw std::runtime_error("gnuplot could not draw " + script);
+}
+
+}  // namespace
+
+void check_plan(const SweepPlan& plan, const LoadSettings& base, const std::string& source) {
+  for (const double value : plan.values)
+    check_fits_this_machine(at_point(base, plan.quantity, value, source), source);
+}
+
+void append_rows(const std::string& table, const std::vector<Measurement>& rows) {
+  const bool is_new = !std::filesystem::exists(table) || std::filesystem::is_empty(table);
+  std::ofstream out(table, std::ios::app);
+  if (!out) refuse_setting(table, "table", "can't be written");
+  if (is_new) write_header(out);
+  for (const auto& row : rows) write_row(out, row);
+}
+
+void run_sweep(const SweepPlan& plan, const LoadSettings& base, const TrialOptions& options,
+               const std::string& table, bool resume) {
+  const bool known = resume && std::filesystem::exists(table);
+  const auto rows = known ? read_table(table) : std::vector<Measurement>{};
+  size_t done = 0;
+  for (const double value : plan.values) {
+    ++done;
+    if (measured(rows, plan.quantity, value)) continue;
+    spdlog::info("{} = {} ({} of {})", plan.quantity, value, done, plan.values.size());
+    Trial trial(at_point(base, plan.quantity, value, "sweep"), options);
+    Measurement row = trial.measure_load();
+    row.quantity = plan.quantity;
+    row.value = value;
+    for (const auto& violation : trial.violations()) spdlog::error("broken rule: {}", violation);
+    append_rows(table, {row});
+  }
+}
+
+void draw_plot(const std::vector<Measurement>& rows, const std::string& quantity,
+               const std::string& column, const std::string& file) {
+  const Column& drawn = column_named(column);
+  const PowerFit fit = fit_column(rows, quantity, drawn);
+  std::ostringstream title;
+  constexpr int kDigits = 3;
+  title.precision(kDigits);
+  title << "exponent " << fit.exponent << ", residual " << fit.residual;
+  const std::string script = file + ".gp";
+  std::ofstream out(script);
+  out << "set terminal svg size 640,420\nset output '" << file << "'\nset logscale xy\n"
+      << "set xlabel '" << quantity << "' noenhanced\nset ylabel '" << column
+      << "' noenhanced\nset key left top\n$points << END\n";
+  for (const auto& row : rows)
+    if (row.quantity == quantity) out << row.value << ' ' << row.*drawn.field << '\n';
+  out << "END\nplot $points with points pt 7 title 'measured', " << fit.factor << "*x**"
+      << fit.exponent << " with lines title '" << title.str() << "'\n";
+  out.close();
+  run_gnuplot(script);
+  std::filesystem::remove(script);
+}
+
+}  // namespace sumacquay::fleetload
--- /dev/null
+++ b/src/fleetload/trial.h
@@ -0,0 +1,92 @@
+#pragma once
+#include <asio.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fleetload/controller_process.h"
+#include "fleetload/controller_settings.h"
+#include "fleetload/load_settings.h"
+#include "fleetload/measurement.h"
+#include "fleetload/quantiles.h"
+#include "fleetload/workload.h"
+#include "standin/cloud_server.h"
+#include "standin/state_server.h"
+#include "standin/users.h"
+
+namespace sumacquay::fleetload {
+
+struct TrialOptions {
+  std::string program;    ///< the controller
+  std::string directory;  ///< for settings and logs of the controllers
+  std::string tuning;     ///< further lines of the operators' file
+};
+
+/// One deployment on loopback from start to end: real controllers as processes of their own, and in
+/// this process the state service, the cloud, hollow workers and users.
+class Trial {
+ public:
+  Trial(const LoadSettings& settings, TrialOptions options);
+  ~Trial();
+
+  /// Puts the load on and measures it.
+  Measurement measure_load();
+  /// After `measure_load`: ends the leader, then a follower, then silences a zone, and measures
+  /// each time what urgent work notices.
+  std::vector<Measurement> measure_faults();
+  const std::vector<std::string>& violations() const { return checker_.violations(); }
+
+ private:
+  struct Snapshot {
+    Seconds at = 0;
+    std::vector<ProcessUsage> controllers;
+    ProcessUsage own;
+    standin::WorkerCounts workers;
+    standin::StateServerCounts state;
+    standin::CloudCounts cloud;
+    size_t starts = 0;
+  };
+
+  void start_controllers();
+  void fill(Measurement& measurement);
+  void submit_waiting();
+  void submit_urgent();
+  void begin_urgent(bool on);
+  Measurement measure(const std::string& phase, Seconds span);
+  void add_rates(Measurement& measurement, const Snapshot& before, const Snapshot& after) const;
+  void add_urgent(Measurement& measurement);
+  Snapshot snapshot() const;
+  Measurement leader_killed();
+  Measurement follower_killed();
+  Measurement zone_silent();
+  void run_for(Seconds span);
+  bool run_until(const std::function<bool()>& reached, Seconds most);
+  /// Which controller leads, by the record in the state service.
+  std::optional<size_t> leader() const;
+  void on_task_running(const std::string& job);
+  void require_running();
+
+  LoadSettings settings_;
+  TrialOptions options_;
+  Addresses addresses_;
+  asio::io_context io_{1};
+  standin::JobBook jobs_;
+  standin::RuleChecker checker_;
+  standin::WorkerContext context_;
+  standin::HollowFleet fleet_;
+  std::unique_ptr<standin::StateServer> state_;
+  std::unique_ptr<standin::CloudServer> cloud_;
+  std::unique_ptr<standin::Users> users_;
+  std::vector<ControllerProcess> controllers_;
+  Workload workload_;
+  asio::steady_timer urgent_timer_;
+  bool urgent_on_ = false;
+  Quantiles urgent_waits_, accept_times_;
+  std::unique_ptr<Quantiles> urgent_of_phase_;
+  size_t urgent_submitted_ = 0;
+  std::string urgent_prefix_;
+};
+
+}  // namespace sumacquay::fleetload
--- /dev/null
+++ b/src/fleetload/workload.cpp
@@ -0,0 +1,88 @@
+#include "fleetload/workload.h"
+
+#include <algorithm>
+#include <cstdio>
+
+#include "fleetload/controller_settings.h"
+
+namespace sumacquay::fleetload {
+namespace {
+
+constexpr double kCpusPerTask = 4;
+constexpr double kMemoryPerTask = 16;
+constexpr double kImageGb = 10;
+/// Longer than any trial.
+constexpr Seconds kWholeTrial = 3600;
+
+std::string job_id(size_t number) {
+  constexpr size_t kNameBytes = 32;
+  char name[kNameBytes];
+  std::snprintf(name, sizeof name, "job-%08zu", number);
+  return name;
+}
+
+}  // namespace
+
+standin::SubmittedJob Workload::job(JobKind kind, Priority priority, size_t tasks, Seconds run_s) {
+  standin::SubmittedJob job;
+  const size_t number = jobs_++;
+  job.spec.id = job_id(number);
+  job.spec.job_class = "load";
+  job.spec.team = "team-" + std::to_string(number % static_cast<size_t>(settings_.teams));
+  job.spec.image = "image-0";
+  job.spec.image_gb = kImageGb;
+  job.spec.kind = kind;
+  job.spec.priority = priority;
+  job.spec.tasks = static_cast<uint32_t>(tasks);
+  job.spec.need = {kCpusPerTask, 1, kMemoryPerTask};
+  job.spec.spread = kind == JobKind::Service && settings_.zones > 1;
+  job.spec.estimate_s = kind == JobKind::Service ? 0 : run_s;
+  job.run_s = run_s;
+  return job;
+}
+
+std::vector<standin::SubmittedJob> Workload::filling() {
+  std::vector<standin::SubmittedJob> jobs;
+  const auto all = static_cast<double>(settings_.tasks());
+  const auto size = static_cast<size_t>(settings_.service_size);
+  auto left = settings_.tasks();
+  const auto gang_size = static_cast<size_t>(settings_.gang_size);
+  if (gang_size > 0)
+    for (auto gangs = static_cast<size_t>(all * settings_.gang_share) / gang_size; gangs > 0;
+         --gangs) {
+      jobs.push_back(job(JobKind::Gang, Priority::High, gang_size, kWholeTrial));
+      left -= gang_size;
+    }
+  auto low = std::min(left, static_cast<size_t>(all * settings_.low_share));
+  left -= low;
+  for (; left > 0; left -= std::min(left, size))
+    jobs.push_back(job(JobKind::Service, Priority::Production, std::min(left, size), 0));
+  for (; low > 0; low -= std::min(low, size))
+    jobs.push_back(job(JobKind::Array, Priority::Low, std::min(low, size), kWholeTrial));
+  return jobs;
+}
+
+standin::SubmittedJob Workload::waiting() {
+  return job(JobKind::Array, Priority::Low, 1, kWholeTrial);
+}
+
+standin::SubmittedJob Workload::urgent() {
+  return job(JobKind::Array, Priority::High, 1, settings_.urgent_run_s);
+}
+
+MachineType machine_type_of(const LoadSettings& settings) {
+  constexpr double kBootRatio = 1;
+  MachineType type;
+  type.name = "gpu-" + std::to_string(static_cast<int>(settings.tasks_per_machine));
+  type.room = Amounts{kCpusPerTask, 1, kMemoryPerTask}.times(settings.tasks_per_machine);
+  type.cache_gb = 100;
+  type.fetch_gb_per_s = 10;
+  type.price = settings.tasks_per_machine;
+  type.spot_price = type.price / 3;
+  type.boot_s = settings.boot_s * kBootRatio;
+  for (size_t zone = 0; zone < static_cast<size_t>(settings.zones); ++zone)
+    type.zones.push_back(zone_name(zone));
+  return type;
+}
+
+}  // namespace sumacquay::fleetload
--- /dev/null
+++ b/src/standin/hollow_fleet.cpp
@@ -0,0 +1,137 @@
+#include "standin/hollow_fleet.h"
+
+#include <cstdio>
+#include <utility>
+
+#include "node/steady_time.h"
+
+namespace sumacquay::standin {
+namespace {
+
+/// Workers listen on 127.16.0.1 and on, so that each has an address of its own.
+constexpr uint64_t kFirstNetwork = 16;
+constexpr uint64_t kHostsPerNetwork = 250;
+constexpr uint64_t kNetworksPerBlock = 250;
+
+std::string loopback_address(uint64_t number) {
+  const uint64_t network = number / kHostsPerNetwork;
+  return "127." + std::to_string(kFirstNetwork + network / kNetworksPerBlock) + "." +
+         std::to_string(network % kNetworksPerBlock) + "." +
+         std::to_string(1 + number % kHostsPerNetwork);
+}
+
+uint64_t number_of(const std::string& id) {
+  return std::stoull(id.substr(2));
+}
+
+}  // namespace
+
+HollowFleet::HollowFleet(WorkerContext& context, unsigned short port)
+    : context_(context), port_(port) {
+  context_.gang_task_ready = [this](const std::string& machine, const TaskKey& key,
+                                    uint64_t attempt) {
+    on_gang_task_ready(machine, key, attempt);
+  };
+  context_.gang_task_gone = [this](const TaskKey& key, uint64_t attempt) {
+    on_gang_task_gone(key, attempt);
+  };
+}
+
+std::string HollowFleet::next_id() {
+  constexpr size_t kNameBytes = 32;
+  char name[kNameBytes];
+  std::snprintf(name, sizeof name, "i-%06llu", static_cast<unsigned long long>(created_++));
+  return name;
+}
+
+std::string HollowFleet::address_of(const std::string& id) const {
+  return loopback_address(number_of(id)) + ":" + std::to_string(port_);
+}
+
+std::string HollowFleet::add(const MachineKind& kind, const std::string& id) {
+  WorkerState state;
+  state.id = id;
+  state.type = kind.type;
+  state.zone = kind.zone;
+  state.spot = kind.spot;
+  const Endpoint listen{loopback_address(number_of(id)), port_};
+  auto worker = std::make_unique<HollowWorker>(context_, std::move(state), listen);
+  worker->start();
+  workers_[id] = std::move(worker);
+  return id;
+}
+
+void HollowFleet::remove(const std::string& id) {
+  const auto found = workers_.find(id);
+  if (found == workers_.end()) return;
+  std::vector<std::pair<TaskKey, uint64_t>> gone;
+  for (const auto& [key, task] : found->second->state().tasks)
+    if (task.present()) gone.emplace_back(key, task.attempt);
+  workers_.erase(found);
+  for (const auto& [key, attempt] : gone) on_gang_task_gone(key, attempt);
+}
+
+std::vector<std::string> HollowFleet::ids() const {
+  std::vector<std::string> out;
+  for (const auto& [id, worker] : workers_) out.push_back(id);
+  return out;
+}
+
+void HollowFleet::set_zone_silent(const std::string& zone, bool silent) {
+  for (const auto& [id, worker] : workers_)
+    if (worker->state().zone == zone) worker->set_silent(silent);
+}
+
+// ---------------------------------------------------------------- gangs
+
+HollowWorker* HollowFleet::find(const std::string& machine) {
+  const auto found = workers_.find(machine);
+  return found == workers_.end() ? nullptr : found->second.get();
+}
+
+void HollowFleet::on_gang_task_ready(const std::string& machine, const TaskKey& key,
+                                     uint64_t attempt) {
+  const SubmittedJob& job = context_.jobs.at(key.job);
+  const GangAttempt id{key.job, attempt};
+  Gang& gang = gangs_[id];
+  gang.ready[key] = machine;
+  if (gang.running || gang.ready.size() < job.spec.tasks) return;
+  gang.running = true;
+  asio::post(context_.io, [this, id, run_s = job.run_s] { run_gang(id, run_s); });
+}
+
+void HollowFleet::run_gang(const GangAttempt& attempt, Seconds run_s) {
+  const auto found = gangs_.find(attempt);
+  if (found == gangs_.end()) return;
+  const std::map<TaskKey, std::string> ready = found->second.ready;
+  for (const auto& [task, machine] : ready)
+    if (HollowWorker* worker = find(machine)) worker->run_gang_task(task, attempt.second, run_s);
+}
+
+void HollowFleet::on_gang_task_gone(const TaskKey& key, uint64_t attempt) {
+  const auto job = context_.jobs.find(key.job);
+  if (job == context_.jobs.end() || job->second.spec.kind != JobKind::Gang) return;
+  const auto found = gangs_.find({key.job, attempt});
+  if (found == gangs_.end()) return;
+  Gang& gang = found->second;
+  gang.ready.erase(key);
+  if (!gang.running || gang.broken) return;
+  gang.broken = true;
+  auto timer = std::make_shared<asio::steady_timer>(context_.io,
+                                                    to_microseconds(context_.times.gang_peer_s));
+  timer->async_wait([this, timer, id = found->first](auto error) {
+    if (!error) end_gang(id);
+  });
+}
+
+void HollowFleet::end_gang(const GangAttempt& attempt) {
+  const auto found = gangs_.find(attempt);
+  if (found == gangs_.end()) return;
+  const auto left = std::exchange(found->second.ready, {});
+  for (const auto& [task, machine] : left)
+    if (HollowWorker* worker = find(machine))
+      worker->end_gang_task(task, attempt.second, ExitCause::Peers);
+  gangs_.erase(attempt);
+}
+
+}  // namespace sumacquay::standin
--- /dev/null
+++ b/src/standin/hollow_worker.cpp
@@ -0,0 +1,288 @@
+#include "standin/hollow_worker.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "node/steady_time.h"
+#include "standin/messages.h"
+#include "wire/messages.h"
+
+namespace sumacquay::standin {
+namespace {
+
+/// How long a worker waits for the answer to a report.
+constexpr Seconds kAnswerTimeout = 4;
+/// When a worker reports to the next controller after one did not answer or sent it away.
+constexpr Seconds kNextControllerDelay = 1;
+/// The shortest time between two reports.
+constexpr Seconds kLeastPause = 0.5;
+constexpr double kReportEarly = 0.75;
+constexpr double kReportLate = 1.25;
+constexpr size_t kMostOrderConnections = 8;
+constexpr size_t kReportConnections = 1;
+constexpr size_t kQueuedReports = 2;
+/// Bytes of an HTTP head as both sides write it, for the count of bytes.
+constexpr uint64_t kHeadBytes = 110;
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kConflict = 409;
+constexpr int kMisdirected = 421;
+
+constexpr Seconds kFarFuture = std::numeric_limits<Seconds>::infinity();
+
+HttpLimits order_limits() {
+  HttpLimits limits;
+  limits.connections = kMostOrderConnections;
+  return limits;
+}
+
+}  // namespace
+
+HollowWorker::HollowWorker(WorkerContext& context, WorkerState state, const Endpoint& listen)
+    : context_(context), state_(std::move(state)), timer_(context.io) {
+  server_ = std::make_unique<HttpServer>(
+      context.io, listen, order_limits(),
+      [this](const HttpRequest& request, const Respond& respond) { on_orders(request, respond); });
+  state_.addr = listen.host + ":" + std::to_string(server_->port());
+  controller_ = context.random() % context.controllers.size();
+}
+
+HollowWorker::~HollowWorker() {
+  *alive_ = false;
+  for (const auto& [key, task] : state_.tasks)
+    if (task.present()) context_.checker.task_left(state_, key);
+}
+
+Seconds HollowWorker::random_between(Seconds least, Seconds most) {
+  return std::uniform_real_distribution<Seconds>(least, most)(context_.random);
+}
+
+void HollowWorker::start() {
+  const Seconds now = steady_now();
+  state_.session_began = now;
+  next_report_ = now + random_between(0, context_.times.report_s);
+  wake_later();
+}
+
+void HollowWorker::set_silent(bool silent) {
+  silent_ = silent;
+  if (silent) server_->close_all();
+}
+
+// ---------------------------------------------------------------- time
+
+void HollowWorker::wake_later() {
+  Seconds next = report_under_way_ ? kFarFuture : next_report_;
+  for (const auto& [key, task] : state_.tasks)
+    if (task.present()) next = std::min(next, task.next_change);
+  const Seconds lease_end =
+      state_.answered_report.value_or(state_.session_began) + context_.times.lease_s;
+  next = std::min(next, lease_end);
+  constexpr Seconds kLeastWait = 0.001;
+  timer_.expires_after(to_microseconds(std::max(next - steady_now(), kLeastWait)));
+  timer_.async_wait([this](auto error) {
+    if (!error) on_wake();
+  });
+}
+
+void HollowWorker::on_wake() {
+  const Seconds now = steady_now();
+  end_session_if_over(now);
+  advance_tasks(now);
+  if (!report_under_way_ && now >= next_report_) send_report(now);
+  wake_later();
+}
+
+void HollowWorker::end_session_if_over(Seconds now) {
+  if (!state_.lease_over(context_.times.lease_s, now)) return;
+  ++context_.counts.leases_lost;
+  std::vector<std::pair<TaskKey, uint64_t>> ended;
+  for (const auto& [key, task] : state_.tasks)
+    if (task.present()) ended.emplace_back(key, task.attempt);
+  for (const auto& [key, attempt] : ended) context_.checker.task_left(state_, key);
+  state_.expire_session(context_.times.lease_s, now);
+  for (const auto& [key, attempt] : ended) context_.gang_task_gone(key, attempt);
+  report_soon(now);
+}
+
+// ---------------------------------------------------------------- tasks
+
+void HollowWorker::advance_tasks(Seconds now) {
+  std::vector<TaskKey> due;
+  for (const auto& [key, task] : state_.tasks)
+    if (task.present() && now >= task.next_change) due.push_back(key);
+  for (const auto& key : due) {
+    const auto task = state_.tasks.find(key);
+    if (task != state_.tasks.end()) advance(key, task->second, now);
+  }
+}
+
+void HollowWorker::advance(const TaskKey& key, WorkerTask& task, Seconds now) {
+  const SubmittedJob& job = context_.jobs.at(key.job);
+  switch (task.state) {
+    case TaskState::Fetching:
+      if (job.spec.kind != JobKind::Gang) return set_running(key, task, job.run_s, now);
+      task.state = TaskState::Waiting;
+      task.next_change = now + context_.times.gang_wait_s;
+      report_soon(now);
+      return context_.gang_task_ready(state_.id, key, task.attempt);
+    case TaskState::Waiting:
+      return set_exited(key, task, ExitCause::Alone);
+    case TaskState::Running:
+      return set_exited(key, task, ExitCause::Done);
+    case TaskState::Saving:
+    case TaskState::Exited:
+      return;
+  }
+}
+
+void HollowWorker::set_running(const TaskKey& key, WorkerTask& task, Seconds run_s, Seconds now) {
+  const bool service = context_.jobs.at(key.job).spec.kind == JobKind::Service;
+  task.state = TaskState::Running;
+  task.next_change = service ? kFarFuture : now + run_s;
+  context_.task_running(key.job);
+  report_soon(now);
+}
+
+void HollowWorker::set_exited(const TaskKey& key, WorkerTask& task, ExitCause cause) {
+  const uint64_t attempt = task.attempt;
+  task.state = TaskState::Exited;
+  task.cause = cause;
+  if (cause == ExitCause::Done) context_.jobs.at(key.job).done.insert(key.task);
+  context_.checker.task_left(state_, key);
+  report_soon(steady_now());
+  if (cause != ExitCause::Done) context_.gang_task_gone(key, attempt);
+}
+
+void HollowWorker::run_gang_task(const TaskKey& key, uint64_t attempt, Seconds run_s) {
+  const auto task = state_.tasks.find(key);
+  if (task == state_.tasks.end() || task->second.attempt != attempt) return;
+  if (task->second.state != TaskState::Waiting) return;
+  set_running(key, task->second, run_s, steady_now());
+  wake_later();
+}
+
+void HollowWorker::end_gang_task(const TaskKey& key, uint64_t attempt, ExitCause cause) {
+  const auto task = state_.tasks.find(key);
+  if (task == state_.tasks.end() || task->second.attempt != attempt) return;
+  if (!task->second.present()) return;
+  set_exited(key, task->second, cause);
+  wake_later();
+}
+
+void HollowWorker::execute(const std::vector<Command>& commands, Seconds now) {
+  for (const auto& command : commands) {
+    if (command.verb == Verb::Start) {
+      start_task(command, now);
+      continue;
+    }
+    WorkerTask* task = state_.find(command);
+    if (!task) continue;
+    if (command.verb == Verb::Forget && !task->present()) state_.tasks.erase(command.key);
+    if (command.verb == Verb::Stop && task->present())
+      set_exited(command.key, *task, ExitCause::Stopped);
+  }
+}
+
+void HollowWorker::start_task(const Command& command, Seconds now) {
+  if (!state_.accepts_start(command)) return;
+  const auto job = context_.jobs.find(command.key.job);
+  WorkerTask task;
+  task.attempt = command.attempt;
+  if (job == context_.jobs.end()) {
+    task.state = TaskState::Exited;
+    task.cause = ExitCause::Unknown;
+  } else {
+    task.next_change = now + random_between(0.5, 1.5) * context_.times.fetch_s;
+    context_.checker.task_arrived(state_, command.key, now);
+  }
+  state_.tasks[command.key] = task;
+  report_soon(now);
+}
+
+// ---------------------------------------------------------------- reports
+
+void HollowWorker::report_soon(Seconds now) {
+  next_report_ = std::min(next_report_, std::max(now, last_report_ + kLeastPause));
+}
+
+void HollowWorker::send_report(Seconds now) {
+  last_report_ = now;
+  next_report_ = now + context_.times.report_s * random_between(kReportEarly, kReportLate);
+  if (silent_) return turn_to_next(now);
+  if (!client_)
+    client_ = std::make_unique<HttpClient>(context_.io, context_.controllers[controller_],
+                                           kReportConnections, kQueuedReports);
+  const std::string body = report_body(state_.report());
+  ++context_.counts.reports;
+  context_.counts.bytes_out += body.size() + kHeadBytes;
+  report_under_way_ = true;
+  client_->request("POST", wire::path::kReport, body, kAnswerTimeout,
+                   [this, alive = alive_, now, session = state_.session](const HttpResult& result) {
+                     if (*alive) on_answer(result, now, session);
+                   });
+}
+
+void HollowWorker::on_answer(const HttpResult& result, Seconds sent_at, uint64_t session) {
+  const Seconds now = steady_now();
+  report_under_way_ = false;
+  context_.counts.bytes_in += result.body.size() + (result.answered ? kHeadBytes : 0);
+  if (silent_ || !result.answered) {
+    turn_to_next(now);
+  } else if (result.status == kMisdirected) {
+    ++context_.counts.redirects;
+    turn_to(parse_redirect(result.body), now);
+  } else if (!result.ok()) {
+    turn_to_next(now);
+  } else if (const auto orders = parse_orders(result.body);
+             orders && session == state_.session && orders->token >= state_.token) {
+    ++context_.counts.reports_answered;
+    if (orders->token > state_.token) report_soon(now);
+    state_.raise_token(orders->token);
+    state_.answered_report = sent_at;
+    execute(orders->commands, now);
+  }
+  wake_later();
+}
+
+void HollowWorker::turn_to(const std::string& controller, Seconds now) {
+  const auto& names = context_.controller_names;
+  const auto named = std::find(names.begin(), names.end(), controller);
+  const auto index = static_cast<size_t>(named - names.begin());
+  if (named == names.end() || index == controller_) return turn_to_next(now);
+  controller_ = index;
+  client_.reset();
+  next_report_ = now + random_between(0, kLeastPause);
+}
+
+void HollowWorker::turn_to_next(Seconds now) {
+  controller_ = (controller_ + 1) % context_.controllers.size();
+  client_.reset();
+  next_report_ = now + kNextControllerDelay;
+}
+
+// ---------------------------------------------------------------- orders
+
+void HollowWorker::on_orders(const HttpRequest& request, const Respond& respond) {
+  if (silent_) return;  // the controller waits until it gives up
+  ++context_.counts.orders;
+  context_.counts.bytes_in += request.body.size() + kHeadBytes;
+  const auto orders = parse_orders(request.body);
+  if (!orders) return respond({kBadRequest, {}, 0});
+  const Seconds now = steady_now();
+  end_session_if_over(now);
+  const bool in_force = orders->token >= state_.token && orders->session == state_.session;
+  if (in_force) {
+    if (orders->token > state_.token) report_soon(now);
+    state_.raise_token(orders->token);
+    execute(orders->commands, now);
+  }
+  const std::string body = report_body(state_.report());
+  context_.counts.bytes_out += body.size() + kHeadBytes;
+  respond({in_force ? kOk : kConflict, body, 0});
+  wake_later();
+}
+
+}  // namespace sumacquay::standin
--- /dev/null
+++ b/src/standin/hollow_worker.h
@@ -0,0 +1,103 @@
+#pragma once
+#include <asio.hpp>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "config/settings.h"
+#include "net/http.h"
+#include "net/http_client.h"
+#include "standin/job_book.h"
+#include "standin/rule_checker.h"
+#include "standin/worker_state.h"
+
+namespace sumacquay::standin {
+
+/// Times of the protocol that a worker keeps to.
+struct WorkerTimes {
+  Seconds report_s = 4;
+  Seconds lease_s = 22;
+  Seconds fetch_s = 0.5;  ///< to have a task's image
+  Seconds gang_wait_s = 30;
+  Seconds gang_peer_s = 5;
+};
+
+/// What workers said and were told since the start.
+struct WorkerCounts {
+  uint64_t reports = 0;                  ///< sent
+  uint64_t reports_answered = 0;         ///< by a 200
+  uint64_t redirects = 0;                ///< answers that named another controller
+  uint64_t orders = 0;                   ///< received straight from the leader
+  uint64_t bytes_out = 0, bytes_in = 0;  ///< bodies and heads of both directions
+  uint64_t leases_lost = 0;
+};
+
+/// What all hollow workers share.
+struct WorkerContext {
+  asio::io_context& io;
+  std::vector<std::string> controller_names;
+  std::vector<Endpoint> controllers;
+  WorkerTimes times;
+  JobBook& jobs;
+  RuleChecker& checker;
+  WorkerCounts counts;
+  std::mt19937_64 random;
+  std::function<void(const std::string& job)> task_running;
+  std::function<void(const std::string& machine, const TaskKey& key, uint64_t attempt)>
+      gang_task_ready;
+  std::function<void(const TaskKey& key, uint64_t attempt)> gang_task_gone;
+};
+
+/// A worker of the protocol that runs nothing: it keeps the connections, reports, leases and tasks
+/// of a real one, and its tasks only wait. Thousands share one process and one thread.
+class HollowWorker {
+ public:
+  HollowWorker(WorkerContext& context, WorkerState state, const Endpoint& listen);
+  HollowWorker(const HollowWorker&) = delete;
+  ~HollowWorker();
+
+  /// Begins to report, at a random moment of the first report period.
+  void start();
+  /// Whether it exchanges anything with controllers.
+  void set_silent(bool silent);
+  const WorkerState& state() const { return state_; }
+
+  /// All tasks of the gang's attempt have their images: the one here runs for so long.
+  void run_gang_task(const TaskKey& key, uint64_t attempt, Seconds run_s);
+  /// Another task of the gang is gone.
+  void end_gang_task(const TaskKey& key, uint64_t attempt, ExitCause cause);
+
+ private:
+  void wake_later();
+  void on_wake();
+  void advance_tasks(Seconds now);
+  void advance(const TaskKey& key, WorkerTask& task, Seconds now);
+  void set_running(const TaskKey& key, WorkerTask& task, Seconds run_s, Seconds now);
+  void set_exited(const TaskKey& key, WorkerTask& task, ExitCause cause);
+  void end_session_if_over(Seconds now);
+  void report_soon(Seconds now);
+  void send_report(Seconds now);
+  void on_answer(const HttpResult& result, Seconds sent_at, uint64_t session);
+  void turn_to(const std::string& controller, Seconds now);
+  void turn_to_next(Seconds now);
+  void on_orders(const HttpRequest& request, const Respond& respond);
+  void execute(const std::vector<Command>& commands, Seconds now);
+  void start_task(const Command& command, Seconds now);
+  Seconds random_between(Seconds least, Seconds most);
+
+  WorkerContext& context_;
+  WorkerState state_;
+  std::unique_ptr<HttpServer> server_;
+  std::unique_ptr<HttpClient> client_;
+  asio::steady_timer timer_;
+  size_t controller_ = 0;
+  bool silent_ = false;
+  bool report_under_way_ = false;
+  Seconds next_report_ = 0;
+  Seconds last_report_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace sumacquay::standin
--- /dev/null
+++ b/src/standin/key_value_store.h
@@ -0,0 +1,161 @@
+#pragma once
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "jobs/spec.h"
+#include "wire/store_messages.h"
+
+namespace sumacquay::standin {
+
+/// The state service without I/O: keys with versions, guarded transactions, leases and the log of
+/// changes. `Value` is whatever a key holds. Limits on requests and faults are its callers' matter.
+template <class Value>
+class KeyValueStore {
+ public:
+  struct Change {
+    std::string key;
+    std::shared_ptr<const Value> value;  ///< null: the key is deleted
+    uint64_t version = 0;
+    uint64_t lease = 0;
+
+    bool deletes() const { return !value; }
+  };
+  static Change put(std::string key, Value value, uint64_t lease = 0) {
+    return {std::move(key), std::make_shared<const Value>(std::move(value)), 0, lease};
+  }
+  static Change remove(std::string key) { return {std::move(key), nullptr, 0, 0}; }
+
+  uint64_t version(const std::string& key) const {
+    const Change* item = find(key);
+    return item ? item->version : 0;
+  }
+
+  /// A key's item, null if there is no such key.
+  const Change* find(const std::string& key) const {
+    const auto item = items_.find(key);
+    return item == items_.end() ? nullptr : &item->second;
+  }
+
+  /// All items in the order of their keys.
+  const std::map<std::string, Change>& items() const { return items_; }
+  std::vector<Change> all() const {
+    std::vector<Change> out;
+    for (const auto& [key, item] : items_) out.push_back(item);
+    return out;
+  }
+
+  uint64_t revision() const { return revision_; }
+
+  /// Whether all leases that the changes name are alive.
+  bool leases_alive(const std::vector<Change>& changes) const {
+    return std::all_of(changes.begin(), changes.end(), [this](const Change& change) {
+      return change.lease == 0 || leases_.contains(change.lease);
+    });
+  }
+
+  /// The keys whose versions are not the guarded ones.
+  std::vector<std::string> failed_guards(const std::vector<wire::Guard>& guards) const {
+    std::vector<std::string> failed;
+    for (const auto& guard : guards)
+      if (version(guard.key) != guard.version) failed.push_back(guard.key);
+    return failed;
+  }
+
+  /// The revision, none if a guard fails or a lease has ended.
+  std::optional<uint64_t> transact(const std::vector<wire::Guard>& guards,
+                                   std::vector<Change> changes) {
+    if (!leases_alive(changes) || !failed_guards(guards).empty()) return std::nullopt;
+    if (changes.empty()) return revision_;
+    ++revision_;
+    for (auto& change : changes) apply(std::move(change));
+    return revision_;
+  }
+
+  /// Changes after a revision; the log has to reach back that far.
+  std::vector<Change> changes_after(uint64_t revision) const {
+    const auto from = std::upper_bound(
+        log_.begin(), log_.end(), revision,
+        [](uint64_t sought, const Change& change) { return sought < change.version; });
+    return {from, log_.end()};
+  }
+
+  /// Whether no change after the revision has been dropped from the log.
+  bool log_reaches(uint64_t revision) const { return revision >= dropped_up_to_; }
+
+  /// Keeps the last changes alone.
+  void trim_log(size_t most) {
+    while (log_.size() > most) {
+      dropped_up_to_ = log_.front().version;
+      log_.pop_front();
+    }
+  }
+
+  uint64_t grant(Seconds now, Seconds duration) {
+    leases_[++last_lease_] = {now + duration, duration};
+    return last_lease_;
+  }
+
+  /// False: the lease has ended.
+  bool renew(uint64_t lease, Seconds now) {
+    const auto held = leases_.find(lease);
+    if (held == leases_.end()) return false;
+    held->second.ends_at = now + held->second.duration;
+    return true;
+  }
+
+  void revoke(uint64_t lease) {
+    if (!leases_.erase(lease)) return;
+    std::vector<std::string> gone;
+    for (const auto& [key, item] : items_)
+      if (item.lease == lease) gone.push_back(key);
+    if (gone.empty()) return;
+    ++revision_;
+    for (const auto& key : gone) apply(remove(key));
+  }
+
+  void expire_leases(Seconds now) {
+    std::vector<uint64_t> ended;
+    for (const auto& [id, lease] : leases_)
+      if (now > lease.ends_at + kLeaseSlack) ended.push_back(id);
+    for (const auto id : ended) revoke(id);
+  }
+
+  /// After an outage every lease starts anew.
+  void restart_leases(Seconds now) {
+    for (auto& [id, lease] : leases_) lease.ends_at = now + lease.duration;
+  }
+
+ private:
+  /// How long past its end a lease is kept: never less, and up to 100 ms more.
+  static constexpr Seconds kLeaseSlack = 0.05;
+
+  struct Lease {
+    Seconds ends_at = 0;
+    Seconds duration = 0;
+  };
+
+  void apply(Change change) {
+    change.version = revision_;
+    if (change.deletes())
+      items_.erase(change.key);
+    else
+      items_[change.key] = change;
+    log_.push_back(std::move(change));
+  }
+
+  std::map<std::string, Change> items_;
+  std::map<uint64_t, Lease> leases_;
+  std::deque<Change> log_;
+  uint64_t revision_ = 1;
+  uint64_t dropped_up_to_ = 0;
+  uint64_t last_lease_ = 0;
+};
+
+}  // namespace sumacquay::standin
--- /dev/null
+++ b/src/standin/state_server.cpp
@@ -0,0 +1,214 @@
+#include "standin/state_server.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+#include "node/steady_time.h"
+#include "standin/messages.h"
+
+namespace sumacquay::standin {
+namespace {
+
+constexpr Seconds kBurst = 1;
+constexpr size_t kMostLogged = 10000;
+constexpr size_t kMostItems = 1000;
+constexpr size_t kMostPageBytes = size_t{512} * 1024;
+constexpr Seconds kMostWait = 60;
+constexpr Seconds kTick = 0.05;
+constexpr size_t kMostConnections = 2000;
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kGone = 410;
+constexpr int kTooManyRequests = 429;
+
+HttpLimits server_limits() {
+  HttpLimits limits;
+  limits.connections = kMostConnections;
+  limits.body_bytes = size_t{128} * 1024;
+  return limits;
+}
+
+uint64_t number_of(const std::string& text) {
+  return std::strtoull(text.c_str(), nullptr, 10);
+}
+
+StoredChange stored(const KeyValueStore<std::string>::Change& change) {
+  return {change.key, change.deletes() ? std::string() : *change.value, change.lease,
+          change.version};
+}
+
+std::string key_of(const HttpRequest& request) {
+  const std::string prefix = std::string(wire::path::kStore) + "/";
+  return request.path.substr(std::min(prefix.size(), request.path.size()));
+}
+
+}  // namespace
+
+StateServer::StateServer(asio::io_context& io, const Endpoint& at, StateServerOptions options)
+    : io_(io),
+      options_(options),
+      requests_(options.requests_per_s, kBurst),
+      writes_(options.writes_per_s, kBurst),
+      timer_(io),
+      server_(io, at, server_limits(), [this](const HttpRequest& request, const Respond& respond) {
+        handle(request, respond);
+      }) {
+  keep_time();
+}
+
+std::optional<std::string> StateServer::value(const std::string& key) const {
+  const auto* item = store_.find(key);
+  if (!item) return std::nullopt;
+  return *item->value;
+}
+
+void StateServer::set_listener(
+    std::function<void(const std::string& key, const std::string& value)> listener) {
+  listener_ = std::move(listener);
+}
+
+void StateServer::handle(const HttpRequest& request, const Respond& respond) {
+  ++counts_.requests;
+  counts_.bytes_in += request.body.size();
+  if (!requests_.take(1, steady_now())) {
+    ++counts_.refused;
+    return answer_later(respond, {kTooManyRequests, {}, 0});
+  }
+  if (request.path == wire::path::kChanges) return watch(request, respond);
+  answer_later(respond, answer(request));
+  answer_watches();
+}
+
+HttpReply StateServer::answer(const HttpRequest& request) {
+  if (request.path == wire::path::kTransaction) return transact(request);
+  if (request.path == wire::path::kStore) return page(request);
+  if (request.path.starts_with(wire::path::kStore)) return read(request);
+  if (request.path.starts_with(wire::path::kGrants)) return grants(request);
+  return {kNotFound, {}, 0};
+}
+
+HttpReply StateServer::transact(const HttpRequest& request) {
+  const auto transaction = parse_transaction(request.body);
+  if (!transaction) return {kBadRequest, {}, 0};
+  const auto writes = static_cast<double>(transaction->changes.size());
+  if (!writes_.take(writes, steady_now())) {
+    ++counts_.refused;
+    return {kTooManyRequests, {}, 0};
+  }
+  counts_.writes += transaction->changes.size();
+  std::vector<Store::Change> changes;
+  for (const auto& change : transaction->changes)
+    changes.push_back(change.value.empty() ? Store::remove(change.key)
+                                           : Store::put(change.key, change.value, change.lease));
+  if (!store_.leases_alive(changes)) return {kBadRequest, wire::error_body("no such lease"), 0};
+  const auto revision = store_.transact(transaction->guards, std::move(changes));
+  if (!revision)
+    return {kConflict, conflict_body(store_.failed_guards(transaction->guards), store_.revision()),
+            0};
+  store_.trim_log(kMostLogged);
+  if (listener_)
+    for (const auto& change : transaction->changes) listener_(change.key, change.value);
+  return {kOk, revision_body(*revision), 0};
+}
+
+HttpReply StateServer::read(const HttpRequest& request) const {
+  const auto* item = store_.find(key_of(request));
+  if (!item) return {kNotFound, missing_body(store_.revision()), 0};
+  return {kOk, item_body(stored(*item)), 0};
+}
+
+HttpReply StateServer::page(const HttpRequest& request) const {
+  const std::string prefix = query_field(request.query, "under");
+  const std::string after = query_field(request.query, "after");
+  const uint64_t asked = number_of(query_field(request.query, "most"));
+  const size_t most = asked ? std::min<size_t>(asked, kMostItems) : kMostItems;
+  std::vector<StoredChange> items;
+  size_t bytes = 0;
+  auto item =
+      after < prefix ? store_.items().lower_bound(prefix) : store_.items().upper_bound(after);
+  for (; item != store_.items().end() && item->first.starts_with(prefix); ++item) {
+    if (items.size() == most || bytes > kMostPageBytes)
+      return {kOk, items_body(items, true, store_.revision()), 0};
+    items.push_back(stored(item->second));
+    bytes += item->first.size() + item->second.value->size();
+  }
+  return {kOk, items_body(items, false, store_.revision()), 0};
+}
+
+HttpReply StateServer::grants(const HttpRequest& request) {
+  const std::string grants = std::string(wire::path::kGrants) + "/";
+  if (request.path == wire::path::kGrants) {
+    const auto duration = parse_lease_seconds(request.body);
+    if (!duration) return {kBadRequest, {}, 0};
+    return {kOk, lease_body(store_.grant(steady_now(), *duration)), 0};
+  }
+  const uint64_t lease = number_of(request.path.substr(grants.size()));
+  if (request.method == "DELETE") {
+    store_.revoke(lease);
+    return {kOk, lease_body(lease), 0};
+  }
+  const bool renewed = store_.renew(lease, steady_now());
+  return {renewed ? kOk : kNotFound, lease_body(lease), 0};
+}
+
+void StateServer::watch(const HttpRequest& request, const Respond& respond) {
+  constexpr double kMillisecondsPerSecond = 1000;
+  const auto wait_ms = static_cast<double>(number_of(query_field(request.query, "block_ms")));
+  const Seconds wait = std::min(wait_ms / kMillisecondsPerSecond, kMostWait);
+  Watch watch{query_field(request.query, "under"), number_of(query_field(request.query, "after")),
+              steady_now() + wait, respond};
+  if (wait <= 0 || has_news(watch)) return answer_later(respond, changes(watch));
+  watches_.push_back(std::move(watch));
+}
+
+HttpReply StateServer::changes(const Watch& watch) const {
+  if (!store_.log_reaches(watch.after)) return {kGone, {}, 0};
+  std::vector<StoredChange> news;
+  for (const auto& change : store_.changes_after(watch.after))
+    if (change.key.starts_with(watch.prefix)) news.push_back(stored(change));
+  return {kOk, changes_body(news, store_.revision()), 0};
+}
+
+bool StateServer::has_news(const Watch& watch) const {
+  if (!store_.log_reaches(watch.after)) return true;
+  const auto news = store_.changes_after(watch.after);
+  return std::any_of(news.begin(), news.end(), [&](const Store::Change& change) {
+    return change.key.starts_with(watch.prefix);
+  });
+}
+
+void StateServer::answer_watches() {
+  const Seconds now = steady_now();
+  watches_.remove_if([&](const Watch& watch) {
+    if (now < watch.ends_at && (watch.after >= store_.revision() || !has_news(watch))) return false;
+    answer_later(watch.respond, changes(watch));
+    return true;
+  });
+}
+
+void StateServer::answer_later(const Respond& respond, HttpReply reply) {
+  auto timer = std::make_shared<asio::steady_timer>(io_, to_microseconds(options_.latency_s));
+  timer->async_wait([this, timer, respond, reply = std::move(reply)](auto error) {
+    if (!error) send(respond, reply);
+  });
+}
+
+void StateServer::send(const Respond& respond, const HttpReply& reply) {
+  counts_.bytes_out += reply.body.size();
+  respond(reply);
+}
+
+void StateServer::keep_time() {
+  store_.expire_leases(steady_now());
+  answer_watches();
+  timer_.expires_after(to_microseconds(kTick));
+  timer_.async_wait([this](auto error) {
+    if (!error) keep_time();
+  });
+}
+
+}  // namespace sumacquay::standin
--- /dev/null
+++ b/src/standin/state_server.h
@@ -0,0 +1,79 @@
+#pragma once
+#include <asio.hpp>
+#include <functional>
+#include <list>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "config/settings.h"
+#include "net/http.h"
+#include "standin/key_value_store.h"
+#include "standin/rate_limit.h"
+
+namespace sumacquay::standin {
+
+/// What the stand-in of the state service allows, as the protocol tells it.
+struct StateServerOptions {
+  double requests_per_s = 1000;
+  double writes_per_s = 120;
+  Seconds latency_s = 0.005;  ///< before each answer
+};
+
+/// What it was asked for since it started.
+struct StateServerCounts {
+  uint64_t requests = 0;
+  uint64_t writes = 0;   ///< puts and deletes
+  uint64_t refused = 0;  ///< answered 429
+  uint64_t bytes_in = 0, bytes_out = 0;
+};
+
+/// A stand-in of the state service on loopback: keys, pages, transactions, leases and watches of
+/// the protocol, with its limits. It keeps everything in memory and answers any number of
+/// controllers.
+class StateServer {
+ public:
+  StateServer(asio::io_context& io, const Endpoint& at, StateServerOptions options);
+
+  const StateServerCounts& counts() const { return counts_; }
+  /// The encoded value of a key, none if there is no such key.
+  std::optional<std::string> value(const std::string& key) const;
+  size_t keys() const { return store_.items().size(); }
+  /// Called with each change that is carried out.
+  void set_listener(std::function<void(const std::string& key, const std::string& value)> listener);
+
+ private:
+  using Store = KeyValueStore<std::string>;
+  struct Watch {
+    std::string prefix;
+    uint64_t after = 0;
+    Seconds ends_at = 0;
+    Respond respond;
+  };
+
+  void handle(const HttpRequest& request, const Respond& respond);
+  HttpReply answer(const HttpRequest& request);
+  HttpReply transact(const HttpRequest& request);
+  HttpReply read(const HttpRequest& request) const;
+  HttpReply page(const HttpRequest& request) const;
+  HttpReply grants(const HttpRequest& request);
+  void watch(const HttpRequest& request, const Respond& respond);
+  HttpReply changes(const Watch& watch) const;
+  bool has_news(const Watch& watch) const;
+  void answer_watches();
+  void answer_later(const Respond& respond, HttpReply reply);
+  void send(const Respond& respond, const HttpReply& reply);
+  void keep_time();
+
+  asio::io_context& io_;
+  StateServerOptions options_;
+  Store store_;
+  RateLimit requests_, writes_;
+  StateServerCounts counts_;
+  std::list<Watch> watches_;
+  std::function<void(const std::string&, const std::string&)> listener_;
+  asio::steady_timer timer_;
+  HttpServer server_;
+};
+
+}  // namespace sumacquay::standin
--- a/src/wire/cloud_messages.cpp
+++ b/src/wire/cloud_messages.cpp
@@ -4,6 +4,7 @@
 
 #include "wire/codec.h"
 #include "wire/field_names.h"
+#include "wire/spellings.h"
 
 namespace sumacquay::wire {
 namespace {
@@ -16,11 +17,6 @@
 constexpr size_t kMostTypeNameBytes = 200;
 constexpr size_t kMostNameBytes = 150;
 
-constexpr codec::Spellings<ListedMachine::State, 3> kMachineStates{
-    {{ListedMachine::State::Booting, "starting"},
-     {ListedMachine::State::Running, "running"},
-     {ListedMachine::State::Failed, "failed"}}};
-
 std::optional<MachineType> read_type(View map) {
   Fields fields(map);
   MachineType type;
@@ -59,7 +55,7 @@
   machine.type = fields.text(field::kType, 0, kMostNameBytes);
   machine.zone = fields.text(field::kZone, 0, kMostNameBytes);
   machine.spot = fields.flag(field::kSpot);
-  machine.state = fields.choice(field::kStage, kMachineStates);
+  machine.state = fields.choice(field::kStage, spelling::kMachineStates);
   machine.age_s = fields["age_s"].number().value_or(0);
   if (!fields.ok()) return std::nullopt;
   return machine;
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -11,7 +11,8 @@
 #include "wire/view.h"
 
 /// Helpers that the message modules of this directory share: packing MessagePack maps, spelling
-/// enumerators, and reading required fields. Private to src/wire: nothing outside includes it.
+/// enumerators, and reading required fields. Private to src/wire and to the stand-ins of
+/// src/standin.
 namespace sumacquay::wire::codec {
 
 using Buffer = msgpack::sbuffer;
--- a/src/wire/field_names.h
+++ b/src/wire/field_names.h
@@ -2,7 +2,7 @@
 
 /// The platform's spellings of fields that several messages use. A spelling that occurs in one
 /// message alone stands there, and those of our own records stand in records.cpp and heartbeat.cpp.
-/// Private to src/wire.
+/// Private to src/wire and the stand-ins.
 namespace sumacquay::wire::field {
 
 // Jobs and tasks.
@@ -28,6 +28,15 @@
 inline constexpr const char* kToken = "baton";
 inline constexpr const char* kSession = "shift";
 
+// The state service.
+inline constexpr const char* kKey = "path";
+inline constexpr const char* kVersion = "stamp";
+inline constexpr const char* kValue = "v";
+inline constexpr const char* kRevision = "epoch";
+inline constexpr const char* kLease = "charter";
+inline constexpr const char* kSet = "set";
+inline constexpr const char* kDelete = "delete";
+
 // Pages of lists.
 inline constexpr const char* kMore = "more";
 
--- /dev/null
+++ b/src/wire/spellings.h
@@ -0,0 +1,38 @@
+#pragma once
+#include "fleet/report.h"
+#include "wire/codec.h"
+#include "wire/user_messages.h"
+
+/// How the platform spells enumerators that both sides of a message need: src/wire, and the
+/// stand-ins of src/standin, which speak for workers, users, the cloud and the state service.
+namespace sumacquay::wire::spelling {
+
+using codec::Spellings;
+
+inline constexpr Spellings<TaskState, 5> kTaskStates{{{TaskState::Fetching, "fetching"},
+                                                      {TaskState::Waiting, "waiting"},
+                                                      {TaskState::Running, "running"},
+                                                      {TaskState::Saving, "flushing"},
+                                                      {TaskState::Exited, "exited"}}};
+inline constexpr Spellings<ExitCause, 8> kExitCauses{{{ExitCause::Done, "done"},
+                                                      {ExitCause::Stopped, "stopped"},
+                                                      {ExitCause::Peers, "mates_gone"},
+                                                      {ExitCause::Alone, "alone"},
+                                                      {ExitCause::Error, "error"},
+                                                      {ExitCause::NoRoom, "no_room"},
+                                                      {ExitCause::Busy, "in_use"},
+                                                      {ExitCause::Unknown, "unknown"}}};
+inline constexpr Spellings<Verb, 3> kVerbs{
+    {{Verb::Start, "start"}, {Verb::Stop, "kill"}, {Verb::Forget, "clear"}}};
+
+inline constexpr Spellings<ShownState, 4> kShownStates{{{ShownState::Pending, "pending"},
+                                                        {ShownState::Running, "running"},
+                                                        {ShownState::Done, "done"},
+                                                        {ShownState::Cancelled, "cancelled"}}};
+
+inline constexpr Spellings<ListedMachine::State, 3> kMachineStates{
+    {{ListedMachine::State::Booting, "starting"},
+     {ListedMachine::State::Running, "running"},
+     {ListedMachine::State::Failed, "failed"}}};
+
+}  // namespace sumacquay::wire::spelling
--- a/src/wire/store_messages.cpp
+++ b/src/wire/store_messages.cpp
@@ -13,26 +13,19 @@
 using codec::pack_text;
 using codec::Packer;
 
-constexpr const char* kKey = "path";
-constexpr const char* kVersion = "stamp";
-constexpr const char* kValue = "v";
-constexpr const char* kRevision = "epoch";
-constexpr const char* kLease = "charter";
-constexpr const char* kSet = "set";
-constexpr const char* kDelete = "delete";
-
 std::optional<StoreItem> read_item(View item) {
-  const auto key = item[kKey].text();
-  const auto version = item[kVersion].count();
+  const auto key = item[field::kKey].text();
+  const auto version = item[field::kVersion].count();
   if (!key || !version) return std::nullopt;
-  return StoreItem{*key, item[kValue], *version};
+  return StoreItem{*key, item[field::kValue], *version};
 }
 
 std::optional<StoreItem> read_change(View change) {
-  const auto version = change[kVersion].count();
+  const auto version = change[field::kVersion].count();
   if (!version) return std::nullopt;
-  if (const auto key = change[kSet].text()) return StoreItem{*key, change[kValue], *version};
-  if (const auto key = change[kDelete].text()) return StoreItem{*key, View(), *version};
+  if (const auto key = change[field::kSet].text())
+    return StoreItem{*key, change[field::kValue], *version};
+  if (const auto key = change[field::kDelete].text()) return StoreItem{*key, View(), *version};
   return std::nullopt;
 }
 
@@ -45,7 +38,7 @@
   if (!page.document) return std::nullopt;
   const View root = page.document->root();
   const View list = root[list_name];
-  const auto revision = root[kRevision].count();
+  const auto revision = root[field::kRevision].count();
   if (!list.is_list() || !revision) return std::nullopt;
   page.revision = *revision;
   page.more = root[field::kMore].flag().value_or(false);
@@ -62,22 +55,22 @@
   pack_list(packer, guards.size());
   for (const auto& guard : guards) {
     packer.pack_map(2);
-    pack_field(packer, kKey, guard.key);
-    pack_field(packer, kVersion, guard.version);
+    pack_field(packer, field::kKey, guard.key);
+    pack_field(packer, field::kVersion, guard.version);
   }
 }
 
 void pack_change(codec::Buffer& buffer, Packer& packer, const Change& change) {
   if (change.value.empty()) {
     packer.pack_map(1);
-    pack_field(packer, kDelete, change.key);
+    pack_field(packer, field::kDelete, change.key);
     return;
   }
   packer.pack_map(change.lease ? 3 : 2);
-  pack_field(packer, kSet, change.key);
-  pack_text(packer, kValue);
+  pack_field(packer, field::kSet, change.key);
+  pack_text(packer, field::kValue);
   buffer.write(change.value.data(), change.value.size());  // it is encoded already
-  if (change.lease) pack_field(packer, kLease, change.lease);
+  if (change.lease) pack_field(packer, field::kLease, change.lease);
 }
 
 }  // namespace
@@ -128,7 +121,7 @@
 }
 
 std::optional<uint64_t> parse_revision(std::string_view body) {
-  return codec::read_root<uint64_t>(body, [](View root) { return root[kRevision].count(); });
+  return codec::read_root<uint64_t>(body, [](View root) { return root[field::kRevision].count(); });
 }
 
 std::vector<std::string> parse_failed(std::string_view body) {
@@ -148,7 +141,7 @@
 }
 
 std::optional<uint64_t> parse_lease(std::string_view body) {
-  return codec::read_root<uint64_t>(body, [](View root) { return root[kLease].count(); });
+  return codec::read_root<uint64_t>(body, [](View root) { return root[field::kLease].count(); });
 }
 
 std::string grant_path(uint64_t lease) {
--- a/src/wire/user_messages.cpp
+++ b/src/wire/user_messages.cpp
@@ -6,6 +6,7 @@
 #include "wire/codec.h"
 #include "wire/field_names.h"
 #include "wire/job_spec_codec.h"
+#include "wire/spellings.h"
 
 namespace sumacquay::wire {
 namespace {
@@ -15,11 +16,6 @@
 using codec::pack_field;
 using codec::Packer;
 
-constexpr codec::Spellings<ShownState, 4> kShownStates{{{ShownState::Pending, "pending"},
-                                                        {ShownState::Running, "running"},
-                                                        {ShownState::Done, "done"},
-                                                        {ShownState::Cancelled, "cancelled"}}};
-
 ParsedJob invalid_job(std::string error, std::string id) {
   return {std::nullopt, std::move(error), std::move(id)};
 }
@@ -54,7 +50,7 @@
   return build([&](Packer& packer) {
     packer.pack_map(2);
     pack_field(packer, field::kId, id);
-    pack_field(packer, field::kStage, spelling_of(kShownStates, state));
+    pack_field(packer, field::kStage, spelling_of(spelling::kShownStates, state));
   });
 }
 
@@ -62,7 +58,7 @@
   return build([&](Packer& packer) {
     packer.pack_map(4);
     pack_field(packer, field::kId, id);
-    pack_field(packer, field::kStage, spelling_of(kShownStates, state));
+    pack_field(packer, field::kStage, spelling_of(spelling::kShownStates, state));
     pack_field(packer, "done", uint64_t{done});
     pack_field(packer, "running", uint64_t{running});
   });
--- a/src/wire/worker_messages.cpp
+++ b/src/wire/worker_messages.cpp
@@ -6,6 +6,7 @@
 
 #include "wire/codec.h"
 #include "wire/field_names.h"
+#include "wire/spellings.h"
 
 namespace sumacquay::wire {
 namespace {
@@ -14,27 +15,10 @@
 using codec::Fields;
 using codec::pack_field;
 using codec::Packer;
-using codec::Spellings;
 using codec::value_of;
 
 constexpr size_t kMostNameBytes = 150;
 
-constexpr Spellings<TaskState, 5> kTaskStates{{{TaskState::Fetching, "fetching"},
-                                               {TaskState::Waiting, "waiting"},
-                                               {TaskState::Running, "running"},
-                                               {TaskState::Saving, "flushing"},
-                                               {TaskState::Exited, "exited"}}};
-constexpr Spellings<ExitCause, 8> kExitCauses{{{ExitCause::Done, "done"},
-                                               {ExitCause::Stopped, "stopped"},
-                                               {ExitCause::Peers, "mates_gone"},
-                                               {ExitCause::Alone, "alone"},
-                                               {ExitCause::Error, "error"},
-                                               {ExitCause::NoRoom, "no_room"},
-                                               {ExitCause::Busy, "in_use"},
-                                               {ExitCause::Unknown, "unknown"}}};
-constexpr Spellings<Verb, 3> kVerbs{
-    {{Verb::Start, "start"}, {Verb::Stop, "kill"}, {Verb::Forget, "clear"}}};
-
 /// Whether a name can stand in a key of the state service: printable and without spaces.
 bool safe_in_keys(std::string_view name) {
   return std::all_of(name.begin(), name.end(),
@@ -60,7 +44,7 @@
 
 /// A cause that is missing or unknown counts as an error of a task that has exited.
 ExitCause parse_exit_cause(View task, TaskState state) {
-  const auto cause = value_of(kExitCauses, task["cause"]);
+  const auto cause = value_of(spelling::kExitCauses, task["cause"]);
   if (cause) return *cause;
   return state == TaskState::Exited ? ExitCause::Error : ExitCause::None;
 }
@@ -68,7 +52,7 @@
 std::optional<TaskReport> parse_task(View task) {
   const auto key = parse_task_name(task[field::kTask]);
   const auto attempt = task[field::kAttempt].count();
-  const auto state = value_of(kTaskStates, task[field::kStage]);
+  const auto state = value_of(spelling::kTaskStates, task[field::kStage]);
   if (!key || !attempt || !state) return std::nullopt;
   return TaskReport{*key, *attempt, *state, parse_exit_cause(task, *state)};
 }
@@ -98,7 +82,7 @@
 void pack_command(Packer& packer, const Command& command) {
   const bool stops = command.verb == Verb::Stop;
   packer.pack_map(stops ? 4 : 3);
-  pack_field(packer, "verb", spelling_of(kVerbs, command.verb));
+  pack_field(packer, "verb", spelling_of(spelling::kVerbs, command.verb));
   pack_field(packer, field::kTask, task_name(command.key));
   pack_field(packer, field::kAttempt, command.attempt);
   if (stops) pack_field(packer, "easing_s", command.grace_s);
--- /dev/null
+++ b/tests/standin_test.cpp
@@ -0,0 +1,242 @@
+// The stand-ins: their side of the messages against the controllers', the state service's rules,
+// and the checker that judges loopback runs.
+#include <gtest/gtest.h>
+
+#include <cmath>
+
+#include "generators.h"
+#include "net/http_client.h"
+#include "node/steady_time.h"
+#include "standin/messages.h"
+#include "standin/rate_limit.h"
+#include "standin/rule_checker.h"
+#include "standin/state_server.h"
+#include "store/store_client.h"
+#include "wire/messages.h"
+
+namespace sumacquay::standin {
+namespace {
+
+using testing::holds;
+
+TaskKey any_key() {
+  return {"job-" + std::to_string(*rc::gen::inRange(0, 1000)),
+          static_cast<uint32_t>(*rc::gen::inRange(0, 100))};
+}
+
+TEST(StandInMessages, AreReadByTheControllersAsTheyWereSent) {
+  EXPECT_TRUE(holds("reports", [] {
+    WorkerReport sent;
+    sent.machine = "i-" + std::to_string(*rc::gen::inRange(0, 1000));
+    sent.addr = "127.0.0.1:9000";
+    sent.type = *testing::name();
+    sent.zone = *testing::name();
+    sent.spot = *rc::gen::arbitrary<bool>();
+    sent.session = *rc::gen::arbitrary<uint64_t>();
+    sent.seq = *rc::gen::arbitrary<uint64_t>();
+    sent.token = *rc::gen::arbitrary<uint64_t>();
+    if (*rc::gen::arbitrary<bool>()) sent.notice_s = *rc::gen::inRange(0, 100) * 0.5;
+    for (int i = *rc::gen::inRange(0, 5); i > 0; --i)
+      sent.tasks.push_back({any_key(), *rc::gen::arbitrary<uint64_t>(),
+                            *rc::gen::element(TaskState::Fetching, TaskState::Running),
+                            ExitCause::None});
+    sent.tasks.push_back({any_key(), 1, TaskState::Exited,
+                          *rc::gen::element(ExitCause::Done, ExitCause::Error, ExitCause::Alone)});
+    const auto read = wire::parse_report(report_body(sent));
+    RC_ASSERT(read.has_value());
+    RC_ASSERT(report_body(*read) == report_body(sent));
+  }));
+  EXPECT_TRUE(holds("submissions", [] {
+    const JobSpec sent = *testing::job_spec();
+    RC_ASSERT(wire::parse_job(submission_body(sent)).spec == sent);
+  }));
+}
+
+TEST(StandInMessages, ReadWhatTheControllersSend) {
+  EXPECT_TRUE(holds("orders", [] {
+    std::vector<Command> commands;
+    for (int i = *rc::gen::inRange(0, 5); i > 0; --i) {
+      const Verb verb = *rc::gen::element(Verb::Start, Verb::Stop, Verb::Forget);
+      commands.push_back({verb, any_key(), *rc::gen::arbitrary<uint64_t>(),
+                          verb == Verb::Stop ? *rc::gen::inRange(0, 10) * 0.5 : 0});
+    }
+    const auto token = *rc::gen::arbitrary<uint64_t>();
+    const auto session = *rc::gen::arbitrary<uint64_t>();
+    const auto orders = parse_orders(wire::orders_body(token, session, commands));
+    RC_ASSERT(orders && orders->token == token && orders->session == session);
+    RC_ASSERT(orders->commands == commands);
+    const auto answer = parse_orders(wire::report_answer(token, commands));
+    RC_ASSERT(answer && answer->commands == commands);
+  }));
+  EXPECT_FALSE(parse_orders("").has_value());
+  EXPECT_FALSE(parse_orders(wire::redirect_body("n1")).has_value()) << "no token";
+  EXPECT_EQ(parse_redirect(wire::redirect_body("n1")), "n1");
+}
+
+TEST(RateLimit, AllowsABurstAndThenTheRate) {
+  RateLimit limit(10, 2);
+  EXPECT_TRUE(limit.take(20, 100));
+  EXPECT_FALSE(limit.take(1, 100));
+  EXPECT_TRUE(limit.take(5, 100.5));
+  EXPECT_FALSE(limit.take(1, 100.5));
+}
+
+/// The state service's stand-in and the controllers' own client of it, on loopback.
+struct StateOnLoopback : ::testing::Test {
+  asio::io_context io{1};
+  Settings settings;
+  std::unique_ptr<StateServer> server;
+  std::unique_ptr<StoreClient> client;
+
+  void start(StateServerOptions options) {
+    constexpr unsigned short kPort = 20991;
+    settings.state = {"127.0.0.1", kPort};
+    settings.lease_s = 20;
+    settings.state_rps = settings.state_write_rps = 10000;
+    server = std::make_unique<StateServer>(io, settings.state, options);
+    client = std::make_unique<StoreClient>(io, settings);
+  }
+  template <class Result, class Ask>
+  Result answer_to(Ask&& ask) {
+    std::optional<Result> answer;
+    ask([&](Result result) { answer = std::move(result); });
+    const Seconds end = steady_now() + 10;
+    while (!answer && steady_now() < end) io.run_one_for(std::chrono::milliseconds(50));
+    return answer ? *answer : Result{};
+  }
+  TxnResult transact(std::vector<wire::Guard> guards, std::vector<wire::Change> changes) {
+    return answer_to<TxnResult>(
+        [&](auto done) { client->transact(Urgency::Record, guards, changes, done); });
+  }
+};
+
+TEST_F(StateOnLoopback, KeepsGuardsLeasesPagesAndWatches) {
+  start({10000, 10000, 0.001});
+  const std::string value = wire::encode_host({"i-1", "10.0.0.1:9", "g", "e", false});
+  const auto first = transact({{"a/1", 0}}, {{"a/1", value, 0}, {"a/2", value, 0}});
+  ASSERT_EQ(first.outcome, TxnOutcome::Committed);
+  const auto conflict = transact({{"a/1", 0}}, {{"a/1", value, 0}});
+  EXPECT_EQ(conflict.outcome, TxnOutcome::Conflict);
+  EXPECT_EQ(conflict.failed, std::vector<std::string>{"a/1"});
+  const auto lease =
+      answer_to<std::optional<uint64_t>>([&](auto done) { client->grant(0.3, done); });
+  ASSERT_TRUE(lease.has_value());
+  ASSERT_EQ(transact({}, {{"a/3", value, *lease}}).outcome, TxnOutcome::Committed);
+
+  const auto page = answer_to<HttpResult>(
+      [&](auto done) { client->read(Urgency::Rest, wire::page_path("a/", "a/1", 1), done); });
+  const auto items = wire::parse_page(page.body);
+  ASSERT_TRUE(items.has_value());
+  ASSERT_EQ(items->items.size(), 1u);
+  EXPECT_EQ(items->items[0].key, "a/2");
+  EXPECT_TRUE(items->more);
+
+  // The lease ends, and whoever waits for changes hears that its key is gone.
+  const auto news = answer_to<HttpResult>(
+      [&](auto done) { client->watch(wire::changes_path("a/", items->revision, 5000), 5, done); });
+  const auto changes = wire::parse_changes(news.body);
+  ASSERT_TRUE(changes.has_value());
+  ASSERT_EQ(changes->items.size(), 1u);
+  EXPECT_EQ(changes->items[0].key, "a/3");
+  EXPECT_TRUE(changes->items[0].value.missing());
+  EXPECT_EQ(transact({}, {{"a/4", value, *lease}}).outcome, TxnOutcome::NoLease);
+}
+
+TEST_F(StateOnLoopback, RefusesWritesOverItsLimit) {
+  start({10000, 2, 0.001});
+  const std::string value = wire::encode_host({"i-1", "10.0.0.1:9", "g", "e", false});
+  HttpClient raw(io, settings.state, 1, 10);
+  const auto post = [&] {
+    return answer_to<HttpResult>([&](auto done) {
+      raw.request("POST", wire::path::kTransaction,
+                  wire::transaction_body({}, {{"b/1", value, 0}, {"b/2", value, 0}}), 5, done);
+    });
+  };
+  EXPECT_EQ(post().status, 200);
+  EXPECT_EQ(post().status, 429);
+}
+
+/// Two zones with a machine each, and jobs of one team that may use two GPUs.
+struct Judged {
+  JobBook jobs;
+  WorkerState east, west;
+  std::unique_ptr<RuleChecker> checker;
+
+  Judged() {
+    TeamSettings team;
+    team.name = "t";
+    team.gpus_max = 2;
+    east.id = "i-1", east.zone = "e", east.type = "g";
+    west.id = "i-2", west.zone = "w", west.type = "g";
+    checker = std::make_unique<RuleChecker>(std::vector<TeamSettings>{team}, 10, jobs);
+    JobSpec& spec = jobs["job-1"].spec;
+    spec.id = "job-1";
+    spec.team = "t";
+    spec.tasks = 3;
+    spec.need = {1, 1, 1};
+  }
+  std::string first_violation() const {
+    return checker->violations().empty() ? "" : checker->violations()[0];
+  }
+};
+
+TEST(RuleChecker, FindsNothingWhileATaskMovesAndEnds) {
+  Judged judged;
+  auto& [jobs, east, west, checker] = judged;
+  checker->task_arrived(east, {"job-1", 0}, 1);
+  checker->task_left(east, {"job-1", 0});
+  checker->task_arrived(west, {"job-1", 0}, 2);
+  checker->task_arrived(east, {"job-1", 1}, 2);
+  checker->user_told_unfinished("job-1", 3);
+  jobs["job-1"].cancel_asked_at = 4;
+  checker->user_told_cancelled("job-1", 5);
+  checker->user_told_unfinished("job-1", 4);  // asked before
+  checker->task_left(west, {"job-1", 0});
+  checker->task_left(east, {"job-1", 1});
+  checker->check_cancelled(100);
+  EXPECT_EQ(judged.first_violation(), "");
+  EXPECT_EQ(checker->starts(), 3u);
+}
+
+TEST(RuleChecker, FindsEachBrokenRule) {
+  const auto broken = [](const std::string& rule, auto&& events) {
+    Judged judged;
+    events(judged);
+    const std::string found = judged.first_violation();
+    EXPECT_TRUE(found.starts_with(rule)) << rule << ": " << found;
+  };
+  broken("ran_twice", [](Judged& j) {
+    j.checker->task_arrived(j.east, {"job-1", 0}, 1);
+    j.checker->task_arrived(j.west, {"job-1", 0}, 2);
+  });
+  broken("quota", [](Judged& j) {
+    for (uint32_t task = 0; task < 3; ++task) j.checker->task_arrived(j.east, {"job-1", task}, 1);
+  });
+  broken("wrong_place", [](Judged& j) {
+    j.jobs["job-1"].spec.one_zone = true;
+    j.checker->task_arrived(j.east, {"job-1", 0}, 1);
+    j.checker->task_arrived(j.west, {"job-1", 1}, 1);
+  });
+  broken("wrong_place", [](Judged& j) {
+    j.jobs["job-1"].spec.types = std::vector<std::string>{"other"};
+    j.checker->task_arrived(j.east, {"job-1", 0}, 1);
+  });
+  broken("ran_cancelled", [](Judged& j) {
+    j.jobs["job-1"].cancel_asked_at = 1;
+    j.checker->user_told_cancelled("job-1", 1);
+    j.checker->task_arrived(j.east, {"job-1", 0}, 1);
+    j.checker->check_cancelled(12);
+  });
+  broken("not_done", [](Judged& j) { j.checker->user_told_done("job-1", 1); });
+  broken("went_back", [](Judged& j) { j.checker->user_told_cancelled("job-1", 1); });
+  broken("went_back", [](Judged& j) {
+    j.jobs["job-1"].done = {0, 1, 2};
+    j.checker->user_told_done("job-1", 1);
+    j.checker->user_told_unfinished("job-1", 2);
+  });
+  broken("forgotten", [](Judged& j) { j.checker->user_told_unknown("job-1", 1); });
+  broken("invented", [](Judged& j) { j.checker->task_arrived(j.east, {"job-2", 0}, 1); });
+}
+
+}  // namespace
+}  // namespace sumacquay::standin
--- a/tests/world/machine.h
+++ b/tests/world/machine.h
@@ -4,20 +4,13 @@
 #include <string>
 #include <vector>
 
-#include "fleet/report.h"
+#include "standin/worker_state.h"
 #include "world/fault.h"
 #include "world/random.h"
 
 namespace sumacquay::simulation {
 
-struct MachineTask {
-  uint64_t attempt = 0;
-  TaskState state = TaskState::Fetching;
-  ExitCause cause = ExitCause::None;
-  Seconds next_change = 0;
-
-  bool present() const { return state != TaskState::Exited; }
-};
+using MachineTask = standin::WorkerTask;
 
 struct MachineFaults {
   Fault hung;         ///< does nothing
@@ -28,26 +21,16 @@
 };
 
 /// A machine and the worker on it.
-struct SimulatedMachine {
-  std::string id, zone;
-  bool spot = false;
+struct SimulatedMachine : standin::WorkerState {
   bool sick = false;  ///< fails everything that it starts
   MachineFaults faults;
-  Seconds up_at = 0, session_began = 0;
-  uint64_t session = 1, seq = 0, token = 0;
+  Seconds up_at = 0;
 
   size_t controller = 0;  ///< the one that it reports to
   Seconds next_report = 0;
-  std::optional<Seconds> report_sent;      ///< of the report that waits for its answer
-  std::optional<Seconds> answered_report;  ///< when the last report with an answer was sent
-  std::map<TaskKey, MachineTask> tasks;
+  std::optional<Seconds> report_sent;  ///< of the report that waits for its answer
 
   bool up(Seconds now) const { return now >= up_at; }
-  WorkerReport report();
-  /// Shows the worker a token; an older one changes nothing.
-  void raise_token(uint64_t seen);
-  /// Once a lease has passed without an answer, all tasks are gone and a new session begins.
-  void expire_session(Seconds lease, Seconds now);
 };
 
 /// All machines that exist, by name.
--- a/tests/world/workers.cpp
+++ b/tests/world/workers.cpp
@@ -63,23 +63,19 @@
       start_task(machine, command, ordered_at);
       continue;
     }
-    const auto known = machine.tasks.find(command.key);
-    if (known == machine.tasks.end() || known->second.attempt != command.attempt) continue;
-    MachineTask& task = known->second;
+    MachineTask* task = machine.find(command);
+    if (!task) continue;
     if (command.verb != Verb::Stop) {
-      if (!task.present()) machine.tasks.erase(known);
-    } else if (task.present()) {
-      task.state = TaskState::Exited;
-      task.cause = ExitCause::Stopped;
+      if (!task->present()) machine.tasks.erase(command.key);
+    } else if (task->present()) {
+      task->state = TaskState::Exited;
+      task->cause = ExitCause::Stopped;
     }
   }
 }
 
 void Workers::start_task(SimulatedMachine& machine, const Command& command, Seconds ordered_at) {
-  const auto known = machine.tasks.find(command.key);
-  if (known != machine.tasks.end() &&
-      (known->second.attempt == command.attempt || known->second.present()))
-    return;
+  if (!machine.accepts_start(command)) return;
   const Seconds fetch = env_.random.between(env_.options.fetch_least, env_.options.fetch_most);
   machine.tasks[command.key] = {command.attempt, TaskState::Fetching, ExitCause::None,
                                 env_.now() + fetch};
