Prompt dispatch: writes and orders follow what changed, not the size of the fleet

Cause: a leader wrote one transaction a tick, paused for three times what the tick took, and each tick looked at every machine, job and task; so starts got slower as the fleet grew: 25,200 tasks on 6,300 machines took 78 to 79 s, with the leader's processor at a quarter.

Change: what waits to be ordered or written is queued as it comes up and worked off as each transaction is answered, under the same conditions; rounds look at everything as before. Placing a job takes the machines that it needs from a heap instead of sorting all that fit.

--- a/src/config/tuning.h
+++ b/src/config/tuning.h
@@ -14,7 +14,10 @@
   double idle = 0.4;          ///< idle time before a machine is returned / its boot time
   double headroom = 1.0;      ///< spare room / room that expected arrivals need
   double sockets = 0.7;       ///< sockets open to users and workers / all sockets
-  int start_tries = 3;        ///< machines on which a job fails before it backs off, 3 at least
+  /// Whether writes and orders go out as soon as what they wait for is there, instead of with the
+  /// next tick: for large fleets, whose ticks are long.
+  bool prompt_dispatch = false;
+  int start_tries = 3;  ///< machines on which a job fails before it backs off, 3 at least
 };
 
 /// Reads and checks the operators' file; throws SettingsError. An unknown field is an error, since
--- a/src/dispatch/commands.cpp
+++ b/src/dispatch/commands.cpp
@@ -49,25 +49,36 @@
   return !job || job->stored.state != JobState::Pending;
 }
 
+/// Whether there is something to tell the machine that no order has told it yet.
+bool LeaderCore::has_orders(const Machine& m) const {
+  return std::any_of(m.runs.begin(), m.runs.end(), [this, &m](const auto& r) {
+    const auto& [key, run] = r;
+    if (run.wanted) return !run.sent && startable(m, key, run);
+    return run.present() && run.phase != Run::Phase::Ordered && !run.stop_sent;
+  });
+}
+
+void LeaderCore::order_starts_of(const std::string& id, Machine& m, Seconds now,
+                                 std::vector<Action>& out) {
+  ++work_.dispatch_checks;
+  if (m.stage != Machine::Stage::Up || m.order_in_flight || now < m.next_order) return;
+  if (m.info.addr.empty() || !m.token_confirmed || !has_orders(m)) return;
+  SendOrders order{id, m.info.addr, token(m), std::max<uint64_t>(m.latest.session, 1),
+                   commands_for(m, false)};
+  for (auto& [key, run] : m.runs)
+    if (!run.wanted && run.present()) run.stop_sent = true;
+  m.order_in_flight = true;
+  out.emplace_back(std::move(order));
+}
+
 void LeaderCore::order_starts(Seconds now, std::vector<Action>& out) {
-  for (auto& [id, m] : machines_) {
-    if (m.stage != Machine::Stage::Up || m.order_in_flight || now < m.next_order) continue;
-    if (m.info.addr.empty()) continue;
-    if (!m.token_confirmed) continue;
-    const bool news =
-        std::any_of(m.runs.begin(), m.runs.end(), [this, &machine = m](const auto& r) {
-          const auto& [key, run] = r;
-          return (!run.sent && startable(machine, key, run)) ||
-                 (!run.wanted && run.present() && run.phase != Run::Phase::Ordered &&
-                  !run.stop_sent);
-        });
-    if (!news) continue;
-    SendOrders order{id, m.info.addr, token(m), std::max<uint64_t>(m.latest.session, 1),
-                     commands_for(m, false)};
-    for (auto& [key, run] : m.runs)
-      if (!run.wanted && run.present()) run.stop_sent = true;
-    m.order_in_flight = true;
-    out.emplace_back(std::move(order));
+  if (!prompt()) {
+    for (auto& [id, m] : machines_) order_starts_of(id, m, now, out);
+    return;
+  }
+  while (const auto id = backlog_.orders.pop()) {
+    const auto m = machines_.find(*id);
+    if (m != machines_.end()) order_starts_of(*id, m->second, now, out);
   }
 }
 
--- a/src/dispatch/leader_core.cpp
+++ b/src/dispatch/leader_core.cpp
@@ -88,6 +88,7 @@
     provision(now, out);
     log_fleet_summary(now);
     unplaced_.clear();
+    fill_backlog(now);
   }
   return_machines(now, out);
   order_starts(now, out);
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "backlog/dispatch_backlog.h"
 #include "config/settings.h"
 #include "dispatch/actions.h"
 #include "dispatch/arrival_forecast.h"
@@ -95,12 +96,17 @@
   /// Expired leases, a placement round, provisioning and orders. Only while the leader may act.
   std::vector<Action> tick(Seconds now);
 
+  /// Orders that can go out between two ticks, once what they waited for has been written. Costs
+  /// what it sends. Empty without prompt dispatch: then orders go out with ticks alone.
+  std::vector<Action> dispatch(Seconds now);
+
   /// Whether no worker gets through to this node any more, so that another should lead.
   bool no_worker_reaches_us(Seconds now) const;
 
   /// What rounds cost, in things done: grows with what happens, not with who waits.
   struct Work {
     size_t rounds = 0, victim_lists = 0;
+    size_t dispatch_checks = 0;  ///< machines and jobs looked at for orders and writes
     size_t adoption_checks = 0;  ///< runs compared with a task that was found running
   };
   const Work& work() const { return work_; }
@@ -130,6 +136,9 @@
   class WriteBatch;
   void add_host_writes(WriteBatch& batch);
   bool add_job_writes(WriteBatch& batch, Seconds now);
+  bool add_pending_job_writes(WriteBatch& batch, Seconds now);
+  void add_host_write(WriteBatch& batch, const std::string& id, const Machine& m);
+  void add_job_write(WriteBatch& batch, Job& job, Seconds now);
   void add_host_deletions(WriteBatch& batch);
   WriteUrgency write_urgency(const Job& job, Seconds now) const;
   RecordWrite write_for(const Job& job, Seconds now) const;
@@ -181,6 +190,16 @@
   bool ended(const std::string& id) const;
   bool startable(const Machine& m, const RunKey& key, const Run& run) const;
   void order_starts(Seconds now, std::vector<Action>& out);
+  void order_starts_of(const std::string& id, Machine& m, Seconds now, std::vector<Action>& out);
+  bool has_orders(const Machine& m) const;
+
+  // backlog.cpp
+  bool prompt() const { return settings_.tuning.prompt_dispatch; }
+  void note_orders(const Machine& m);
+  void note_orders_of(const Job& job);
+  void note_machine_record(const Machine& m);
+  void note_job_record(const Job& job, Seconds now);
+  void fill_backlog(Seconds now);
 
   // failures.cpp
   /// Whether the job fails wherever it is started, as one that was submitted with a mistake does.
@@ -281,6 +300,7 @@
   std::map<std::string, Seconds> newest_booted_;
   ZoneReachability zone_reachability_;
   HostRecordWrites host_record_writes_;
+  DispatchBacklog backlog_;  ///< with prompt dispatch alone
   std::vector<MachineType> types_;
   RentalRequests rental_requests_;
   std::unordered_map<std::string, Amounts> used_;  ///< by team
--- a/src/dispatch/record_writes.cpp
+++ b/src/dispatch/record_writes.cpp
@@ -63,6 +63,8 @@
   auto [it, added] = jobs_.try_emplace(record.spec.id);
   Job& job = it->second;
   if (!added && job.version >= version) return;
+  const bool starts_released =
+      record.started && (!job.stored.started || job.stored.hosts != record.hosts);
   job.stored = record;
   job.version = version;
   job.hosts_of_all_writes.reset();
@@ -87,6 +89,8 @@
   }
   if (record.state != JobState::Pending) stop_job(job, false, now);
   if (record.state == JobState::Cancelled) withdraw_blame(job);
+  if (starts_released) note_orders_of(job);
+  note_job_record(job, now);
 }
 
 void LeaderCore::job_finished(const std::string& id) {
@@ -190,40 +194,72 @@
 
 /// Machines that are to get their first start: it waits for their records.
 void LeaderCore::add_host_writes(WriteBatch& batch) {
-  for (auto& [id, m] : machines_) {
-    if (m.record != Machine::Record::Wanted || !batch.fits(1)) continue;
-    if (!host_record_writes_.begin(id)) continue;
-    RecordWrite write;
-    write.host = id;
-    write.host_record = m.info;
-    batch.add(std::move(write), kHostBytes);
+  if (!prompt()) {
+    for (const auto& [id, m] : machines_) {
+      if (!batch.fits(1)) return;
+      add_host_write(batch, id, m);
+    }
+    return;
   }
+  while (batch.fits(1)) {
+    const auto id = backlog_.machine_records.pop();
+    if (!id) return;
+    const auto m = machines_.find(*id);
+    if (m != machines_.end()) add_host_write(batch, *id, m->second);
+  }
+}
+
+void LeaderCore::add_host_write(WriteBatch& batch, const std::string& id, const Machine& m) {
+  ++work_.dispatch_checks;
+  if (m.record != Machine::Record::Wanted || !host_record_writes_.begin(id)) return;
+  RecordWrite write;
+  write.host = id;
+  write.host_record = m.info;
+  batch.add(std::move(write), kHostBytes);
+}
+
+void LeaderCore::add_job_write(WriteBatch& batch, Job& job, Seconds now) {
+  RecordWrite write = write_for(job, now);
+  job.writing = true;
+  keep_common_hosts(job, write.record->hosts);
+  const size_t bytes = write.finished ? 0 : job.room.taken_by(*write.record);
+  batch.add(std::move(write), bytes);
 }
 
 /// Starts wait for some of them and users for others; what is merely tidied up comes last. False if
 /// the batch is full before all are in it.
 bool LeaderCore::add_job_writes(WriteBatch& batch, Seconds now) {
+  if (prompt()) return add_pending_job_writes(batch, now);
   struct Candidate {
     WriteUrgency urgency;
     Job* job;
   };
   std::vector<Candidate> order;
-  for (auto& [id, job] : jobs_)
+  for (auto& [id, job] : jobs_) {
+    ++work_.dispatch_checks;
     if (const auto urgency = write_urgency(job, now); urgency != WriteUrgency::None)
       order.push_back({urgency, &job});
+  }
   std::stable_sort(order.begin(), order.end(),
                    [](const Candidate& a, const Candidate& b) { return a.urgency < b.urgency; });
   for (const Candidate& candidate : order) {
     if (!batch.fits(kMostChangesOfAJob) || batch.full()) return false;
-    RecordWrite write = write_for(*candidate.job, now);
-    candidate.job->writing = true;
-    keep_common_hosts(*candidate.job, write.record->hosts);
-    const size_t bytes = write.finished ? 0 : candidate.job->room.taken_by(*write.record);
-    batch.add(std::move(write), bytes);
+    add_job_write(batch, *candidate.job, now);
   }
   return true;
 }
 
+bool LeaderCore::add_pending_job_writes(WriteBatch& batch, Seconds now) {
+  while (batch.fits(kMostChangesOfAJob) && !batch.full()) {
+    const auto id = backlog_.job_records.pop();
+    if (!id) return true;
+    ++work_.dispatch_checks;
+    Job* job = find_job(*id);
+    if (job && write_urgency(*job, now) != WriteUrgency::None) add_job_write(batch, *job, now);
+  }
+  return backlog_.job_records.empty();
+}
+
 void LeaderCore::add_host_deletions(WriteBatch& batch) {
   for (const auto& id : host_record_writes_.to_delete()) {
     if (!batch.fits(1)) return;
@@ -237,23 +273,25 @@
 void LeaderCore::write_done(const RecordWrite& w, bool committed, uint64_t version, Seconds now) {
   if (!w.host.empty()) {
     host_record_writes_.end(w.host);
-    if (!committed) return;
-    if (!w.host_record) host_record_writes_.deleted(w.host);
+    if (committed && !w.host_record) host_record_writes_.deleted(w.host);
     const auto m = machines_.find(w.host);
-    if (m != machines_.end() && w.host_record) m->second.record = Machine::Record::Durable;
-    return;
+    if (m == machines_.end()) return;
+    if (committed && w.host_record) m->second.record = Machine::Record::Durable;
+    note_machine_record(m->second);
+    return note_orders(m->second);
   }
   const auto it = jobs_.find(w.job);
   if (it == jobs_.end()) return;
   Job& job = it->second;
   job.writing = false;
-  if (!committed) return;
+  if (!committed) return note_job_record(job, now);
   if (w.finished) {
     dependency_finished(w.job, {w.record->state, w.record->done.count(), w.record->ended_ms});
     return job_finished(w.job);
   }
   job_stored(*w.record, version, now);
   if (job.done == job.stored.done) job.progress_since.reset();
+  note_job_record(job, now);
 }
 
 }  // namespace sumacquay
--- a/src/dispatch/reports.cpp
+++ b/src/dispatch/reports.cpp
@@ -118,6 +118,7 @@
     m.next_order = now + settings_.report_s;
     for (auto& [key, run] : m.runs) run.stop_sent = false;
   }
+  note_orders(m);
   if (!report || report->machine != id) return;
   if (report->sequence() > m.latest) apply_report(m, *report, false, now);
 }
@@ -192,7 +193,10 @@
   mark_up(m, now);
   m.reclaim_at = r.notice_s ? std::optional<Seconds>(now + *r.notice_s) : std::nullopt;
   const bool current_token = r.token >= token(m);
-  if (current_token && !m.order_in_flight) m.token_confirmed = true;
+  if (current_token && !m.order_in_flight && !m.token_confirmed) {
+    m.token_confirmed = true;
+    note_orders(m);
+  }
   for (const auto& t : r.tasks) apply_task_report(m, t, now);
   if (!current_token) return;
   if (absence_counts) remove_unlisted(m, r, now);
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -166,7 +166,10 @@
     if (!job.next_leader_knows(m.info.id)) job.want_hosts = true;
     add_presence(m, key);
     used_[job.spec().team] += run.need;
+    note_machine_record(m);
+    note_orders(m);
   }
+  note_job_record(job, now);
 }
 
 }  // namespace sumacquay
--- a/src/dispatch/task_runs.cpp
+++ b/src/dispatch/task_runs.cpp
@@ -56,7 +56,9 @@
   const auto m = machines_.find(machine);
   if (m == machines_.end()) return;
   const auto run = m->second.runs.find(key);
-  if (run != m->second.runs.end()) request_stop(run->second, false, now);
+  if (run == m->second.runs.end()) return;
+  request_stop(run->second, false, now);
+  note_orders(m->second);
 }
 
 void LeaderCore::set_phase(Machine& m, const RunKey& key, Run& run, Run::Phase next, Seconds now) {
@@ -92,7 +94,7 @@
          ++t)
       if (t < job->spec().tasks && job->done.add(t) && !job->progress_since)
         job->progress_since = now;
-    return;
+    return note_job_record(*job, now);
   }
   spdlog::info("{}/{} try {} ended on {}: cause {}", key.task.job, key.task.task, key.attempt,
                m.info.id, static_cast<int>(run.cause));
@@ -156,6 +158,7 @@
         remove_run(m->second, key);  // never left this node
       else
         request_stop(run->second, graceful, now);
+      note_orders(m->second);
     }
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -46,7 +46,7 @@
       machine_list_(io, settings, cloud_, core_),
       executor_(io, settings, cloud_, leadership_, core_),
       record_writer_(settings, store_, mirror_, core_,
-                     [this] { asio::post(io_, [this] { tick_core(); }); }),
+                     [this] { asio::post(io_, [this] { on_committed(); }); }),
       delegate_(process_, settings.delegation_after_s(), settings.answers_s()),
       peers_(io, settings, settings.renew_s(), peer_hooks()),
       frontend_(settings, store_, mirror_,
@@ -103,6 +103,14 @@
   next_core_tick_ = ended + kPausePerTickDuration * (ended - began);
 }
 
+/// Records were written that starts waited for, and there is room for the next transaction.
+void Node::on_committed() {
+  if (!settings_.tuning.prompt_dispatch) return tick_core();
+  if (!leads_now()) return;
+  for (const auto& action : core_->dispatch(steady_now())) executor_.perform(action);
+  if (leads_now()) record_writer_.write_wanted();
+}
+
 // ---------------------------------------------------------------- requests
 
 void Node::on_request(const HttpRequest& request, const Respond& respond) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -34,6 +34,7 @@
   double random();
   void tick();
   void tick_core();
+  void on_committed();
   void resign_if_no_worker_reaches_us();
   // requests
   void on_request(const HttpRequest& request, const Respond& respond);
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -1,6 +1,7 @@
 #include "placement/placement.h"
 
 #include <algorithm>
+#include <functional>
 #include <numeric>
 #include <tuple>
 #include <utility>
@@ -39,7 +40,7 @@
 }
 
 /// The best slot stays the best while tasks of the same job are put on it, since each makes it
-/// fuller, and a slot that no longer fits or whose zone is full stays so. Sorting once is therefore
+/// fuller, and a slot that no longer fits or whose zone is full stays so. Ranking once is therefore
 /// the same as looking for the best slot again for each task, at a fraction of the cost.
 std::vector<Placed> greedy(const Demand& d, std::vector<Slot>& slots, Zones zones) {
   using Ranked = std::pair<decltype(rank(slots[0], d)), size_t>;
@@ -47,16 +48,22 @@
   for (size_t i = 0; i < slots.size(); ++i)
     if (slots[i].fits(d.spec->need) && usable(slots[i], d, zones))
       order.emplace_back(rank(slots[i], d), i);
-  std::sort(order.begin(), order.end());
+  // A heap hands out the best slots in order, at the cost of those that are used: of thousands that
+  // fit, a job needs a few.
+  std::make_heap(order.begin(), order.end(), std::greater<>());
   std::vector<Placed> out;
   auto task = d.tasks.begin();
-  for (const auto& [ignored, i] : order)
+  while (task != d.tasks.end() && !order.empty()) {
+    std::pop_heap(order.begin(), order.end(), std::greater<>());
+    const size_t i = order.back().second;
+    order.pop_back();
     while (task != d.tasks.end() && slots[i].fits(d.spec->need) &&
            zone_allows(*d.spec, zones, slots[i].zone)) {
       slots[i].free -= d.spec->need;
       ++zones[slots[i].zone];
       out.push_back({*task++, i});
     }
+  }
   return out;
 }
 
--- /dev/null
+++ b/tests/fleetload_test.cpp
@@ -0,0 +1,150 @@
+// The load tool: its settings, fits and tables, and a small deployment of real controllers through
+// the faults that it causes.
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+#include "fleetload/fit.h"
+#include "fleetload/quantiles.h"
+#include "fleetload/sweep.h"
+
+namespace sumacquay::fleetload {
+namespace {
+
+struct TemporaryDirectory {
+  std::string path = (std::filesystem::temp_directory_path() / "fleetload-test-XXXXXX").string();
+  TemporaryDirectory() { EXPECT_NE(mkdtemp(path.data()), nullptr); }
+  ~TemporaryDirectory() { std::filesystem::remove_all(path); }
+};
+
+/// What the settings are refused with; empty: they are taken.
+std::string refusal_of(const LoadSettings& settings) {
+  try {
+    check_fits_this_machine(settings, "load.conf");
+  } catch (const SettingsError& error) {
+    return error.what();
+  }
+  return "";
+}
+
+TEST(LoadSettings, AreReadCheckedAndNameTheFieldThatIsWrong) {
+  const TemporaryDirectory directory;
+  const std::string path = directory.path + "/load.conf";
+  std::ofstream(path) << "machines = 12 # few\ngang_size = 3\n";
+  const LoadSettings settings = load_settings_file(path);
+  EXPECT_EQ(settings.machines, 12);
+  EXPECT_EQ(settings.gang_size, 3);
+  EXPECT_EQ(settings.tasks(), 48u);
+  std::ofstream(path) << "machines = 1.5\n";
+  EXPECT_THROW(load_settings_file(path), SettingsError);
+  std::ofstream(path) << "maschines = 1\n";
+  EXPECT_THROW(load_settings_file(path), SettingsError);
+  EXPECT_THROW(load_settings_file(directory.path + "/none"), SettingsError);
+}
+
+TEST(LoadSettings, ThatDontFitThisMachineAreRefused) {
+  LoadSettings settings;
+  EXPECT_EQ(refusal_of(settings), "");
+  settings.machines = 60000;
+  settings.tasks_per_machine = 1000;
+  EXPECT_NE(refusal_of(settings).find("machines"), std::string::npos);
+  settings = {};
+  settings.controller_sockets = 999999;
+  EXPECT_NE(refusal_of(settings).find("controller_sockets"), std::string::npos);
+  EXPECT_THROW(check_plan({"no_such_thing", {1}}, {}, "sweep"), SettingsError);
+  EXPECT_THROW(check_plan({"machines", {10, 1e9}}, {}, "sweep"), SettingsError);
+}
+
+TEST(Workload, FillsTheFleetExactly) {
+  LoadSettings settings;
+  settings.machines = 37;
+  settings.gang_size = 5;
+  Workload workload(settings);
+  size_t tasks = 0;
+  size_t gangs = 0;
+  for (const auto& job : workload.filling()) {
+    tasks += job.spec.tasks;
+    if (job.spec.kind == JobKind::Gang) ++gangs;
+  }
+  EXPECT_EQ(tasks, settings.tasks());
+  EXPECT_EQ(gangs, 2u);
+}
+
+TEST(PowerFit, FindsExponentsAndTheirResiduals) {
+  std::vector<double> x;
+  std::vector<double> y;
+  for (const double at : {1, 2, 4, 8, 16}) {
+    x.push_back(at);
+    y.push_back(3 * std::pow(at, 1.7));
+  }
+  const PowerFit exact = fit_power(x, y);
+  EXPECT_NEAR(exact.exponent, 1.7, 1e-9);
+  EXPECT_NEAR(exact.factor, 3, 1e-9);
+  EXPECT_NEAR(exact.residual, 0, 1e-9);
+  EXPECT_NEAR(exact.at(100), 3 * std::pow(100, 1.7), 1e-6);
+  y[2] *= 2;
+  EXPECT_GT(fit_power(x, y).residual, 0.1);
+  EXPECT_EQ(fit_power({1}, {1}).exponent, 0) << "one point has no slope";
+}
+
+TEST(Table, IsReadBackAndKeepsWhatAnInterruptedSweepHas) {
+  const TemporaryDirectory directory;
+  const std::string path = directory.path + "/table.csv";
+  Measurement row;
+  row.quantity = "machines";
+  row.value = row.machines = 400;
+  row.leader_cores = 0.25;
+  append_rows(path, {row});
+  row.value = row.machines = 1600;
+  row.leader_cores = 0.5;
+  append_rows(path, {row});
+  const auto rows = read_table(path);
+  ASSERT_EQ(rows.size(), 2u);
+  EXPECT_EQ(rows[1].machines, 1600);
+  EXPECT_NE(fit_table(rows).find("| leader_cores | 0.5 | 0.5 | "), std::string::npos)
+      << fit_table(rows);
+  // All points are there: nothing is measured, so no program is needed.
+  run_sweep({"machines", {400, 1600}}, {}, {"/no/such/program", directory.path, ""}, path, true);
+  EXPECT_EQ(read_table(path).size(), 2u);
+}
+
+TEST(Quantiles, AreThoseOfWhatWasObserved) {
+  Quantiles quantiles;
+  EXPECT_TRUE(std::isnan(quantiles.quantile(0.5)));
+  for (int i = 1; i <= 1000; ++i) quantiles.observe(i);
+  EXPECT_NEAR(quantiles.quantile(0.5), 500, 20);
+  EXPECT_NEAR(quantiles.quantile(0.99), 990, 10);
+  EXPECT_EQ(quantiles.largest(), 1000);
+}
+
+/// Real controllers on loopback: the leader ends, then a follower, then a zone falls silent.
+TEST(LoopbackDeployment, BreaksNoRuleWhenControllersEndAndAZoneIsSilent) {
+  const TemporaryDirectory directory;
+  LoadSettings settings;
+  settings.machines = 12;
+  settings.controllers = 3;
+  settings.zones = 3;
+  settings.teams = 4;
+  settings.gang_size = 2;
+  settings.report_s = 0.5;
+  settings.lease_s = 6;
+  settings.cancel_s = 14;
+  settings.settle_s = 1;
+  settings.measure_s = 2;
+  settings.first_port = 20900;
+  settings.controller_sockets = 500;
+  Trial trial(settings, {SUMACQUAY_PROGRAM, directory.path, "prompt_dispatch = 1\n"});
+  const Measurement load = trial.measure_load();
+  EXPECT_EQ(load.filled, 1);
+  EXPECT_GT(load.leader_sockets, settings.machines);
+  const auto faults = trial.measure_faults();
+  ASSERT_EQ(faults.size(), 3u);
+  for (const auto& fault : faults) EXPECT_GT(fault.urgent_started, 0) << fault.quantity;
+  EXPECT_EQ(trial.violations(), std::vector<std::string>{});
+}
+
+}  // namespace
+}  // namespace sumacquay::fleetload
--- /dev/null
+++ b/tests/prompt_dispatch_test.cpp
@@ -0,0 +1,328 @@
+// Prompt dispatch: what goes out between two ticks, what must not, and what it costs.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+
+#include "backlog/pending_queue.h"
+#include "dispatch/leader_core.h"
+#include "generators.h"
+#include "world/world.h"
+
+namespace sumacquay {
+namespace {
+
+// ---------------------------------------------------------------- the queue
+
+/// The same queue with a look at everything.
+class PlainQueue {
+ public:
+  void put(const std::string& name, size_t urgency) {
+    const auto known = std::find_if(waiting_.begin(), waiting_.end(),
+                                    [&](const Entry& entry) { return entry.name == name; });
+    if (known != waiting_.end()) {
+      if (known->urgency == urgency) return;
+      waiting_.erase(known);
+    }
+    waiting_.push_back({name, urgency});
+  }
+  std::optional<std::string> pop() {
+    if (waiting_.empty()) return std::nullopt;
+    const auto next =
+        std::min_element(waiting_.begin(), waiting_.end(), [](const Entry& a, const Entry& b) {
+          return a.urgency < b.urgency;  // the first of several, which is the oldest
+        });
+    std::string name = next->name;
+    waiting_.erase(next);
+    return name;
+  }
+  size_t size() const { return waiting_.size(); }
+
+ private:
+  struct Entry {
+    std::string name;
+    size_t urgency = 0;
+  };
+  std::deque<Entry> waiting_;
+};
+
+TEST(PendingQueue, HandsOutNamesOnceByUrgencyAndAge) {
+  EXPECT_TRUE(testing::holds("pending queue", [] {
+    PendingQueue queue;
+    PlainQueue plain;
+    for (int step = *rc::gen::inRange(0, 60); step > 0; --step) {
+      if (*rc::gen::inRange(0, 3) > 0) {
+        const std::string name(1, *rc::gen::inRange('a', 'h'));
+        const auto urgency = *rc::gen::inRange<size_t>(0, PendingQueue::kUrgencies);
+        queue.put(name, urgency);
+        plain.put(name, urgency);
+      } else {
+        RC_ASSERT(queue.pop() == plain.pop());
+      }
+      RC_ASSERT(queue.size() == plain.size());
+    }
+    while (const auto name = plain.pop()) RC_ASSERT(queue.pop() == name);
+    RC_ASSERT(queue.empty());
+  }));
+}
+
+// ---------------------------------------------------------------- the leader
+
+constexpr uint64_t kTerm = 1;
+constexpr uint64_t kToken = kTerm << kTokenCounterBits;
+constexpr double kNow = 1000;
+
+struct PromptLeader : ::testing::Test {
+  Settings settings;
+  MachineType type;
+  std::unique_ptr<LeaderCore> core;
+  uint64_t revision = 100;
+
+  PromptLeader() {
+    settings.report_s = 1;
+    settings.lease_s = 10;
+    settings.tuning.prompt_dispatch = true;
+    TeamSettings team;
+    team.name = "t";
+    settings.teams = {team};
+    type.name = "g";
+    type.room = {4, 4, 16};
+    type.zones = {"e"};
+    core = std::make_unique<LeaderCore>(settings, kTerm, kNow, kNow);
+    core->set_types({type});
+  }
+
+  static JobRecord job(const std::string& id, uint32_t tasks) {
+    JobRecord record;
+    record.spec.id = id;
+    record.spec.team = "t";
+    record.spec.tasks = tasks;
+    record.spec.need = {1, 1, 1};
+    record.submitted_ms = 1;
+    return record;
+  }
+
+  static WorkerReport report(const std::string& machine, uint64_t seq, uint64_t token,
+                             std::vector<TaskReport> tasks = {}) {
+    WorkerReport r;
+    r.machine = machine;
+    r.addr = "10.0.0.2:9";
+    r.type = "g";
+    r.zone = "e";
+    r.session = 1;
+    r.seq = seq;
+    r.token = token;
+    r.tasks = std::move(tasks);
+    return r;
+  }
+
+  void add_machine(const std::string& id) {
+    core->report(report(id, 1, 0), true, kNow);
+    core->report(report(id, 2, kToken), true, kNow);
+  }
+
+  std::vector<RecordWrite> writes(size_t most = 20) { return core->wanted_writes(kNow, most); }
+  void write_all() {
+    for (auto batch = writes(); !batch.empty(); batch = writes())
+      for (const auto& write : batch) core->write_done(write, true, ++revision, kNow);
+  }
+  std::vector<SendOrders> dispatched() {
+    std::vector<SendOrders> out;
+    for (const auto& action : core->dispatch(kNow))
+      if (const auto* order = std::get_if<SendOrders>(&action)) out.push_back(*order);
+    return out;
+  }
+};
+
+TEST_F(PromptLeader, OrdersStartsAsSoonAsTheirRecordsAreWrittenWithoutATick) {
+  add_machine("i-1");
+  core->job_stored(job("job-1", 3), 5, kNow);
+  core->tick(kNow);
+  EXPECT_TRUE(dispatched().empty()) << "nothing of it is durable";
+  write_all();
+  const auto orders = dispatched();
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].commands.size(), 3u);
+  EXPECT_TRUE(dispatched().empty()) << "they are under way";
+}
+
+TEST_F(PromptLeader, OrdersNothingWhileOneOfTheTwoRecordsIsMissing) {
+  add_machine("i-1");
+  core->job_stored(job("job-1", 1), 5, kNow);
+  core->tick(kNow);
+  const auto all = writes();
+  ASSERT_EQ(all.size(), 2u);
+  for (const auto& write : all) {
+    EXPECT_TRUE(dispatched().empty());
+    core->write_done(write, true, ++revision, kNow);
+  }
+  EXPECT_EQ(dispatched().size(), 1u);
+}
+
+TEST_F(PromptLeader, WantsAWriteAgainThatFailedBeforeTheNextRound) {
+  add_machine("i-1");
+  core->job_stored(job("job-1", 1), 5, kNow);
+  core->tick(kNow);
+  const auto first = writes();
+  ASSERT_EQ(first.size(), 2u);
+  EXPECT_TRUE(writes().empty()) << "each is under way once";
+  for (const auto& write : first) core->write_done(write, false, 0, kNow);
+  EXPECT_EQ(writes().size(), 2u);
+}
+
+TEST_F(PromptLeader, StartsNothingWhereAnOrderMayStillBeCarriedOutLate) {
+  add_machine("i-1");
+  core->job_stored(job("job-1", 1), 5, kNow);
+  core->tick(kNow);
+  write_all();
+  ASSERT_EQ(dispatched().size(), 1u);
+  core->job_stored(job("job-2", 1), 5, kNow);
+  core->request_round();
+  core->tick(kNow);
+  write_all();
+  EXPECT_TRUE(dispatched().empty()) << "one order at a time";
+  core->orders_done("i-1", std::nullopt, false, kNow);
+  EXPECT_TRUE(dispatched().empty()) << "the token has been raised and was not shown yet";
+  const double later = kNow + 2 * settings.report_s;
+  core->report(report("i-1", 3, kToken + 1), true, later);
+  EXPECT_EQ(core->dispatch(later).size(), 0u) << "the answer to the report carried the start";
+}
+
+TEST_F(PromptLeader, OrdersStopsOfACancelledJobWithoutATick) {
+  add_machine("i-1");
+  core->job_stored(job("job-1", 1), 5, kNow);
+  core->tick(kNow);
+  write_all();
+  const auto started = dispatched();
+  ASSERT_EQ(started.size(), 1u);
+  const auto attempt = started[0].commands[0].attempt;
+  core->orders_done(
+      "i-1",
+      report("i-1", 3, kToken, {{{"job-1", 0}, attempt, TaskState::Running, ExitCause::None}}),
+      true, kNow);
+  dispatched();
+  JobRecord cancelled = core->jobs().at("job-1").stored;
+  cancelled.state = JobState::Cancelled;
+  core->job_stored(cancelled, ++revision, kNow);
+  const auto stopped = dispatched();
+  ASSERT_EQ(stopped.size(), 1u);
+  EXPECT_EQ(stopped[0].commands[0].verb, Verb::Stop);
+}
+
+TEST_F(PromptLeader, FindsWithTheNextRoundWhatBecameDueByTimeAlone) {
+  add_machine("i-1");
+  core->job_stored(job("job-1", 2), 5, kNow);
+  core->tick(kNow);
+  write_all();
+  const auto orders = dispatched();
+  ASSERT_EQ(orders.size(), 1u);
+  ASSERT_EQ(orders[0].commands.size(), 2u);
+  std::vector<TaskReport> tasks;
+  for (const auto& command : orders[0].commands)
+    tasks.push_back({command.key, command.attempt, TaskState::Running, ExitCause::None});
+  tasks[0].state = TaskState::Exited;
+  tasks[0].cause = ExitCause::Done;
+  core->orders_done("i-1", report("i-1", 3, kToken, tasks), true, kNow);
+  EXPECT_TRUE(writes().empty()) << "progress is written in batches";
+  const double later = kNow + 1.1 * settings.report_s;
+  core->tick(later);
+  const auto progress = core->wanted_writes(later, 20);
+  ASSERT_EQ(progress.size(), 1u);
+  EXPECT_EQ(progress[0].record->done.count(), 1u);
+}
+
+TEST_F(PromptLeader, WritesStartsBeforeProgressAndWhatIsTidiedUp) {
+  add_machine("i-1");
+  JobRecord over = job("job-1", 1);
+  over.state = JobState::Cancelled;
+  core->job_stored(over, 5, kNow);
+  core->job_stored(job("job-2", 1), 6, kNow);
+  core->tick(kNow);
+  std::vector<std::string> jobs;
+  for (const auto& write : writes())
+    if (!write.job.empty()) jobs.push_back(write.job);
+  EXPECT_EQ(jobs, (std::vector<std::string>{"job-2", "job-1"}));
+}
+
+/// Looks at machines and jobs that it takes to start one more task.
+size_t checks_of_one_start(PromptLeader& leader, size_t machines, size_t jobs) {
+  const auto many = [](size_t i) { return std::to_string(1000 + i); };
+  for (size_t i = 0; i < machines; ++i) leader.add_machine("i-" + many(i));
+  for (size_t i = 0; i < jobs; ++i)
+    leader.core->job_stored(PromptLeader::job("job-" + many(i), 1), 5 + i, kNow);
+  leader.core->tick(kNow);
+  leader.write_all();
+  leader.dispatched();
+  leader.core->job_stored(PromptLeader::job("job-1", 1), 500, kNow);
+  leader.core->request_round();
+  leader.core->tick(kNow);
+  const size_t before = leader.core->work().dispatch_checks;
+  leader.write_all();
+  EXPECT_EQ(leader.dispatched().size(), 1u);
+  return leader.core->work().dispatch_checks - before;
+}
+
+TEST_F(PromptLeader, CostsWhatItSendsAndNotALookAtTheFleet) {
+  const size_t machines = 800;
+  const size_t jobs = 400;
+  EXPECT_LE(checks_of_one_start(*this, machines, jobs), 10u);
+}
+
+TEST_F(PromptLeader, IsOffByDefault) {
+  settings.tuning.prompt_dispatch = Tuning{}.prompt_dispatch;
+  add_machine("i-1");
+  core->job_stored(job("job-1", 1), 5, kNow);
+  core->tick(kNow);
+  write_all();
+  EXPECT_TRUE(dispatched().empty());
+  EXPECT_FALSE(core->tick(kNow).empty()) << "with the next tick";
+}
+
+// ---------------------------------------------------------------- several controllers
+
+TEST(PromptDispatch, KeepsTheRulesThroughTroublesOfAllKinds) {
+  size_t starts = 0;
+  size_t terms = 0;
+  constexpr uint64_t kSeeds = 40;
+  for (uint64_t seed = 1; seed <= kSeeds && !::testing::Test::HasFailure(); ++seed) {
+    simulation::WorldOptions options;
+    options.prompt_dispatch = true;
+    options.nominal_boot_s = seed % 2 ? 5 : 60;
+    simulation::World world(7000 + seed, options);
+    world.run(300, 250);
+    EXPECT_EQ(world.checker().violations(), std::vector<std::string>{}) << "seed " << seed;
+    EXPECT_EQ(world.unfinished(), 0u) << "seed " << seed;
+    EXPECT_EQ(world.cancellations_not_recorded(), 0u) << "seed " << seed;
+    starts += world.checker().starts();
+    terms += world.checker().terms();
+  }
+  EXPECT_GT(starts, 2000u);
+  EXPECT_GT(terms, 400u);
+}
+
+TEST(PromptDispatch, LosesAndDoublesNoStartWhenLeadersEndInTheMiddleOfStarting) {
+  constexpr uint64_t kSeeds = 30;
+  size_t starts = 0;
+  for (uint64_t seed = 1; seed <= kSeeds && !::testing::Test::HasFailure(); ++seed) {
+    simulation::WorldOptions options;
+    options.prompt_dispatch = true;
+    options.machines = 8;
+    simulation::World world(seed, options);
+    world.run_until([&] { return world.leader().has_value(); }, 60);
+    // Starts are on their way whenever a leader ends: work comes all the time.
+    for (int round = 0; round < 6; ++round) {
+      for (int i = 0; i < 4; ++i) world.users().submit_any();
+      world.run_for(world.between(0.1, 1.5));
+      world.faults().end_process(world.leader_or_first(), world.between(0.2, 10));
+      world.run_for(world.between(1, 6));
+    }
+    world.finish();
+    EXPECT_EQ(world.checker().violations(), std::vector<std::string>{}) << "seed " << seed;
+    EXPECT_EQ(world.unfinished(), 0u) << "seed " << seed;
+    starts += world.checker().starts();
+  }
+  EXPECT_GT(starts, 300u);
+}
+
+}  // namespace
+}  // namespace sumacquay
--- a/tests/world/controller_process.h
+++ b/tests/world/controller_process.h
@@ -121,6 +121,7 @@
   void tell_finished_dependencies();
   void read_unknown_dependencies();
   void write_records();
+  void dispatch();
   void records_written(const std::vector<RecordWrite>& writes, const StateReply& reply);
   void apply_written(const RecordWrite& write, uint64_t revision);
 
--- a/tests/world/controller_records.cpp
+++ b/tests/world/controller_records.cpp
@@ -148,7 +148,8 @@
   for (const auto& write : writes) core_->write_done(write, committed, reply.revision, env_.now());
   if (committed) {
     writing_ = false;
-    return core_->request_round();
+    core_->request_round();
+    return dispatch();
   }
   // It failed, or nobody knows: what the records say now decides what is still to be written.
   read_records([generation = generation_](ControllerProcess& me, bool) {
@@ -156,6 +157,14 @@
   });
 }
 
+/// As the node does with prompt dispatch once a transaction has been carried out.
+void ControllerProcess::dispatch() {
+  if (!settings().tuning.prompt_dispatch || !leads()) return;
+  for (const auto& action : core_->dispatch(env_.now()))
+    std::visit([this](const auto& what) { perform(what); }, action);
+  write_records();
+}
+
 void ControllerProcess::apply_written(const RecordWrite& write, uint64_t revision) {
   if (!write.host.empty()) {
     if (write.host_record)
--- a/tests/world/options.cpp
+++ b/tests/world/options.cpp
@@ -24,6 +24,7 @@
   settings.cancel_s = options.cancel_s;
   settings.list_lag_s = 2;
   settings.state_txn_ops = 12;
+  settings.tuning.prompt_dispatch = options.prompt_dispatch;
   settings.zones = machine_type(options).zones;
   TeamSettings limited;
   limited.name = kLimitedTeam;
--- a/tests/world/options.h
+++ b/tests/world/options.h
@@ -27,6 +27,7 @@
   Seconds boot_least = 2, boot_most = 6;
   Seconds task_least = 2, task_most = 15;
   Seconds fetch_least = 0.1, fetch_most = 1;
+  bool prompt_dispatch = false;
   double open_team_gpus = 0;  ///< what the team without a quota is guaranteed
 };
 
