--- a/src/backlog/pending_queue.cpp
+++ b/src/backlog/pending_queue.cpp
@@ -17,7 +17,7 @@
 }
 
 std::optional<std::string> PendingQueue::pop() {
-  const auto names =
+  auto* const names =
       std::find_if(names_.begin(), names_.end(), [](const Names& n) { return !n.empty(); });
   if (names == names_.end()) return std::nullopt;
   std::string name = std::move(names->front());
--- a/src/config/tuning.cpp
+++ b/src/config/tuning.cpp
@@ -15,6 +15,7 @@
                 {"round", &tuning.round, {0.01, 2}},
                 {"suspect", &tuning.suspect, {0.1, 1}},
                 {"idle", &tuning.idle, {0, 100}},
+                {"rent", &tuning.rent, {0, 1}},
                 {"headroom", &tuning.headroom, {0, 100}},
                 {"sockets", &tuning.sockets, {0.1, 0.7}},
                 {"prompt_dispatch", &prompt_dispatch, {0, 1}, true},
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -269,6 +269,7 @@
 
   // renting.cpp
   void provision(Seconds now, std::vector<Action>& out);
+  void request_machines(const Rental& rental, std::vector<Action>& out);
   std::vector<Offer> offers(Seconds now) const;
   Seconds longest_boot() const;
 
--- a/src/dispatch/releases.cpp
+++ b/src/dispatch/releases.cpp
@@ -1,4 +1,3 @@
-// Which machines are returned to the cloud: idle ones, and those that were given up.
 // Machines that are given back: idle ones and those that were given up.
 #include <spdlog/spdlog.h>
 
--- a/src/dispatch/renting.cpp
+++ b/src/dispatch/renting.cpp
@@ -1,4 +1,3 @@
-// Which machines are rented: for demands that found no room, and ahead of arrivals.
 // Machines that are rented: for what found no room, and ahead of what will arrive.
 #include <spdlog/spdlog.h>
 
@@ -9,8 +8,10 @@
 namespace sumacquay {
 namespace {
 
-/// The most machines rented at once.
-constexpr int kMostRented = 12;
+/// So many machines may be rented at once in any fleet.
+constexpr int kFewRented = 12;
+/// The protocol's limit on one request.
+constexpr int kMostOfARequest = 50;
 
 }  // namespace
 
@@ -47,8 +48,15 @@
     }
     if (!d.tasks.empty()) unplaced_.push_back(std::move(d));
   }
-  for (const auto& r : rentals(unplaced_, booting, offers(now), kMostRented)) {
-    Rent rent = rental_requests_.open({r.type, r.zone, r.spot}, r.count);
+  const auto share = static_cast<int>(settings_.tuning.rent * static_cast<double>(up.size()));
+  for (const auto& r : rentals(unplaced_, booting, offers(now), std::max(kFewRented, share)))
+    request_machines(r, out);
+}
+
+void LeaderCore::request_machines(const Rental& rental, std::vector<Action>& out) {
+  for (int left = rental.count; left > 0; left -= kMostOfARequest) {
+    Rent rent = rental_requests_.open({rental.type, rental.zone, rental.spot},
+                                      std::min(left, kMostOfARequest));
     spdlog::info("rents {} {} in {}{}", rent.count, rent.type, rent.zone,
                  rent.spot ? " (spot)" : "");
     out.emplace_back(std::move(rent));
--- a/src/fleetload/controller_process.cpp
+++ b/src/fleetload/controller_process.cpp
@@ -13,8 +13,6 @@
 #include <system_error>
 #include <utility>
 
-extern char** environ;
-
 namespace sumacquay::fleetload {
 namespace {
 
--- a/src/fleetload/sweep.cpp
+++ b/src/fleetload/sweep.cpp
@@ -13,8 +13,6 @@
 
 #include "fleetload/fit.h"
 
-extern char** environ;
-
 namespace sumacquay::fleetload {
 namespace {
 
--- a/src/fleetload/trial.h
+++ b/src/fleetload/trial.h
@@ -65,7 +65,7 @@
   bool run_until(const std::function<bool()>& reached, Seconds most);
   /// Which controller leads, by the record in the state service.
   std::optional<size_t> leader() const;
-  void on_task_running(const std::string& job);
+  void on_task_running(const std::string& id);
   void require_running();
 
   LoadSettings settings_;
--- a/src/fleetload/workload.cpp
+++ b/src/fleetload/workload.cpp
@@ -1,6 +1,7 @@
 #include "fleetload/workload.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 
 #include "fleetload/controller_settings.h"
@@ -16,9 +17,9 @@
 
 std::string job_id(size_t number) {
   constexpr size_t kNameBytes = 32;
-  char name[kNameBytes];
-  std::snprintf(name, sizeof name, "job-%08zu", number);
-  return name;
+  std::array<char, kNameBytes> name{};
+  std::snprintf(name.data(), name.size(), "job-%08zu", number);
+  return name.data();
 }
 
 }  // namespace
--- a/src/standin/cloud_server.cpp
+++ b/src/standin/cloud_server.cpp
@@ -87,7 +87,7 @@
   if (known != answered_rents_.end()) return {kOk, rented_body(known->second), 0};
   const size_t used = in_use();
   const size_t left = options_.most_machines > used ? options_.most_machines - used : 0;
-  const size_t count = std::min<size_t>({left, rent->count, kMostRented});
+  const auto count = std::min<size_t>({left, rent->count, kMostRented});
   if (count == 0) return {kUnavailable, wire::error_body("no capacity"), 0};
   std::vector<std::string> ids;
   for (size_t i = 0; i < count; ++i) {
--- a/src/standin/hollow_fleet.cpp
+++ b/src/standin/hollow_fleet.cpp
@@ -1,5 +1,6 @@
 #include "standin/hollow_fleet.h"
 
+#include <array>
 #include <cstdio>
 #include <utility>
 
@@ -39,9 +40,9 @@
 
 std::string HollowFleet::next_id() {
   constexpr size_t kNameBytes = 32;
-  char name[kNameBytes];
-  std::snprintf(name, sizeof name, "i-%06llu", static_cast<unsigned long long>(created_++));
-  return name;
+  std::array<char, kNameBytes> name{};
+  std::snprintf(name.data(), name.size(), "i-%06llu", static_cast<unsigned long long>(created_++));
+  return name.data();
 }
 
 std::string HollowFleet::address_of(const std::string& id) const {
--- a/src/standin/hollow_worker.cpp
+++ b/src/standin/hollow_worker.cpp
@@ -1,7 +1,6 @@
 #include "standin/hollow_worker.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 #include "node/steady_time.h"
@@ -30,7 +29,8 @@
 constexpr int kConflict = 409;
 constexpr int kMisdirected = 421;
 
-constexpr Seconds kFarFuture = std::numeric_limits<Seconds>::infinity();
+/// Later than anything that happens.
+constexpr Seconds kFarFuture = 1e12;
 
 HttpLimits order_limits() {
   HttpLimits limits;
@@ -229,24 +229,29 @@
   const Seconds now = steady_now();
   report_under_way_ = false;
   context_.counts.bytes_in += result.body.size() + (result.answered ? kHeadBytes : 0);
-  if (silent_ || !result.answered) {
-    turn_to_next(now);
-  } else if (result.status == kMisdirected) {
+  const bool heard = !silent_ && result.answered;
+  if (heard && result.status == kMisdirected) {
     ++context_.counts.redirects;
     turn_to(parse_redirect(result.body), now);
-  } else if (!result.ok()) {
+  } else if (!heard || !result.ok()) {
     turn_to_next(now);
-  } else if (const auto orders = parse_orders(result.body);
-             orders && session == state_.session && orders->token >= state_.token) {
-    ++context_.counts.reports_answered;
-    if (orders->token > state_.token) report_soon(now);
-    state_.raise_token(orders->token);
-    state_.answered_report = sent_at;
-    execute(orders->commands, now);
+  } else if (session == state_.session) {
+    hear_leader(result.body, sent_at, now);
   }
   wake_later();
 }
 
+/// A 200 renews the lease, unless its token is older than one that was seen.
+void HollowWorker::hear_leader(const std::string& body, Seconds sent_at, Seconds now) {
+  const auto orders = parse_orders(body);
+  if (!orders || orders->token < state_.token) return;
+  ++context_.counts.reports_answered;
+  if (orders->token > state_.token) report_soon(now);
+  state_.raise_token(orders->token);
+  state_.answered_report = sent_at;
+  execute(orders->commands, now);
+}
+
 void HollowWorker::turn_to(const std::string& controller, Seconds now) {
   const auto& names = context_.controller_names;
   const auto named = std::find(names.begin(), names.end(), controller);
--- a/src/standin/hollow_worker.h
+++ b/src/standin/hollow_worker.h
@@ -80,6 +80,7 @@
   void report_soon(Seconds now);
   void send_report(Seconds now);
   void on_answer(const HttpResult& result, Seconds sent_at, uint64_t session);
+  void hear_leader(const std::string& body, Seconds sent_at, Seconds now);
   void turn_to(const std::string& controller, Seconds now);
   void turn_to_next(Seconds now);
   void on_orders(const HttpRequest& request, const Respond& respond);
--- a/src/standin/rule_checker.h
+++ b/src/standin/rule_checker.h
@@ -22,11 +22,11 @@
   /// A task that was there is gone, or its whole machine is.
   void task_left(const WorkerState& worker, const TaskKey& key);
   /// A user was told how a job stands.
-  void user_told_done(const std::string& job, Seconds now);
-  void user_told_cancelled(const std::string& job, Seconds now);
-  void user_told_unfinished(const std::string& job, Seconds asked_at);
+  void user_told_done(const std::string& id, Seconds now);
+  void user_told_cancelled(const std::string& id, Seconds now);
+  void user_told_unfinished(const std::string& id, Seconds asked_at);
   /// A user was told that there is no such job, though it had been accepted.
-  void user_told_unknown(const std::string& job, Seconds now);
+  void user_told_unknown(const std::string& id, Seconds now);
   /// Looks for tasks of cancelled jobs that are still on a machine.
   void check_cancelled(Seconds now);
 
--- a/src/standin/users.cpp
+++ b/src/standin/users.cpp
@@ -43,7 +43,7 @@
   });
 }
 
-void Users::submit(const SubmittedJob& job, std::function<void(Seconds)> accepted) {
+void Users::submit(const SubmittedJob& job, const std::function<void(Seconds)>& accepted) {
   SubmittedJob& known = jobs_[job.spec.id] = job;
   known.submitted_at = steady_now();
   send_submission(job.spec.id, accepted);
--- a/src/standin/users.h
+++ b/src/standin/users.h
@@ -28,7 +28,7 @@
   ~Users();
 
   /// Submits a job until it is accepted. `accepted` hears how long that took.
-  void submit(const SubmittedJob& job, std::function<void(Seconds)> accepted = nullptr);
+  void submit(const SubmittedJob& job, const std::function<void(Seconds)>& accepted = nullptr);
   /// Cancels a job until that is confirmed.
   void cancel(const std::string& id);
   /// Asks about this many jobs a second that are not over, in turn.
--- a/tests/prompt_dispatch_test.cpp
+++ b/tests/prompt_dispatch_test.cpp
@@ -116,17 +116,19 @@
     return r;
   }
 
-  void add_machine(const std::string& id) {
+  void add_machine(const std::string& id) const {
     core->report(report(id, 1, 0), true, kNow);
     core->report(report(id, 2, kToken), true, kNow);
   }
 
-  std::vector<RecordWrite> writes(size_t most = 20) { return core->wanted_writes(kNow, most); }
+  std::vector<RecordWrite> writes(size_t most = 20) const {
+    return core->wanted_writes(kNow, most);
+  }
   void write_all() {
     for (auto batch = writes(); !batch.empty(); batch = writes())
       for (const auto& write : batch) core->write_done(write, true, ++revision, kNow);
   }
-  std::vector<SendOrders> dispatched() {
+  std::vector<SendOrders> dispatched() const {
     std::vector<SendOrders> out;
     for (const auto& action : core->dispatch(kNow))
       if (const auto* order = std::get_if<SendOrders>(&action)) out.push_back(*order);
@@ -278,6 +280,31 @@
   EXPECT_FALSE(core->tick(kNow).empty()) << "with the next tick";
 }
 
+/// Machines in each request for a hundred full machines and work for more than that again.
+std::vector<int> rented_by(const LeaderCore& core, const std::vector<Action>& actions) {
+  EXPECT_EQ(core.machines().size(), 100u);
+  std::vector<int> counts;
+  for (const auto& action : actions)
+    if (const auto* rent = std::get_if<Rent>(&action)) counts.push_back(rent->count);
+  return counts;
+}
+
+TEST_F(PromptLeader, RentsAtThePaceOfTheFleetInRequestsThatTheCloudTakes) {
+  for (int i = 0; i < 100; ++i) add_machine("i-" + std::to_string(1000 + i));
+  core->job_stored(job("job-1", 400), 5, kNow);
+  core->job_stored(job("job-2", 480), 6, kNow);
+  settings.tuning.rent = 0.7;
+  const auto requests = rented_by(*core, core->tick(kNow));
+  EXPECT_EQ(requests, (std::vector<int>{50, 20}));
+}
+
+TEST_F(PromptLeader, RentsAFewAtOnceUnlessToldOtherwise) {
+  for (int i = 0; i < 100; ++i) add_machine("i-" + std::to_string(1000 + i));
+  core->job_stored(job("job-1", 400), 5, kNow);
+  core->job_stored(job("job-2", 480), 6, kNow);
+  EXPECT_EQ(rented_by(*core, core->tick(kNow)), std::vector<int>{12});
+}
+
 // ---------------------------------------------------------------- several controllers
 
 TEST(PromptDispatch, KeepsTheRulesThroughTroublesOfAllKinds) {
