Stand-ins: what nobody uses is gone

Need: a last look at the change found a listener, two members, a factor of one and a second name for the same body, none of them used. The controller is untouched.

--- a/src/fleetload/trial.h
+++ b/src/fleetload/trial.h
@@ -83,10 +83,9 @@
   Workload workload_;
   asio::steady_timer urgent_timer_;
   bool urgent_on_ = false;
-  Quantiles urgent_waits_, accept_times_;
+  Quantiles accept_times_;
   std::unique_ptr<Quantiles> urgent_of_phase_;
   size_t urgent_submitted_ = 0;
-  std::string urgent_prefix_;
 };
 
 }  // namespace sumacquay::fleetload
--- a/src/fleetload/workload.cpp
+++ b/src/fleetload/workload.cpp
@@ -72,7 +72,6 @@
 }
 
 MachineType machine_type_of(const LoadSettings& settings) {
-  constexpr double kBootRatio = 1;
   MachineType type;
   type.name = "gpu-" + std::to_string(static_cast<int>(settings.tasks_per_machine));
   type.room = Amounts{kCpusPerTask, 1, kMemoryPerTask}.times(settings.tasks_per_machine);
@@ -80,7 +79,7 @@
   type.fetch_gb_per_s = 10;
   type.price = settings.tasks_per_machine;
   type.spot_price = type.price / 3;
-  type.boot_s = settings.boot_s * kBootRatio;
+  type.boot_s = settings.boot_s;
   for (size_t zone = 0; zone < static_cast<size_t>(settings.zones); ++zone)
     type.zones.push_back(zone_name(zone));
   return type;
--- a/src/standin/messages.cpp
+++ b/src/standin/messages.cpp
@@ -226,10 +226,6 @@
   return {buffer.data(), buffer.size()};
 }
 
-std::string missing_body(uint64_t revision) {
-  return revision_body(revision);
-}
-
 std::string items_body(const std::vector<StoredChange>& items, bool more, uint64_t revision) {
   Buffer buffer;
   Packer packer(buffer);
--- a/src/standin/messages.h
+++ b/src/standin/messages.h
@@ -56,7 +56,6 @@
 };
 std::optional<StoreTransaction> parse_transaction(std::string_view body);
 std::string item_body(const StoredChange& item);
-std::string missing_body(uint64_t revision);
 std::string items_body(const std::vector<StoredChange>& items, bool more, uint64_t revision);
 std::string changes_body(const std::vector<StoredChange>& changes, uint64_t revision);
 std::string revision_body(uint64_t revision);
--- a/src/standin/state_server.cpp
+++ b/src/standin/state_server.cpp
@@ -66,11 +66,6 @@
   return *item->value;
 }
 
-void StateServer::set_listener(
-    std::function<void(const std::string& key, const std::string& value)> listener) {
-  listener_ = std::move(listener);
-}
-
 void StateServer::handle(const HttpRequest& request, const Respond& respond) {
   ++counts_.requests;
   counts_.bytes_in += request.body.size();
@@ -110,14 +105,12 @@
     return {kConflict, conflict_body(store_.failed_guards(transaction->guards), store_.revision()),
             0};
   store_.trim_log(kMostLogged);
-  if (listener_)
-    for (const auto& change : transaction->changes) listener_(change.key, change.value);
   return {kOk, revision_body(*revision), 0};
 }
 
 HttpReply StateServer::read(const HttpRequest& request) const {
   const auto* item = store_.find(key_of(request));
-  if (!item) return {kNotFound, missing_body(store_.revision()), 0};
+  if (!item) return {kNotFound, revision_body(store_.revision()), 0};
   return {kOk, item_body(stored(*item)), 0};
 }
 
--- a/src/standin/state_server.h
+++ b/src/standin/state_server.h
@@ -1,9 +1,7 @@
 #pragma once
 #include <asio.hpp>
-#include <functional>
 #include <list>
 #include <memory>
-#include <random>
 #include <string>
 
 #include "config/settings.h"
@@ -39,8 +37,6 @@
   /// The encoded value of a key, none if there is no such key.
   std::optional<std::string> value(const std::string& key) const;
   size_t keys() const { return store_.items().size(); }
-  /// Called with each change that is carried out.
-  void set_listener(std::function<void(const std::string& key, const std::string& value)> listener);
 
  private:
   using Store = KeyValueStore<std::string>;
@@ -71,7 +67,6 @@
   RateLimit requests_, writes_;
   StateServerCounts counts_;
   std::list<Watch> watches_;
-  std::function<void(const std::string&, const std::string&)> listener_;
   asio::steady_timer timer_;
   HttpServer server_;
 };
