--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <sstream>
 
+#include "config/socket_budget.h"
 #include "config/toml_table.h"
 
 namespace sumacquay {
@@ -22,7 +23,7 @@
 constexpr SettingRange kCloudRateRange{0.01, kMostAmount};
 constexpr SettingRange kValueSizeRange{1, 1e6};
 constexpr SettingRange kTransactionOpsRange{2, 1e6};
-constexpr SettingRange kSocketsRange{32, kMostAmount};
+constexpr SettingRange kSocketsRange{1, kMostAmount};  ///< the least depends on the peers
 
 toml::table parse_toml(const std::string& text, const std::string& source) {
   try {
@@ -144,6 +145,7 @@
   settings.cloud = services.endpoint("cloud");
   settings.state = services.endpoint("state");
   read_params(root.child("params"), settings);
+  check_sockets(settings, source);
   return settings;
 }
 
--- /dev/null
+++ b/src/config/socket_budget.cpp
@@ -0,0 +1,88 @@
+#include "config/socket_budget.h"
+
+#include <algorithm>
+
+#include "config/settings_error.h"
+
+namespace sumacquay {
+namespace {
+
+/// The part of all sockets that orders to workers may keep.
+constexpr double kOrderShare = 0.2;
+/// The part of the served connections that is left for those that come and go.
+constexpr double kTurnoverShare = 0.1;
+/// The part of the connections that only tells peers to come back.
+constexpr double kRefusalShare = 0.05;
+/// The part of the served connections that users' requests may hold while they are handled: in an
+/// outage of the state service they hold them for long, and workers must not lose their leases.
+constexpr double kUserShare = 0.75;
+
+/// A handful of workers, and orders to some of them at once.
+constexpr size_t kFewestServed = 16;
+constexpr size_t kFewestOrders = 4;
+constexpr size_t kFewestTurnover = 4;
+constexpr size_t kFewestRefusals = 2;
+
+constexpr const char* kField = "params.quota.fd_limit";
+
+size_t share_of(size_t whole, double share, size_t least) {
+  return std::max(least, static_cast<size_t>(share * static_cast<double>(whole)));
+}
+
+size_t less(size_t whole, size_t part) {
+  return whole > part ? whole - part : 0;
+}
+
+size_t fixed_for(size_t peers) {
+  using namespace fixed_sockets;
+  const size_t state = kUrgentStateConnections + kStateConnections + kWatchConnections;
+  const size_t per_peer = kClientConnectionsPerPeer + kServerConnectionsPerPeer;
+  return state + kCloudConnections + peers * per_peer + kServerConnectionsSpare + kOfTheProcess;
+}
+
+size_t all_sockets(const Settings& settings) {
+  return static_cast<size_t>(settings.max_sockets);
+}
+
+/// What is left beside the fixed sockets and the orders, and no more than the operators' share.
+size_t sockets_to_serve(const Settings& settings, const SocketBudget& budget) {
+  const size_t sockets = all_sockets(settings);
+  const size_t left = less(sockets, budget.fixed + budget.orders);
+  return std::min(left, share_of(sockets, settings.tuning.sockets, kFewestServed));
+}
+
+}  // namespace
+
+SocketBudget socket_budget(const Settings& settings) {
+  SocketBudget budget;
+  budget.fixed = fixed_for(settings.peers.size());
+  budget.orders = share_of(all_sockets(settings), kOrderShare, kFewestOrders);
+  budget.served_and_refused = sockets_to_serve(settings, budget);
+  budget.refusals = share_of(budget.served_and_refused, kRefusalShare, kFewestRefusals);
+  const size_t served = less(budget.served_and_refused, budget.refusals);
+  budget.kept_open = less(served, share_of(served, kTurnoverShare, kFewestTurnover));
+  budget.users_in_progress = share_of(served, kUserShare, 1);
+  return budget;
+}
+
+void check_sockets(const Settings& settings, const std::string& source) {
+  const SocketBudget budget = socket_budget(settings);
+  if (budget.served_and_refused >= kFewestServed) return;
+  refuse_setting(source, kField,
+                 "too few: " + std::to_string(settings.peers.size()) +
+                     " peers, the state service and the cloud take " +
+                     std::to_string(budget.fixed) + " and orders " + std::to_string(budget.orders) +
+                     ", which leaves less than " + std::to_string(kFewestServed) + " for workers");
+}
+
+std::optional<std::string> cost_of_few_sockets(const Settings& settings,
+                                               const SocketBudget& budget) {
+  const size_t asked_for = share_of(all_sockets(settings), settings.tuning.sockets, kFewestServed);
+  if (budget.served_and_refused >= asked_for) return std::nullopt;
+  return std::string(kField) + ": " + std::to_string(all_sockets(settings)) +
+         " sockets are few for " + std::to_string(settings.peers.size()) + " peers: beyond " +
+         std::to_string(budget.kept_open) +
+         " connections, users and workers connect anew for each request";
+}
+
+}  // namespace sumacquay
--- /dev/null
+++ b/src/config/socket_budget.h
@@ -0,0 +1,48 @@
+#pragma once
+#include <cstddef>
+#include <optional>
+#include <string>
+
+#include "config/settings.h"
+
+/// How the sockets that the platform gives a controller are shared out. Every part of the node that
+/// opens sockets takes its share from here, so that none lives at the cost of another.
+namespace sumacquay {
+
+/// Sockets that a node needs whatever the size of the fleet.
+namespace fixed_sockets {
+inline constexpr size_t kUrgentStateConnections = 3;
+inline constexpr size_t kStateConnections = 8;
+inline constexpr size_t kWatchConnections = 2;
+inline constexpr size_t kCloudConnections = 4;
+inline constexpr size_t kClientConnectionsPerPeer = 2;
+inline constexpr size_t kServerConnectionsPerPeer = 4;
+/// For whoever mistakes the address that peers use.
+inline constexpr size_t kServerConnectionsSpare = 8;
+/// Two listening sockets, the standard streams, and what the event loop needs.
+inline constexpr size_t kOfTheProcess = 8;
+}  // namespace fixed_sockets
+
+/// The shares of one node. `kept_open` and `refusals` are parts of `served_and_refused`.
+struct SocketBudget {
+  size_t fixed = 0;               ///< for the state service, the cloud, the peers and the process
+  size_t served_and_refused = 0;  ///< connections of users and workers
+  size_t refusals = 0;            ///< of these, for those that are only refused
+  size_t kept_open = 0;           ///< of these, between requests
+  size_t users_in_progress = 0;   ///< users' requests that are being handled
+  size_t orders = 0;              ///< connections to workers
+};
+
+/// Shares out `settings.max_sockets`.
+SocketBudget socket_budget(const Settings& settings);
+
+/// Throws SettingsError, with `source` as the file, if the sockets can't serve a handful of
+/// workers.
+void check_sockets(const Settings& settings, const std::string& source);
+
+/// What operators are to know of a budget that works, but not as well as the platform's other
+/// settings let expect. None if there is nothing to say.
+std::optional<std::string> cost_of_few_sockets(const Settings& settings,
+                                               const SocketBudget& budget);
+
+}  // namespace sumacquay
--- a/src/dispatch/leader_core.cpp
+++ b/src/dispatch/leader_core.cpp
@@ -21,8 +21,16 @@
       last_event_(now),
       listening_since_(now),
       delegations_(term, settings.delegation_after_s()),
+      numbers_(term),
       rental_requests_(term) {}
 
+/// Ends whatever was ordered under the token before, however late it arrives.
+void LeaderCore::raise_token(Machine& m) {
+  ++m.counter;
+  m.token_confirmed = false;
+  numbers_.note_token(m.counter);
+}
+
 const Job* LeaderCore::find_job(const std::string& id) const {
   const auto it = jobs_.find(id);
   return it == jobs_.end() ? nullptr : &it->second;
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -20,6 +20,7 @@
 #include "jobs/guarantees.h"
 #include "jobs/record.h"
 #include "leadership/delegation.h"
+#include "leadership/term_numbers.h"
 #include "placement/placement.h"
 #include "provision/provision.h"
 
@@ -103,6 +104,10 @@
   /// Whether no worker gets through to this node any more, so that another should lead.
   bool no_worker_reaches_us(Seconds now) const;
 
+  /// Whether this term has few numbers left for attempts or for a machine's tokens. They are never
+  /// used twice, and those past the end are a later leader's: the node is to get a new term.
+  bool term_nearly_used_up() const { return numbers_.nearly_used_up(); }
+
   /// What rounds cost, in things done: grows with what happens, not with who waits.
   struct Work {
     size_t rounds = 0, victim_lists = 0;
@@ -123,13 +128,12 @@
 
  private:
   // leader_core.cpp
-  /// Attempts and tokens carry the term in their upper part, so no later leader repeats one.
-  uint64_t new_attempt() { return (term_ << kTokenCounterBits) | next_attempt_++; }
-  uint64_t token(const Machine& m) const { return (term_ << kTokenCounterBits) | m.counter; }
+  uint64_t token(const Machine& m) const { return numbers_.token(m.counter); }
   const Job* find_job(const std::string& id) const;
   Job* find_job(const std::string& id);
   const MachineType* type(const std::string& name) const;
   void note_running(Seconds now);
+  void raise_token(Machine& m);
 
   // record_writes.cpp
   enum class WriteUrgency { Start, Done, Progress, Finished, None };  ///< the most urgent first
@@ -224,6 +228,8 @@
   void round(Seconds now);
   std::vector<Slot> picture(Seconds now, bool booting) const;
   bool picture_settled(Seconds now) const;
+  /// The most tasks of an array or a service that a round looks at.
+  size_t tasks_a_round() const;
   std::optional<Demand> demand(Job& job, size_t most);
   bool fetch_hurts(const Job& job) const;
   void place_warm(Job& job, Demand& demand, std::vector<Slot>& slots, Seconds now);
@@ -291,7 +297,7 @@
   Seconds
       listening_since_;  ///< the takeover, later by all pauses since: nobody is silent for longer
   Delegations delegations_;
-  uint64_t next_attempt_ = 1;
+  TermNumbers numbers_;
   size_t unaccounted_ = 0;  ///< machines of the takeover that have not told what they have
   std::unordered_map<std::string, Job> jobs_;
   DependencyGraph dependencies_;
--- a/src/dispatch/reports.cpp
+++ b/src/dispatch/reports.cpp
@@ -113,8 +113,7 @@
   if (!executed) {
     // The order may still be executed, minutes later: a raised token ends that, and until the
     // worker has shown it nothing new is started there and nothing counts as gone.
-    ++m.counter;
-    m.token_confirmed = false;
+    raise_token(m);
     m.next_order = now + settings_.report_s;
     for (auto& [key, run] : m.runs) run.stop_sent = false;
   }
--- a/src/dispatch/rounds.cpp
+++ b/src/dispatch/rounds.cpp
@@ -11,8 +11,11 @@
 /// Silence after which nothing new is started on a machine / report period. Reports come up to a
 /// quarter late, and one may be lost and sent again.
 constexpr double kSilence = 2.5;
-/// Tasks of one array that a round looks at: more than any fleet of this kind starts at once.
-constexpr size_t kMostTasks = 500;
+/// Tasks of one array that a round looks at: so many in any fleet, in a large one so many for each
+/// machine. It keeps a round from looking at all tasks of an array that no fleet could start at
+/// once; the next round looks at the next ones.
+constexpr size_t kTasksInAnyFleet = 500;
+constexpr size_t kTasksPerMachine = 4;
 
 }  // namespace
 
@@ -90,13 +93,17 @@
   }
 }
 
+size_t LeaderCore::tasks_a_round() const {
+  return std::max(kTasksInAnyFleet, kTasksPerMachine * machines_.size());
+}
+
 std::optional<Demand> LeaderCore::demand(Job& job, size_t most) {
   Demand d;
   d.spec = &job.spec();
   const bool gang = job.spec().kind == JobKind::Gang;
   if (gang && most < job.spec().tasks) return std::nullopt;
   if (!gang && at_fault(job)) most = std::min<size_t>(most, 1);
-  const size_t limit = gang ? job.spec().tasks : std::min(most, kMostTasks);
+  const size_t limit = gang ? job.spec().tasks : std::min(most, tasks_a_round());
   auto there = job.placements.begin();  // both in order: one pass over what is somewhere
   for (uint32_t t = job.done.next_missing(0); t < job.spec().tasks && d.tasks.size() < limit;
        t = job.done.next_missing(t + 1)) {
@@ -125,7 +132,7 @@
   victims_.reset();
   auto slots = picture(now, false);
   for (Job* job : waiting(now)) {
-    const size_t left = quota_left(*job);
+    const size_t left = std::min(quota_left(*job), numbers_.attempts_left());
     auto d = left > 0 ? demand(*job, left) : std::nullopt;
     if (!d) continue;
     if (d->image_first && !at_fault(*job)) place_warm(*job, *d, slots, now);
@@ -151,11 +158,11 @@
                               const std::vector<Slot>& slots, Seconds now) {
   if (placed.empty()) return;
   const bool gang = job.spec().kind == JobKind::Gang;
-  if (gang) job.gang_attempt = new_attempt();
+  if (gang) job.gang_attempt = numbers_.new_attempt();
   job.want_started = true;
   for (const auto& p : placed) {
     Machine& m = machines_.at(slots[p.slot].machine);
-    const RunKey key{{job.spec().id, p.task}, gang ? job.gang_attempt : new_attempt()};
+    const RunKey key{{job.spec().id, p.task}, gang ? job.gang_attempt : numbers_.new_attempt()};
     spdlog::debug("{}/{} try {} placed on {}", key.task.job, key.task.task, key.attempt, m.info.id);
     Run& run = m.runs[key];
     run.placed_at = now;
--- a/src/fleet/report.h
+++ b/src/fleet/report.h
@@ -30,6 +30,8 @@
 
 /// A token is the term of the leader that gave it, and below it a counter of the worker's own.
 inline constexpr int kTokenCounterBits = 20;
+/// The first number that no longer fits below a term.
+inline constexpr uint64_t kTokenCounterEnd = uint64_t{1} << kTokenCounterBits;
 inline uint64_t term_of_token(uint64_t token) {
   return token >> kTokenCounterBits;
 }
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -18,6 +18,8 @@
 /// names of the jobs that it depends on.
 constexpr double kDescriptionShare = 0.5;
 constexpr double kDependenciesShare = 0.9;
+/// The limit on requests in progress at its lowest / at its highest.
+constexpr double kFewestInProgress = 1.0 / 14;
 
 void later_please(const Respond& respond, int status = 503) {
   respond({status, wire::error_body("try again later"), 1});
@@ -37,12 +39,14 @@
 
 }  // namespace
 
-Frontend::Frontend(const Settings& settings, StoreClient& store, Mirror& mirror, Sources sources)
+Frontend::Frontend(const Settings& settings, size_t most_in_progress, StoreClient& store,
+                   Mirror& mirror, Sources sources)
     : settings_(settings),
       store_(store),
       mirror_(mirror),
       sources_(std::move(sources)),
-      limit_(settings.max_sockets * 0.05, settings.max_sockets * settings.tuning.sockets) {}
+      limit_(kFewestInProgress * static_cast<double>(most_in_progress),
+             static_cast<double>(most_in_progress)) {}
 
 Respond Frontend::limited(Respond respond) {
   const auto began = std::chrono::steady_clock::now();
--- a/src/frontend/frontend.h
+++ b/src/frontend/frontend.h
@@ -23,7 +23,9 @@
     std::function<uint64_t()> time_of_day_ms;
   };
 
-  Frontend(const Settings& settings, StoreClient& store, Mirror& mirror, Sources sources);
+  /// `most_in_progress`: users' requests that may be handled at once.
+  Frontend(const Settings& settings, size_t most_in_progress, StoreClient& store, Mirror& mirror,
+           Sources sources);
   /// False: not a path of the users'.
   bool handle(const HttpRequest& request, Respond respond);
   /// Requests that are not answered yet.
--- /dev/null
+++ b/src/leadership/term_numbers.h
@@ -0,0 +1,47 @@
+#pragma once
+#include <cstddef>
+#include <cstdint>
+
+#include "fleet/report.h"
+
+namespace sumacquay {
+
+/// Hands out what carries a leader's term in its upper part: attempts and workers' tokens. None is
+/// ever handed out twice, by this leader or a later one, so the numbers of a term can run out: a
+/// large fleet starts a million tasks in days. Owned by LeaderCore.
+class TermNumbers {
+ public:
+  explicit TermNumbers(uint64_t term) : term_(term) {}
+
+  /// Only while `attempts_left`.
+  uint64_t new_attempt() {
+    const uint64_t number = next_attempt_++;
+    note_use(number);
+    return numbered(number);
+  }
+  size_t attempts_left() const { return kTokenCounterEnd - next_attempt_; }
+
+  /// A worker's token; `counter` rises with each order that may still be carried out late.
+  uint64_t token(uint64_t counter) const { return numbered(counter); }
+  void note_token(uint64_t counter) { note_use(counter); }
+
+  /// Few numbers are left: the node should get a new term.
+  bool nearly_used_up() const { return nearly_used_up_; }
+
+ private:
+  /// The part of the numbers after which few are left. The rest is for what is started until the
+  /// node has a new term.
+  static constexpr double kNearly = 0.9;
+
+  uint64_t numbered(uint64_t number) const { return (term_ << kTokenCounterBits) | number; }
+  void note_use(uint64_t number) {
+    if (static_cast<double>(number) > kNearly * static_cast<double>(kTokenCounterEnd))
+      nearly_used_up_ = true;
+  }
+
+  uint64_t term_;
+  uint64_t next_attempt_ = 1;
+  bool nearly_used_up_ = false;
+};
+
+}  // namespace sumacquay
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <chrono>
-#include <optional>
 #include <utility>
 
 #include "net/asio_conversions.h"
@@ -19,6 +18,9 @@
 
 constexpr int kBadRequest = 400;
 constexpr int kPayloadTooLarge = 413;
+constexpr int kUnavailable = 503;
+/// When a peer that found no place is told to come back.
+constexpr int kRetryAfterSeconds = 1;
 
 }  // namespace
 
@@ -26,8 +28,12 @@
 /// closed by its peer, by a timer, or by the server.
 class HttpServer::Connection : public std::enable_shared_from_this<HttpServer::Connection> {
  public:
-  Connection(HttpServer& server, tcp::socket socket)
+  /// What becomes of the requests of a connection.
+  enum class Service { Handled, Refused };
+
+  Connection(HttpServer& server, tcp::socket socket, Service service)
       : server_(&server),
+        service_(service),
         socket_(std::move(socket)),
         timer_(socket_.get_executor()),
         parser_({server.limits_.header_bytes, server.limits_.body_bytes}) {}
@@ -40,19 +46,21 @@
 
   void close() {
     if (state_ == State::Closed) return;
-    state_ = State::Closed;
+    enter(State::Closed);
     asio::error_code ignored;
     timer_.cancel();
     socket_.close(ignored);
     if (server_) server_->connections_.erase(shared_from_this());
   }
 
-  void forget_server() { server_ = nullptr; }
+  void forget_server() {
+    server_ = nullptr;
+    listed_as_idle_ = false;
+  }
 
-  /// Since when nothing has been asked; none: a request is under way.
-  std::optional<Clock::time_point> idle_since() const {
-    if (state_ != State::Idle) return std::nullopt;
-    return idle_since_;
+  /// For how long nothing has been asked. Only while it is idle.
+  double idle_for_s() const {
+    return std::chrono::duration<double>(Clock::now() - idle_since_).count();
   }
 
  private:
@@ -64,10 +72,20 @@
     Closed,
   };
 
-  void wait_for_request() {
-    state_ = State::Idle;
+  /// The only place that changes the state, and with it the server's list of idle connections.
+  void enter(State next) {
+    if (state_ == State::Idle && listed_as_idle_) server_->idle_.erase(idle_entry_);
+    listed_as_idle_ = next == State::Idle && service_ == Service::Handled;
+    state_ = next;
+    if (next != State::Idle) return;
     idle_since_ = Clock::now();
-    close_after(server_->limits_.idle_s);
+    if (listed_as_idle_) idle_entry_ = server_->idle_.insert(server_->idle_.end(), this);
+  }
+
+  void wait_for_request() {
+    enter(State::Idle);
+    const HttpLimits& limits = server_->limits_;
+    close_after(service_ == Service::Handled ? limits.idle_s : limits.request_s);
     read();
   }
 
@@ -104,7 +122,7 @@
   /// The time for a whole request counts from its first byte, so a dribbling sender can't hold a
   /// socket for ever.
   void begin_request() {
-    state_ = State::Reading;
+    enter(State::Reading);
     deadline_ = Clock::now() + to_milliseconds(server_->limits_.request_s);
   }
 
@@ -115,7 +133,8 @@
   }
 
   void handle() {
-    state_ = State::Handling;
+    if (service_ == Service::Refused) return refuse(kUnavailable);
+    enter(State::Handling);
     timer_.cancel();
     const HttpRequest request = parser_.take_request();
     auto answered = std::make_shared<bool>(false);
@@ -126,13 +145,18 @@
     });
   }
 
-  void refuse(int status) { write(HttpReply{status, {}, 0}, KeepAlive::No); }
+  void refuse(int status) {
+    const int retry_after_s = status == kUnavailable ? kRetryAfterSeconds : 0;
+    write(HttpReply{status, {}, retry_after_s}, KeepAlive::No);
+  }
 
-  void write(const HttpReply& reply, KeepAlive keep_alive) {
+  void write(const HttpReply& reply, KeepAlive asked) {
     if (state_ == State::Closed) return;
-    state_ = State::Writing;
-    out_ = serialize_reply(reply, keep_alive);
+    enter(State::Writing);
     if (!server_) return close();
+    const bool stays = asked == KeepAlive::Yes && server_->may_stay_open();
+    const KeepAlive keep_alive = stays ? KeepAlive::Yes : KeepAlive::No;
+    out_ = serialize_reply(reply, keep_alive);
     close_after(server_->limits_.request_s);
     asio::async_write(socket_, asio::buffer(out_),
                       [self = shared_from_this(), keep_alive](auto error, size_t) {
@@ -149,9 +173,12 @@
   }
 
   HttpServer* server_;  ///< null once it is gone
+  Service service_;
   tcp::socket socket_;
   asio::steady_timer timer_;
   State state_ = State::Idle;
+  bool listed_as_idle_ = false;
+  IdleConnections::iterator idle_entry_;  ///< while it is listed
   HttpRequestParser parser_;
   std::array<char, kChunkBytes> chunk_{};
   std::string out_;
@@ -171,6 +198,7 @@
 }
 
 HttpServer::~HttpServer() {
+  idle_.clear();
   for (const auto& connection : connections_) connection->forget_server();
 }
 
@@ -201,22 +229,31 @@
 }
 
 void HttpServer::add_connection(tcp::socket socket) {
-  if (connections_.size() >= limits_.connections) close_idlest();
+  if (connections_.size() >= most_served()) close_idlest();
+  const bool place = connections_.size() < most_served();
+  if (!place) ++refused_;
   if (connections_.size() >= limits_.connections) return;
-  auto connection = std::make_shared<Connection>(*this, std::move(socket));
+  const auto service = place ? Connection::Service::Handled : Connection::Service::Refused;
+  auto connection = std::make_shared<Connection>(*this, std::move(socket), service);
   connections_.insert(connection);
   connection->start();
 }
 
-/// Where more machines and users keep connections than there are sockets, the one that has been
-/// idle longest gives way: that of a user who has left rather than that of a worker that reports.
-void HttpServer::close_idlest() {
-  std::shared_ptr<Connection> idlest;
-  for (const auto& connection : connections_) {
-    if (!connection->idle_since()) continue;
-    if (!idlest || *connection->idle_since() < *idlest->idle_since()) idlest = connection;
+/// Whether a connection that is being answered stays open. Where too many are, one that nobody uses
+/// any more gives way first: that of a user who has left rather than that of a worker that reports.
+bool HttpServer::may_stay_open() {
+  if (connections_.size() <= limits_.kept_open) return true;
+  if (!idle_.empty() && idle_.front()->idle_for_s() > limits_.stale_s) {
+    close_idlest();
+    return true;
   }
-  if (idlest) idlest->close();
+  ++closed_after_answer_;
+  return false;
+}
+
+/// Makes a place for a new connection where answers have not made any.
+void HttpServer::close_idlest() {
+  if (!idle_.empty()) idle_.front()->close();
 }
 
 }  // namespace sumacquay
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -2,6 +2,7 @@
 #include <asio.hpp>
 #include <cstddef>
 #include <functional>
+#include <list>
 #include <memory>
 #include <unordered_set>
 
@@ -18,13 +19,21 @@
 struct HttpLimits {
   size_t body_bytes = size_t{64} * 1024;
   size_t header_bytes = size_t{8} * 1024;
-  size_t connections = 300;
+  size_t connections = 300;  ///< open at once, all together
+  /// Of these, connections that only get a refusal: 503 with the time to come back.
+  size_t refusals = 0;
+  /// So many may stay open after an answer. Beyond them an answer closes its connection, so that
+  /// more peers than connections are served in turn, and none loses a request to the closing.
+  size_t kept_open = 300;
   double request_s = 5;  ///< for one request to arrive whole
   double idle_s = 120;   ///< between requests
+  /// Idle for longer than this, a connection gives way to one that is used.
+  double stale_s = 120;
 };
 
 /// Keeps connections alive, takes one request at a time on each, and is bounded everywhere. What is
-/// over a limit is answered 413, and what isn't HTTP 400; then the connection is closed.
+/// over a limit is answered 413, and what isn't HTTP 400; then the connection is closed. A peer
+/// that finds no place is refused at once, and never waits for others to leave.
 class HttpServer {
  public:
   /// Listens at once; throws std::system_error if the address can't be bound.
@@ -37,11 +46,21 @@
   /// Closes all connections; new ones are accepted as before.
   void close_all();
 
+  size_t open_connections() const { return connections_.size(); }
+  /// Connections that were closed with an answer because more peers came than can be kept.
+  size_t closed_after_answer() const { return closed_after_answer_; }
+  /// Connections that were refused for want of a place, with an answer or without.
+  size_t refused() const { return refused_; }
+
  private:
   class Connection;
+  /// The longest idle first. Entries are connections that the server owns.
+  using IdleConnections = std::list<Connection*>;
   void accept();
   void accept_later();
   void add_connection(asio::ip::tcp::socket socket);
+  size_t most_served() const { return limits_.connections - limits_.refusals; }
+  bool may_stay_open();
   void close_idlest();
 
   asio::io_context& io_;
@@ -50,6 +69,9 @@
   HttpLimits limits_;
   HttpHandler handler_;
   std::unordered_set<std::shared_ptr<Connection>> connections_;
+  IdleConnections idle_;
+  size_t closed_after_answer_ = 0;
+  size_t refused_ = 0;
 };
 
 }  // namespace sumacquay
--- a/src/node/action_executor.cpp
+++ b/src/node/action_executor.cpp
@@ -6,8 +6,6 @@
 namespace sumacquay {
 namespace {
 
-/// The part of all sockets that orders to workers may keep.
-constexpr double kWorkerSocketShare = 0.2;
 /// How long an order may take: in report periods, but at most this part of a worker's lease.
 constexpr double kOrderDeadlineReports = 1.5;
 constexpr double kOrderDeadlineLeaseShare = 0.2;
@@ -22,14 +20,24 @@
 
 }  // namespace
 
-ActionExecutor::ActionExecutor(asio::io_context& io, const Settings& settings, HttpClient& cloud,
-                               Leadership& leadership, ActiveCore& core)
+ActionExecutor::ActionExecutor(asio::io_context& io, const Settings& settings, size_t most_workers,
+                               HttpClient& cloud, Leadership& leadership, ActiveCore& core)
     : io_(io),
       settings_(settings),
       cloud_(cloud),
       leadership_(leadership),
       core_(core),
-      workers_(io, static_cast<size_t>(settings.max_sockets * kWorkerSocketShare)) {}
+      workers_(io, most_workers) {}
+
+void ActionExecutor::stop() {
+  waiting_.clear();
+  workers_.clear();
+}
+
+Seconds ActionExecutor::order_deadline() const {
+  return std::min(settings_.report_s * kOrderDeadlineReports,
+                  settings_.lease_s * kOrderDeadlineLeaseShare);
+}
 
 void ActionExecutor::perform(const Action& action) {
   std::visit([this](const auto& a) { perform(a); }, action);
@@ -44,29 +52,53 @@
 }
 
 void ActionExecutor::perform(const SendOrders& order) {
-  const uint64_t generation = core_.generation();
-  const auto client = workers_.find_or_open(order.addr);
-  if (!client) {
-    asio::post(io_, [this, machine = order.machine, generation] {
-      if (LeaderCore* core = core_.get(generation))
-        core->orders_done(machine, std::nullopt, false, steady_now());
-    });
-    return;
-  }
-  const Seconds deadline = std::min(settings_.report_s * kOrderDeadlineReports,
-                                    settings_.lease_s * kOrderDeadlineLeaseShare);
+  if (const auto client = waiting_.empty() ? workers_.find_or_open(order.addr) : nullptr)
+    return send(order, client);
+  if (workers_.all_busy() || !waiting_.empty())
+    return waiting_.push_back({order, steady_now() + order_deadline()});
+  asio::post(io_, [this, order, generation = core_.generation()] {
+    if (core_.get(generation)) give_up(order);
+  });
+}
+
+/// The core takes it for an order that may still be executed, which is safe and slower.
+void ActionExecutor::give_up(const SendOrders& order) {
+  if (core_) core_->orders_done(order.machine, std::nullopt, false, steady_now());
+}
+
+void ActionExecutor::send(const SendOrders& order, const std::shared_ptr<HttpClient>& client) {
   client->request("POST", wire::path::kOrders,
-                  wire::orders_body(order.token, order.session, order.commands), deadline,
-                  [this, client, machine = order.machine, generation](const HttpResult& result) {
+                  wire::orders_body(order.token, order.session, order.commands), order_deadline(),
+                  [this, client, machine = order.machine,
+                   generation = core_.generation()](const HttpResult& result) {
                     if (!core_.get(generation)) return;
                     const auto report = take_report(result);
                     // The core that sent the orders hears of them, also if the report's term has
                     // just made this node step down: it is released later, by a posted handler.
                     if (core_)
                       core_->orders_done(machine, report, result.ok() && report, steady_now());
+                    send_waiting();
                   });
 }
 
+/// A connection has come free: the orders that have waited longest go out. An order was decided
+/// while this node led, and goes out only while it does.
+void ActionExecutor::send_waiting() {
+  while (!waiting_.empty()) {
+    const WaitingOrder& next = waiting_.front();
+    const Seconds now = steady_now();
+    const bool too_late = !core_ || !leadership_.may_act(now) || now >= next.until;
+    const auto client = too_late ? nullptr : workers_.find_or_open(next.order.addr);
+    if (!client && !too_late && workers_.all_busy()) return;
+    const SendOrders order = next.order;
+    waiting_.pop_front();
+    if (client)
+      send(order, client);
+    else
+      give_up(order);
+  }
+}
+
 void ActionExecutor::perform(const Probe& probe) {
   const auto client = workers_.find_or_open(probe.addr);
   if (!client) return core_->not_probed(probe.machine);
@@ -77,6 +109,7 @@
                     if (!core_.get(generation)) return;
                     const auto report = take_report(result);
                     if (core_) core_->probed(machine, report, steady_now());
+                    send_waiting();
                   });
 }
 
--- a/src/node/action_executor.h
+++ b/src/node/action_executor.h
@@ -1,5 +1,6 @@
 #pragma once
 #include <asio.hpp>
+#include <deque>
 #include <string>
 
 #include "config/settings.h"
@@ -17,17 +18,30 @@
 ///
 /// Guarantees that the core hears the outcome of every action, unless this node has stepped down
 /// since; never from inside `perform`, but for a probe that found no client. A term in a worker's
-/// answer is passed on before the outcome, and may make this node step down.
+/// answer is passed on before the outcome, and may make this node step down. With more machines
+/// than connections for orders, an order waits for a connection; it is sent only while this node
+/// leads.
 class ActionExecutor {
  public:
-  ActionExecutor(asio::io_context& io, const Settings& settings, HttpClient& cloud,
-                 Leadership& leadership, ActiveCore& core);
+  /// `most_workers`: connections to workers at once.
+  ActionExecutor(asio::io_context& io, const Settings& settings, size_t most_workers,
+                 HttpClient& cloud, Leadership& leadership, ActiveCore& core);
   void perform(const Action& action);
   /// This node no longer leads: its connections to workers are closed.
-  void stop() { workers_.clear(); }
+  void stop();
+  /// Orders that wait for a connection.
+  size_t waiting_orders() const { return waiting_.size(); }
 
  private:
+  struct WaitingOrder {
+    SendOrders order;
+    Seconds until = 0;  ///< then it is given up
+  };
   void perform(const SendOrders& order);
+  void send(const SendOrders& order, const std::shared_ptr<HttpClient>& client);
+  void send_waiting();
+  void give_up(const SendOrders& order);
+  Seconds order_deadline() const;
   void perform(const Probe& probe);
   void perform(const Rent& rent);
   void perform(const Release& release);
@@ -39,6 +53,7 @@
   Leadership& leadership_;
   ActiveCore& core_;
   WorkerClients workers_;
+  std::deque<WaitingOrder> waiting_;  ///< one a machine at most: the core sends one at a time
 };
 
 /// What the cloud's answer to a rent says. Without one it may still be carried out.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -17,7 +17,10 @@
 /// How long a worker's connection may be idle / the report period.
 constexpr double kIdleReports = 60;
 
-constexpr size_t kCloudConnections = 4;
+/// After how long a connection that nobody uses gives way to a worker that reports / the report
+/// period: a worker that is there reports sooner, also if a report of it is lost.
+constexpr double kStaleReports = 2.5;
+
 constexpr size_t kCloudQueued = 32;
 
 uint64_t time_of_day_ms() {
@@ -32,33 +35,40 @@
       settings_(settings),
       rng_(std::random_device{}()),
       process_(rng_() >> 1),
+      sockets_(socket_budget(settings)),
       store_(io, settings),
       mirror_(io, settings, store_),
       election_(io, settings, process_, store_, mirror_,
                 [this](Leadership::State from, Leadership::State to) { on_leadership(from, to); }),
       leadership_(election_.leadership()),
-      cloud_(io, settings.cloud, kCloudConnections, kCloudQueued),
+      cloud_(io, settings.cloud, fixed_sockets::kCloudConnections, kCloudQueued),
       machine_types_(
           io, settings, cloud_, [this] { return random(); },
           [this] {
             if (core_) core_->set_types(machine_types_.types());
           }),
       machine_list_(io, settings, cloud_, core_),
-      executor_(io, settings, cloud_, leadership_, core_),
+      executor_(io, settings, sockets_.orders, cloud_, leadership_, core_),
       record_writer_(settings, store_, mirror_, core_,
                      [this] { asio::post(io_, [this] { on_committed(); }); }),
       delegate_(process_, settings.delegation_after_s(), settings.answers_s()),
       peers_(io, settings, settings.renew_s(), peer_hooks()),
-      frontend_(settings, store_, mirror_,
+      frontend_(settings, sockets_.users_in_progress, store_, mirror_,
                 {[this]() -> const std::vector<MachineType>& { return machine_types_.types(); },
-                 [this](const std::string& id) { return peers_.counts(id); }, time_of_day_ms}),
+                 [this](const std::string& id) { return peers_.leader_details().counts(id); },
+                 time_of_day_ms}),
       outage_log_(settings.lease_s),
+      connection_log_(settings.lease_s),
       tick_timer_(io) {}
 
 void Node::start() {
+  if (const auto cost = cost_of_few_sockets(settings_, sockets_)) spdlog::warn(*cost);
   HttpLimits limits;
-  limits.connections = static_cast<size_t>(settings_.max_sockets * settings_.tuning.sockets);
+  limits.connections = sockets_.served_and_refused;
+  limits.refusals = sockets_.refusals;
+  limits.kept_open = sockets_.kept_open;
   limits.idle_s = kIdleReports * settings_.report_s;
+  limits.stale_s = kStaleReports * settings_.report_s;
   server_ = std::make_unique<HttpServer>(
       io_, settings_.listen, limits,
       [this](const HttpRequest& request, const Respond& respond) { on_request(request, respond); });
@@ -76,8 +86,10 @@
 
 void Node::tick() {
   outage_log_.observe(steady_now(), served());
+  log_connections();
   election_.tick(random());
   resign_if_no_worker_reaches_us();
+  resign_if_term_is_used_up();
   tick_core();
   tick_timer_.expires_after(
       to_microseconds(settings_.report_s * settings_.tuning.round * kTickRoundShare));
@@ -86,6 +98,19 @@
   });
 }
 
+void Node::log_connections() {
+  connection_log_.observe(steady_now(), {server_->open_connections(),
+                                         server_->closed_after_answer(), server_->refused()});
+}
+
+/// A leader that has used up the numbers of its term could start nothing any more. Without peers
+/// nobody else gets a term, and this node is the next leader itself.
+void Node::resign_if_term_is_used_up() {
+  if (!leads_now() || !core_->term_nearly_used_up()) return;
+  spdlog::info("term {} has few attempts left: leaves the lead for a new term", leadership_.term());
+  election_.resign();
+}
+
 /// The state service still renews the lease of a leader that workers can't reach: it has to go by
 /// itself, or every worker's lease would end.
 void Node::resign_if_no_worker_reaches_us() {
@@ -207,9 +232,10 @@
   for (const auto& [id, job] : mirror_.live())
     core->job_stored(job.value, job.version, steady_now());
   tell_finished_dependencies(*core);
-  for (const auto& held : peers_.images()) core->image_held(held.machine, held.image, held.gb);
+  for (const auto& held : peers_.leader_details().images())
+    core->image_held(held.machine, held.image, held.gb);
   // The cloud's list is late: without this, what the leader before rented is rented once more.
-  core->listed(peers_.booting(), steady_now());
+  core->listed(peers_.leader_details().booting(), steady_now());
   return core;
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -5,11 +5,13 @@
 #include <random>
 
 #include "config/settings.h"
+#include "config/socket_budget.h"
 #include "frontend/frontend.h"
 #include "leadership/delegation.h"
 #include "net/http.h"
 #include "node/action_executor.h"
 #include "node/active_core.h"
+#include "node/connection_log.h"
 #include "node/election.h"
 #include "node/machine_list_poller.h"
 #include "node/machine_types_poller.h"
@@ -34,8 +36,10 @@
   double random();
   void tick();
   void tick_core();
+  void log_connections();
   void on_committed();
   void resign_if_no_worker_reaches_us();
+  void resign_if_term_is_used_up();
   // requests
   void on_request(const HttpRequest& request, const Respond& respond);
   void on_report(const HttpRequest& request, const Respond& respond);
@@ -67,6 +71,7 @@
   const Settings& settings_;
   std::mt19937_64 rng_;
   uint64_t process_;  ///< tells this process of the node from earlier ones
+  SocketBudget sockets_;
   StoreClient store_;
   Mirror mirror_;
   Election election_;
@@ -81,6 +86,7 @@
   Peers peers_;
   Frontend frontend_;
   OutageLog outage_log_;
+  ConnectionLog connection_log_;
   std::unique_ptr<HttpServer> server_;
   asio::steady_timer tick_timer_;
   Seconds next_core_tick_ = 0;
--- a/src/node/worker_clients.cpp
+++ b/src/node/worker_clients.cpp
@@ -48,6 +48,12 @@
   return client;
 }
 
+bool WorkerClients::all_busy() const {
+  return pool_.size() >= limit_ &&
+         std::all_of(pool_.begin(), pool_.end(),
+                     [](const PooledClient& pooled) { return pooled.client->in_progress() > 0; });
+}
+
 void WorkerClients::clear() {
   by_address_.clear();
   pool_.clear();
--- a/src/node/worker_clients.h
+++ b/src/node/worker_clients.h
@@ -19,6 +19,8 @@
   /// busy. At the limit the idle one that has been unused longest is dropped.
   std::shared_ptr<HttpClient> find_or_open(const std::string& address);
   void clear();
+  /// Whether the limit is reached and every client has a request under way.
+  bool all_busy() const;
   size_t size() const { return pool_.size(); }
 
  private:
--- a/src/peer/peers.cpp
+++ b/src/peer/peers.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "config/socket_budget.h"
+
 namespace sumacquay {
 namespace {
 using Clock = std::chrono::steady_clock;
@@ -17,13 +19,10 @@
 constexpr double kDeadlinePeriods = 2;
 constexpr size_t kBodyLimit = HttpLimits{}.body_bytes;
 
-constexpr size_t kConnectionsPerPeer = 2;
-constexpr size_t kQueuedPerPeer = 4;
+/// The pieces of the counts and hints of a large fleet, told at once.
+constexpr size_t kQueuedPerPeer = 256;
 /// A peer with so many heartbeats under way gets no more until one is answered or given up.
 constexpr size_t kHeartbeatsUnderWay = 2;
-/// Connections that the server takes: for each peer, and for others that mistake the address.
-constexpr size_t kServerConnectionsPerPeer = 4;
-constexpr size_t kServerConnectionsSpare = 8;
 
 double age_s(Clock::time_point time) {
   return std::chrono::duration<double>(Clock::now() - time).count();
@@ -39,14 +38,16 @@
       beats_per_counts_(std::max(1, static_cast<int>(kCountsIntervalS / period_s))) {
   for (const auto& peer : settings.peers) {
     peers_[peer.node].heard = Clock::now();
-    clients_[peer.node] =
-        std::make_unique<HttpClient>(io, peer.addr, kConnectionsPerPeer, kQueuedPerPeer);
+    clients_[peer.node] = std::make_unique<HttpClient>(
+        io, peer.addr, fixed_sockets::kClientConnectionsPerPeer, kQueuedPerPeer);
   }
 }
 
 void Peers::start() {
   HttpLimits limits;
-  limits.connections = kServerConnectionsPerPeer * settings_.peers.size() + kServerConnectionsSpare;
+  limits.connections = fixed_sockets::kServerConnectionsPerPeer * settings_.peers.size() +
+                       fixed_sockets::kServerConnectionsSpare;
+  limits.kept_open = limits.connections;
   server_ = std::make_unique<HttpServer>(
       io_, settings_.peer_listen, limits,
       [this](const HttpRequest& request, const Respond& respond) { on_request(request, respond); });
@@ -63,20 +64,24 @@
 
 void Peers::beat_now(wire::HeartbeatPart part) {
   const wire::Heartbeat own = hooks_.own(part);
-  if (own.leading) keep_details(own);
-  const std::string body = wire::encode_heartbeat_within(own, kBodyLimit);
+  if (own.leading) leader_details_.take(own);
+  const auto bodies = wire::encode_heartbeat_pieces(own, ++batches_, kBodyLimit);
   for (auto& [node, client] : clients_) {
     if (client->in_progress() >= kHeartbeatsUnderWay) continue;
-    client->request("POST", wire::path::kHeartbeat, body, period_s_ * kDeadlinePeriods,
-                    [this, node = node, asked_at = Clock::now()](const HttpResult& r) {
-                      const auto heartbeat = r.ok() ? wire::decode_heartbeat(r.body) : std::nullopt;
-                      if (!heartbeat) return;
-                      note(*heartbeat);
-                      hooks_.answered(node, *heartbeat, asked_at);
-                    });
+    for (const auto& body : bodies) send(*client, node, body);
   }
 }
 
+void Peers::send(HttpClient& client, const std::string& node, const std::string& body) {
+  client.request("POST", wire::path::kHeartbeat, body, period_s_ * kDeadlinePeriods,
+                 [this, node, asked_at = Clock::now()](const HttpResult& r) {
+                   const auto heartbeat = r.ok() ? wire::decode_heartbeat(r.body) : std::nullopt;
+                   if (!heartbeat) return;
+                   note(*heartbeat);
+                   hooks_.answered(node, *heartbeat, asked_at);
+                 });
+}
+
 /// Each peer that falls silent or is heard again is told once, for operators.
 void Peers::log_silent_peers() {
   for (auto& [node, peer] : peers_) {
@@ -107,18 +112,7 @@
   leader_ = heartbeat.node;
   leader_term_ = heartbeat.term;
   leader_heard_ = Clock::now();
-  keep_details(heartbeat);
-}
-
-void Peers::keep_details(const wire::Heartbeat& heartbeat) {
-  if (heartbeat.part == wire::HeartbeatPart::Hints) {
-    images_ = heartbeat.images;
-    booting_ = heartbeat.booting;
-    hints_heard_ = Clock::now();
-  } else if (heartbeat.part == wire::HeartbeatPart::Counts) {
-    counts_.clear();
-    for (const auto& count : heartbeat.counts) counts_[count.job] = count;
-  }
+  leader_details_.take(heartbeat);
 }
 
 std::string Peers::leader() const {
@@ -129,16 +123,4 @@
   return age_s(served_heard_) < kRecentPeriods * period_s_;
 }
 
-std::vector<ListedMachine> Peers::booting() const {
-  const double age = age_s(hints_heard_);
-  auto machines = booting_;
-  for (auto& machine : machines) machine.age_s += age;
-  return machines;
-}
-
-wire::RunningCount Peers::counts(const std::string& job) const {
-  const auto it = counts_.find(job);
-  return it == counts_.end() ? wire::RunningCount{job, 0, 0} : it->second;
-}
-
 }  // namespace sumacquay
--- a/src/peer/peers.h
+++ b/src/peer/peers.h
@@ -7,6 +7,7 @@
 #include "config/settings.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "peer/leader_details.h"
 #include "wire/heartbeat.h"
 
 namespace sumacquay {
@@ -36,10 +37,7 @@
   std::string leader() const;
   uint64_t leader_term() const { return leader_term_; }
   /// As the leader said last, be it another node or this one.
-  wire::RunningCount counts(const std::string& job) const;
-  const std::vector<wire::HeldImage>& images() const { return images_; }
-  /// Machines that were rented and not heard yet, their ages as of now.
-  std::vector<ListedMachine> booting() const;
+  const LeaderDetails& leader_details() const { return leader_details_; }
   /// Another node was served by the state service lately.
   bool others_served() const;
 
@@ -48,7 +46,7 @@
   void on_request(const HttpRequest& request, const Respond& respond);
   void log_silent_peers();
   void note(const wire::Heartbeat& heartbeat);
-  void keep_details(const wire::Heartbeat& heartbeat);
+  void send(HttpClient& client, const std::string& node, const std::string& body);
 
   asio::io_context& io_;
   const Settings& settings_;
@@ -67,10 +65,8 @@
   std::string leader_;
   uint64_t leader_term_ = 0;
   std::chrono::steady_clock::time_point leader_heard_{}, served_heard_{};
-  std::map<std::string, wire::RunningCount> counts_;
-  std::vector<wire::HeldImage> images_;
-  std::vector<ListedMachine> booting_;
-  std::chrono::steady_clock::time_point hints_heard_{};
+  LeaderDetails leader_details_;
+  uint64_t batches_ = 0;  ///< tellings so far, for the pieces of those that need several
 };
 
 }  // namespace sumacquay
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "config/socket_budget.h"
+
 namespace sumacquay {
 namespace {
 
@@ -18,9 +20,8 @@
 /// The part of a burst that less urgent requests leave alone.
 constexpr std::array<double, kUrgencies> kReserve{0.0, 0.1, 0.3};
 
-constexpr size_t kUrgentConnections = 3, kUrgentQueued = 16;
-constexpr size_t kNormalConnections = 8;
-constexpr size_t kWatchConnections = 2, kWatchQueued = 4;
+constexpr size_t kUrgentQueued = 16;
+constexpr size_t kWatchQueued = 4;
 
 constexpr int kStatusTooManyRequests = 429;
 constexpr int kStatusUnavailable = 503;
@@ -52,9 +53,9 @@
 StoreClient::StoreClient(asio::io_context& io, const Settings& s)
     : io_(io),
       deadline_s_(s.lease_s * kDeadlineLeaseShare),
-      urgent_(io, s.state, kUrgentConnections, kUrgentQueued),
-      normal_(io, s.state, kNormalConnections, kQueueLimit),
-      watches_(io, s.state, kWatchConnections, kWatchQueued),
+      urgent_(io, s.state, fixed_sockets::kUrgentStateConnections, kUrgentQueued),
+      normal_(io, s.state, fixed_sockets::kStateConnections, kQueueLimit),
+      watches_(io, s.state, fixed_sockets::kWatchConnections, kWatchQueued),
       requests_(s.state_rps * kBudgetShare),
       writes_(s.state_write_rps * kBudgetShare),
       timer_(io),
--- a/src/wire/heartbeat.cpp
+++ b/src/wire/heartbeat.cpp
@@ -25,10 +25,13 @@
 constexpr const char* kImages = "images";
 constexpr const char* kHeld = "held";
 constexpr const char* kBooting = "booting";
+constexpr const char* kPiece = "piece";
 
 // Lists within a heartbeat hold their fields by position.
 constexpr size_t kStatusFields = 3;  ///< one more if it has answered in the leader's place
 constexpr size_t kDelegationFields = 3;
+constexpr size_t kPieceFields = 4;
+constexpr size_t kHeartbeatFields = 10;  ///< one more for a delegation, and for a piece
 constexpr size_t kCountFields = 3;
 constexpr size_t kImageFields = 2;
 constexpr size_t kBootingFields = 5;
@@ -48,6 +51,14 @@
   packer.pack_double(delegation.for_s);
 }
 
+void pack_piece(Packer& packer, const HeartbeatPiece& piece) {
+  pack_list(packer, kPieceFields);
+  packer.pack_uint64(piece.batch);
+  packer.pack_uint64(piece.index);
+  packer.pack_uint64(piece.pieces);
+  packer.pack_uint64(static_cast<uint64_t>(piece.part));
+}
+
 void pack_counts(Packer& packer, const std::vector<RunningCount>& counts) {
   pack_list(packer, counts.size());
   for (const auto& count : counts) {
@@ -204,6 +215,16 @@
   return static_cast<HeartbeatPart>(part);
 }
 
+std::optional<HeartbeatPiece> read_piece(View list) {
+  if (list.size() != kPieceFields) return std::nullopt;
+  const auto batch = list.at(0).count();
+  const auto index = list.at(1).count();
+  const auto pieces = list.at(2).count();
+  const auto part = read_part(list.at(3));
+  if (!batch || !index || !pieces || !part || *index >= *pieces) return std::nullopt;
+  return HeartbeatPiece{*batch, *index, *pieces, *part};
+}
+
 std::optional<Heartbeat> read_heartbeat(View root) {
   const auto node = root[kNode].text();
   const auto term = root[kTerm].count();
@@ -219,27 +240,49 @@
   heartbeat.served = root[kServed].flag().value_or(false);
   heartbeat.status = read_status(root[kStatus]);
   heartbeat.delegation = read_delegation(root[kDelegation]);
+  heartbeat.piece = read_piece(root[kPiece]);
   if (!read_counts(counts, heartbeat.counts)) return std::nullopt;
   if (!read_held(root[kHeld], root[kImages], heartbeat.images)) return std::nullopt;
   if (!read_booting(root[kBooting], heartbeat.booting)) return std::nullopt;
   return heartbeat;
 }
 
-/// Whether there is nothing in it that could be left out.
-bool is_bare(const Heartbeat& heartbeat) {
-  return heartbeat.counts.empty() && heartbeat.images.empty() && heartbeat.booting.empty();
+/// The members of a list that belong to a piece.
+template <class Member>
+std::vector<Member> share_of(const std::vector<Member>& list, const HeartbeatPiece& piece) {
+  const size_t begin = list.size() * piece.index / piece.pieces;
+  const size_t end = list.size() * (piece.index + 1) / piece.pieces;
+  return {list.begin() + static_cast<std::ptrdiff_t>(begin),
+          list.begin() + static_cast<std::ptrdiff_t>(end)};
 }
 
-template <class Member>
-void keep_share(std::vector<Member>& list, double share) {
-  list.resize(static_cast<size_t>(share * static_cast<double>(list.size())));
+Heartbeat piece_of(const Heartbeat& whole, const HeartbeatPiece& piece) {
+  Heartbeat heartbeat;
+  heartbeat.part = piece.index == 0 ? whole.part : HeartbeatPart::Beat;
+  heartbeat.piece = piece;
+  heartbeat.node = whole.node;
+  heartbeat.term = whole.term;
+  heartbeat.leading = whole.leading;
+  heartbeat.served = whole.served;
+  heartbeat.status = whole.status;
+  heartbeat.delegation = whole.delegation;
+  heartbeat.counts = share_of(whole.counts, piece);
+  heartbeat.images = share_of(whole.images, piece);
+  heartbeat.booting = share_of(whole.booting, piece);
+  return heartbeat;
+}
+
+size_t longest_list(const Heartbeat& heartbeat) {
+  return std::max({heartbeat.counts.size(), heartbeat.images.size(), heartbeat.booting.size()});
 }
 
 }  // namespace
 
 std::string encode_heartbeat(const Heartbeat& heartbeat) {
   return codec::build([&](Packer& packer) {
-    packer.pack_map(heartbeat.delegation ? 11 : 10);
+    const size_t fields =
+        kHeartbeatFields + (heartbeat.delegation ? 1 : 0) + (heartbeat.piece ? 1 : 0);
+    packer.pack_map(static_cast<uint32_t>(fields));
     pack_field(packer, kNode, heartbeat.node);
     pack_field(packer, kTerm, heartbeat.term);
     pack_field(packer, kLeading, heartbeat.leading);
@@ -251,6 +294,10 @@
       pack_text(packer, kDelegation);
       pack_delegation(packer, *heartbeat.delegation);
     }
+    if (heartbeat.piece) {
+      pack_text(packer, kPiece);
+      pack_piece(packer, *heartbeat.piece);
+    }
     pack_text(packer, kCounts);
     pack_counts(packer, heartbeat.counts);
     const ImageTable images(heartbeat.images);
@@ -263,16 +310,21 @@
   });
 }
 
-std::string encode_heartbeat_within(Heartbeat heartbeat, size_t limit) {
-  // Members differ in size, so a cut to the very share might have to be repeated often.
-  constexpr double kMargin = 0.9;
-  for (;;) {
-    std::string body = encode_heartbeat(heartbeat);
-    if (body.size() <= limit || is_bare(heartbeat)) return body;
-    const double share = kMargin * static_cast<double>(limit) / static_cast<double>(body.size());
-    keep_share(heartbeat.counts, share);
-    keep_share(heartbeat.images, share);
-    keep_share(heartbeat.booting, share);
+std::vector<std::string> encode_heartbeat_pieces(const Heartbeat& heartbeat, uint64_t batch,
+                                                 size_t limit) {
+  std::string whole = encode_heartbeat(heartbeat);
+  if (whole.size() <= limit) return {std::move(whole)};
+  // Members differ in size and each piece has a head of its own, so the first try may be too few.
+  const size_t most = longest_list(heartbeat);
+  for (size_t pieces = whole.size() / limit + 1;; ++pieces) {
+    std::vector<std::string> bodies;
+    bool all_fit = true;
+    for (size_t index = 0; index < pieces && all_fit; ++index) {
+      bodies.push_back(
+          encode_heartbeat(piece_of(heartbeat, {batch, index, pieces, heartbeat.part})));
+      all_fit = bodies.back().size() <= limit || pieces >= most;
+    }
+    if (all_fit) return bodies;
   }
 }
 
--- a/src/wire/heartbeat.h
+++ b/src/wire/heartbeat.h
@@ -35,8 +35,19 @@
 /// take more than a body may.
 enum class HeartbeatPart { Beat, Counts, Hints };
 
+/// The place of a heartbeat among several that tell together what is too long for one body.
+struct HeartbeatPiece {
+  uint64_t batch = 0;                        ///< rises with each telling of the sender's process
+  uint64_t index = 0;                        ///< from 0
+  uint64_t pieces = 1;                       ///< of the batch
+  HeartbeatPart part = HeartbeatPart::Beat;  ///< what the batch tells
+};
+
 struct Heartbeat {
+  /// Of the pieces of a batch the first alone has its part, and the others are plain beats: a
+  /// version that knows no pieces takes in the first one as if it were all.
   HeartbeatPart part = HeartbeatPart::Beat;
+  std::optional<HeartbeatPiece> piece;
   std::string node;
   uint64_t term = 0;
   bool leading = false;
@@ -50,8 +61,10 @@
 
 std::string encode_heartbeat(const Heartbeat& heartbeat);
 
-/// The same within a body's limit: what is too much is left out, the status about terms never.
-std::string encode_heartbeat_within(Heartbeat heartbeat, size_t limit);
+/// The same within a body's limit: in one piece if it fits, else in as many as it takes. Each has
+/// the status about terms; the lists are shared out in their order. `batch` numbers what is told.
+std::vector<std::string> encode_heartbeat_pieces(const Heartbeat& heartbeat, uint64_t batch,
+                                                 size_t limit);
 
 /// None if any part of it is invalid, except the delegation and its status: they read as missing.
 std::optional<Heartbeat> decode_heartbeat(std::string_view body);
--- /dev/null
+++ b/tests/action_executor_test.cpp
@@ -0,0 +1,129 @@
+// Orders to more workers than there are connections for them.
+#include "node/action_executor.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "node/steady_time.h"
+
+namespace sumacquay {
+namespace {
+
+constexpr uint64_t kTerm = 1;
+
+/// An executor with two connections, whose node leads, and workers on loopback that hold back their
+/// answers until they are told.
+struct OrdersToManyWorkers : ::testing::Test {
+  static constexpr size_t kConnections = 2;
+
+  struct Worker {
+    std::unique_ptr<HttpServer> server;
+    std::string address;
+    std::vector<Respond> held;
+  };
+
+  asio::io_context io;
+  Settings settings;
+  HttpClient cloud{io, {"127.0.0.1", 1}, 1, 1};
+  Leadership leadership{
+      {600, 100, 10, 0},
+      {[](Leadership::Campaign, Seconds) {}, [](Leadership::Campaign, uint64_t) {}, [](uint64_t) {},
+       [](Leadership::State, Leadership::State) {}}};
+  ActiveCore core;
+  ActionExecutor executor{io, settings, kConnections, cloud, leadership, core};
+  std::vector<std::unique_ptr<Worker>> workers;
+
+  OrdersToManyWorkers() {
+    settings.report_s = 2;
+    settings.lease_s = 30;
+    const Seconds now = steady_now();
+    leadership.tick(now, true, false, 0);
+    leadership.tick(now, true, false, 0);
+    leadership.granted(now, 1, 7, now);
+    leadership.elected(now, 1, true, kTerm);
+    core.begin(std::make_unique<LeaderCore>(settings, kTerm, now, now));
+  }
+
+  void add_workers(int count) {
+    for (int i = 0; i < count; ++i) {
+      auto worker = std::make_unique<Worker>();
+      worker->server = std::make_unique<HttpServer>(
+          io, Endpoint{"127.0.0.1", 0}, HttpLimits{},
+          [held = &worker->held](const HttpRequest&, const Respond& respond) {
+            held->push_back(respond);
+          });
+      worker->address = "127.0.0.1:" + std::to_string(worker->server->port());
+      workers.push_back(std::move(worker));
+    }
+  }
+
+  void order(const Worker& worker) {
+    SendOrders order;
+    order.machine = "at " + worker.address;
+    order.addr = worker.address;
+    order.token = kTerm << kTokenCounterBits;
+    order.session = 1;
+    executor.perform(Action(order));
+  }
+
+  size_t asked() const {
+    size_t count = 0;
+    for (const auto& worker : workers) count += worker->held.size();
+    return count;
+  }
+
+  void answer_all() {
+    for (auto& worker : workers)
+      for (const auto& respond : std::exchange(worker->held, {})) respond({409, {}, 0});
+  }
+
+  bool run_until(const std::function<bool()>& done) {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    io.restart();
+    while (!done() && std::chrono::steady_clock::now() < end)
+      io.run_one_for(std::chrono::milliseconds(10));
+    return done();
+  }
+};
+
+// Each such order counted as one that may still be carried out: its machine got nothing for a
+// report period, and had to show a new token first.
+TEST_F(OrdersToManyWorkers, WaitForAConnectionAndAllArrive) {
+  constexpr int kWorkers = 9;
+  add_workers(kWorkers);
+  for (const auto& worker : workers) order(*worker);
+  EXPECT_EQ(executor.waiting_orders(), kWorkers - kConnections);
+  size_t arrived = 0;
+  while (arrived < kWorkers) {
+    const size_t expected = std::min<size_t>(kConnections, kWorkers - arrived);
+    ASSERT_TRUE(run_until([&] { return asked() == expected; })) << arrived;
+    arrived += expected;
+    answer_all();
+  }
+  EXPECT_EQ(executor.waiting_orders(), 0u);
+}
+
+TEST_F(OrdersToManyWorkers, AreNotSentOnceThisNodeLeadsNoMore) {
+  constexpr int kWorkers = 3;
+  add_workers(kWorkers);
+  for (const auto& worker : workers) order(*worker);
+  ASSERT_TRUE(run_until([&] { return asked() == kConnections; }));
+  leadership.saw_term(steady_now(), kTerm + 1);
+  answer_all();
+  ASSERT_TRUE(run_until([&] { return executor.waiting_orders() == 0; }));
+  io.restart();
+  io.run_for(std::chrono::milliseconds(200));
+  EXPECT_EQ(asked(), 0u);
+}
+
+TEST_F(OrdersToManyWorkers, AreForgottenWhenTheNodeStepsDown) {
+  add_workers(3);
+  for (const auto& worker : workers) order(*worker);
+  EXPECT_EQ(executor.waiting_orders(), 1u);
+  executor.stop();
+  EXPECT_EQ(executor.waiting_orders(), 0u);
+}
+
+}  // namespace
+}  // namespace sumacquay
--- a/tests/fleetload_test.cpp
+++ b/tests/fleetload_test.cpp
@@ -146,5 +146,36 @@
   EXPECT_EQ(trial.violations(), std::vector<std::string>{});
 }
 
+/// About half as many sockets as workers: connections are taken in turn, in quiet times as well as
+/// when all workers come back at once to a new leader or from a zone that was silent.
+TEST(LoopbackDeployment, KeepsEveryLeaseWithHalfAsManySocketsAsWorkers) {
+  const TemporaryDirectory directory;
+  LoadSettings settings;
+  settings.machines = 120;
+  settings.controllers = 3;
+  settings.zones = 3;
+  settings.teams = 4;
+  settings.report_s = 0.5;
+  settings.lease_s = 6;
+  settings.cancel_s = 14;
+  settings.settle_s = 2;
+  settings.measure_s = 3;
+  settings.first_port = 20500;
+  settings.controller_sockets = 130;
+  Trial trial(settings, {SUMACQUAY_PROGRAM, directory.path, ""});
+  const Measurement load = trial.measure_load();
+  EXPECT_EQ(load.filled, 1);
+  EXPECT_LT(load.leader_sockets, settings.controller_sockets);
+  EXPECT_EQ(load.leases_lost, 0);
+  const auto faults = trial.measure_faults();
+  ASSERT_EQ(faults.size(), 3u);
+  for (const auto& fault : faults) {
+    EXPECT_GT(fault.urgent_started, 0) << fault.quantity;
+    EXPECT_EQ(fault.leases_lost, 0) << fault.quantity;
+    EXPECT_LT(fault.leader_sockets, settings.controller_sockets) << fault.quantity;
+  }
+  EXPECT_EQ(trial.violations(), std::vector<std::string>{});
+}
+
 }  // namespace
 }  // namespace sumacquay::fleetload
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -1,10 +1,13 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
+#include <numeric>
 #include <set>
 
 #include "config/settings.h"
 #include "generators.h"
+#include "peer/leader_details.h"
 #include "wire/messages.h"
 
 namespace sumacquay {
@@ -297,28 +300,122 @@
   }));
 }
 
-TEST(Peers, AHeartbeatOfAnyFleetFitsABodyAndKeepsItsWord) {
-  constexpr size_t kLimit = size_t{64} * 1024;
-  wire::Heartbeat p;
-  p.node = "n";
-  p.term = 77;
-  p.leading = true;
-  p.part = wire::HeartbeatPart::Counts;
-  auto named = [](const char* kind, int i) { return kind + std::to_string(100000 + i); };
-  for (int i = 0; i < 2000; ++i) p.counts.push_back({named("job-", i), 100000, 100000});
-  EXPECT_EQ(wire::decode_heartbeat(wire::encode_heartbeat_within(p, kLimit))->counts.size(), 2000u)
-      << "the counts of twice the largest fleet fit whole";
-  for (int i = 0; i < 5000; ++i) {
-    const std::string machine = named(std::string(200, 'm').c_str(), i);
-    p.images.push_back({machine, named(std::string(200, 'i').c_str(), i), 7.5});
-    p.booting.push_back({machine, "", "type", "zone", true, ListedMachine::State::Booting, 1.5});
+/// What the leader of a large fleet tells: of `size` jobs, images and booting machines.
+wire::Heartbeat large_heartbeat(wire::HeartbeatPart part, int size, size_t name_bytes) {
+  wire::Heartbeat heartbeat;
+  heartbeat.node = "n";
+  heartbeat.term = 77;
+  heartbeat.leading = true;
+  heartbeat.part = part;
+  auto named = [&](char kind, int i) {
+    return std::string(name_bytes, kind) + std::to_string(100000 + i);
+  };
+  for (int i = 0; i < size; ++i) {
+    if (part == wire::HeartbeatPart::Counts) {
+      heartbeat.counts.push_back({named('j', i), 100000, 100000});
+      continue;
+    }
+    heartbeat.images.push_back({named('m', i), named('i', i), 7.5});
+    heartbeat.booting.push_back(
+        {named('m', i), "", "type", "zone", true, ListedMachine::State::Booting, 1.5});
   }
-  const std::string body = wire::encode_heartbeat_within(p, kLimit);
-  EXPECT_LE(body.size(), kLimit);
-  const auto back = wire::decode_heartbeat(body);
-  ASSERT_TRUE(back.has_value());
-  EXPECT_EQ(back->term, 77u);
-  EXPECT_TRUE(back->leading);
+  return heartbeat;
+}
+
+constexpr size_t kBodyLimit = size_t{64} * 1024;
+
+TEST(Peers, AHeartbeatThatFitsABodyGoesInOnePieceAsBefore) {
+  const auto heartbeat = large_heartbeat(wire::HeartbeatPart::Counts, 2000, 4);
+  const auto bodies = wire::encode_heartbeat_pieces(heartbeat, 1, kBodyLimit);
+  ASSERT_EQ(bodies.size(), 1u);
+  EXPECT_EQ(bodies[0], wire::encode_heartbeat(heartbeat));
+}
+
+// What didn't fit was left out: the jobs at the end were shown as pending while they ran, and a
+// successor rented machines anew that were booting.
+TEST(Peers, AHeartbeatOfAnyFleetGoesInPiecesThatFitBodiesAndTellAll) {
+  for (const auto part : {wire::HeartbeatPart::Counts, wire::HeartbeatPart::Hints}) {
+    for (const size_t name_bytes : {size_t{4}, size_t{200}}) {
+      const auto whole = large_heartbeat(part, 6300, name_bytes);
+      const auto bodies = wire::encode_heartbeat_pieces(whole, 9, kBodyLimit);
+      LeaderDetails details;
+      std::vector<size_t> order(bodies.size());
+      std::iota(order.begin(), order.end(), size_t{0});
+      std::reverse(order.begin(), order.end());  // connections don't keep their order
+      for (const size_t index : order) {
+        ASSERT_LE(bodies[index].size(), kBodyLimit);
+        const auto piece = wire::decode_heartbeat(bodies[index]);
+        ASSERT_TRUE(piece.has_value());
+        EXPECT_EQ(piece->term, 77u);
+        EXPECT_TRUE(piece->leading);
+        const bool first = index == 0;
+        EXPECT_EQ(piece->part, first ? part : wire::HeartbeatPart::Beat)
+            << "a version that knows no pieces takes in the first alone";
+        details.take(*piece);
+      }
+      if (part == wire::HeartbeatPart::Counts) {
+        for (const auto& count : whole.counts)
+          ASSERT_EQ(details.counts(count.job).running, count.running);
+        continue;
+      }
+      ASSERT_EQ(details.images().size(), whole.images.size());
+      for (size_t i = 0; i < whole.images.size(); ++i)
+        ASSERT_EQ(details.images()[i].machine, whole.images[i].machine);
+      EXPECT_EQ(details.booting().size(), whole.booting.size());
+    }
+  }
+}
+
+std::vector<wire::Heartbeat> pieces_of(const wire::Heartbeat& whole, uint64_t batch) {
+  std::vector<wire::Heartbeat> pieces;
+  for (const auto& body : wire::encode_heartbeat_pieces(whole, batch, kBodyLimit))
+    pieces.push_back(*wire::decode_heartbeat(body));
+  return pieces;
+}
+
+TEST(Peers, CountsStayAsTheyWereUntilAllPiecesOfTheNextHaveCome) {
+  const auto whole = large_heartbeat(wire::HeartbeatPart::Counts, 6300, 4);
+  const auto first = pieces_of(whole, 1);
+  const auto second = pieces_of(whole, 2);
+  ASSERT_GT(first.size(), 2u);
+  const std::string of_first_piece = whole.counts.front().job;
+  const std::string of_last_piece = whole.counts.back().job;
+  LeaderDetails details;
+  for (const auto& piece : first) details.take(piece);
+  details.take(second[0]);
+  EXPECT_EQ(details.counts(of_last_piece).running, 100000u);
+  details.take(first.back());
+  details.take(second[0]);
+  EXPECT_EQ(details.counts(of_last_piece).running, 100000u)
+      << "repeats of older ones count nothing";
+  // The rest of the second is lost: what came of it is shown with the third.
+  const auto third = pieces_of(whole, 3);
+  details.take(third[1]);
+  EXPECT_EQ(details.counts(of_last_piece).running, 0u);
+  EXPECT_EQ(details.counts(of_first_piece).running, 100000u);
+  for (const auto& piece : third) details.take(piece);
+  EXPECT_EQ(details.counts(of_last_piece).running, 100000u);
+  details.take(third.back());
+  details.take(pieces_of(whole, 4)[0]);
+  EXPECT_EQ(details.counts(of_last_piece).running, 100000u) << "a repeat is not a batch";
+  auto of_next_leader = whole;
+  of_next_leader.term = 78;
+  for (const auto& piece : pieces_of(of_next_leader, 1)) details.take(piece);
+  EXPECT_EQ(details.counts(of_last_piece).running, 100000u) << "its process counts anew";
+}
+
+TEST(Peers, HostilePiecesAreIgnored) {
+  auto hostile = large_heartbeat(wire::HeartbeatPart::Counts, 3, 4);
+  LeaderDetails details;
+  constexpr uint64_t kMany = uint64_t{1} << 60;
+  hostile.part = wire::HeartbeatPart::Beat;
+  hostile.piece = wire::HeartbeatPiece{1, 5, kMany, wire::HeartbeatPart::Counts};
+  details.take(*wire::decode_heartbeat(wire::encode_heartbeat(hostile)));
+  hostile.piece = wire::HeartbeatPiece{1, 7, 3, wire::HeartbeatPart::Counts};
+  EXPECT_FALSE(wire::decode_heartbeat(wire::encode_heartbeat(hostile))->piece);
+  hostile.piece = wire::HeartbeatPiece{1, 0, 1, wire::HeartbeatPart::Beat};
+  details.take(*wire::decode_heartbeat(wire::encode_heartbeat(hostile)));
+  EXPECT_EQ(details.counts(hostile.counts[0].job).running, 0u);
 }
 
 TEST(Ranges, AgreeWithASetOfNumbers) {
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -52,6 +52,11 @@
     EXPECT_TRUE(done());
   }
 
+  void run_for(std::chrono::milliseconds time) {
+    io.restart();
+    io.run_for(time);
+  }
+
   HttpResult ask(HttpClient& client, const std::string& path, const std::string& body,
                  double deadline) {
     std::optional<HttpResult> result;
@@ -103,6 +108,7 @@
 // connections that nobody used stayed open.
 TEST_F(Loopback, TheConnectionThatIsIdleLongestGivesWay) {
   limits.connections = 2;
+  limits.kept_open = 2;
   serve();
   const Endpoint to{"127.0.0.1", server->port()};
   HttpClient first(io, to, 1, 1);
@@ -121,6 +127,85 @@
   EXPECT_TRUE(never);
 }
 
+// More workers than sockets: each is answered, some over connections that stay open and the others
+// over one that is closed with the answer.
+TEST_F(Loopback, MorePeersThanConnectionsAreServedInTurn) {
+  constexpr int kPeers = 40;
+  limits.connections = 12;
+  limits.refusals = 2;
+  limits.kept_open = 8;
+  serve();
+  std::vector<std::unique_ptr<HttpClient>> peers;
+  peers.reserve(kPeers);
+  for (int i = 0; i < kPeers; ++i)
+    peers.push_back(std::make_unique<HttpClient>(io, Endpoint{"127.0.0.1", server->port()}, 1, 1));
+  constexpr int kRounds = 3;
+  for (int round = 0; round < kRounds; ++round)
+    for (const auto& peer : peers) EXPECT_TRUE(ask(*peer, "/a", "", 2).ok());
+  EXPECT_EQ(handled, kPeers * kRounds);
+  EXPECT_LE(server->open_connections(), limits.kept_open + 1);
+  EXPECT_EQ(server->refused(), 0u);
+  const size_t in_turn = kPeers - limits.kept_open;
+  EXPECT_EQ(server->closed_after_answer(), in_turn * kRounds)
+      << "those that stay open are used again: nobody is closed for others";
+}
+
+// A fleet that comes back all at once, while some answers take long.
+TEST_F(Loopback, APeerThatFindsNoPlaceIsToldAtOnceWhenToComeBack) {
+  limits.connections = 4;
+  limits.refusals = 2;
+  limits.kept_open = 2;
+  serve();
+  const Endpoint to{"127.0.0.1", server->port()};
+  HttpClient first(io, to, 1, 1);
+  HttpClient second(io, to, 1, 1);
+  for (HttpClient* slow : {&first, &second})
+    slow->request("POST", "/never", "", 20, [](const HttpResult&) {});
+  run_until([&] { return handled == 2; });
+  const std::string refusal = raw("GET /b HTTP/1.1\r\n\r\n");
+  EXPECT_NE(refusal.find("503"), std::string::npos);
+  EXPECT_NE(refusal.find("Retry-After: 1"), std::string::npos);
+  EXPECT_NE(refusal.find("Connection: close"), std::string::npos);
+  EXPECT_EQ(handled, 2);
+  EXPECT_EQ(server->refused(), 1u);
+}
+
+TEST_F(Loopback, BeyondTheRefusalsAConnectionIsClosedAtOnce) {
+  limits.connections = 2;
+  limits.refusals = 1;
+  limits.kept_open = 1;
+  limits.request_s = 5;
+  serve();
+  HttpClient slow(io, {"127.0.0.1", server->port()}, 1, 1);
+  slow.request("POST", "/never", "", 20, [](const HttpResult&) {});
+  run_until([&] { return handled == 1; });
+  tcp::socket says_nothing(io);
+  says_nothing.connect({asio::ip::make_address("127.0.0.1"), server->port()});
+  run_until([&] { return server->refused() == 1; });
+  const auto before = std::chrono::steady_clock::now();
+  EXPECT_EQ(raw("GET /b HTTP/1.1\r\n\r\n"), "");
+  EXPECT_LT(std::chrono::steady_clock::now() - before, std::chrono::seconds(2));
+  EXPECT_EQ(server->open_connections(), limits.connections);
+}
+
+// Users who have left keep connections for minutes; workers report over theirs.
+TEST_F(Loopback, AConnectionThatNobodyUsesGivesWayToOneThatIsUsed) {
+  limits.connections = 4;
+  limits.kept_open = 1;
+  limits.stale_s = 0.02;
+  serve();
+  const Endpoint to{"127.0.0.1", server->port()};
+  HttpClient left(io, to, 1, 1);
+  HttpClient worker(io, to, 1, 1);
+  EXPECT_TRUE(ask(left, "/a", "", 2).ok());
+  run_for(std::chrono::milliseconds(60));
+  EXPECT_TRUE(ask(worker, "/b", "", 2).ok());
+  EXPECT_EQ(server->closed_after_answer(), 0u);
+  EXPECT_EQ(server->open_connections(), 1u);
+  EXPECT_TRUE(ask(worker, "/b", "", 2).ok());
+  EXPECT_EQ(handled, 3);
+}
+
 TEST_F(Loopback, ASilentServerCostsTheDeadlineOnly) {
   serve();
   HttpClient client(io, {"127.0.0.1", server->port()}, 1, 1);
--- a/tests/users_test.cpp
+++ b/tests/users_test.cpp
@@ -252,6 +252,9 @@
   return submission(id, [&](Fields& f) { f["awaits"] = msgpack::object(dependencies, zone); });
 }
 
+/// Requests of users that a front end handles at once.
+constexpr size_t kMostInProgress = 42;
+
 struct TwoNodes : ::testing::Test {
   asio::io_context io;
   StateStandIn state{io};
@@ -278,7 +281,6 @@
     if (!s.door) s.door = &state.open();
     s.settings.state = {"127.0.0.1", s.door->server.port()};
     s.settings.teams = {TeamSettings{"t", 0, 0, 0, 0}};
-    s.settings.max_sockets = 60;
     s.settings.state_rps = 1000, s.settings.state_write_rps = 300;  // no waits for the budget
     MachineType g;
     g.name = "g";
@@ -289,7 +291,7 @@
     s.store = std::make_unique<StoreClient>(io, s.settings);
     s.mirror = std::make_unique<Mirror>(io, s.settings, *s.store, finished_kept);
     s.frontend = std::make_unique<Frontend>(
-        s.settings, *s.store, *s.mirror,
+        s.settings, kMostInProgress, *s.store, *s.mirror,
         Frontend::Sources{[&s]() -> const std::vector<MachineType>& { return s.types; },
                           [](const std::string& id) {
                             return wire::RunningCount{id, 0, 0};
