--- a/src/config/tuning.h
+++ b/src/config/tuning.h
@@ -12,7 +12,7 @@
   double round = 0.1;         ///< placement round / report period
   double suspect = 0.45;      ///< silence that makes a machine suspect / worker lease
   double idle = 0.4;          ///< idle time before a machine is returned / its boot time
-  double rent = 0.02;         ///< machines rented at once / machines up; a few in any case
+  double rent = 0.05;         ///< machines rented at once / machines up; a few in any case
   double headroom = 1.0;      ///< spare room / room that expected arrivals need
   double sockets = 0.7;       ///< sockets open to users and workers / all sockets
   /// Whether writes and orders go out as soon as what they wait for is there, instead of with the
