Large fleets, read once more: one way for orders, fewer flags, tests in tables

- Orders: every order goes through the queue, so that one place sends, keeps or gives up; looking for a free client stands once.
- The server's idle list needs no flag beside its entry, and its counts are one value, which the log takes.
Setting kept_open where the default serves is gone.
- The node's two reasons to leave the lead are one function.
TermNumbers has no second name for the same thing.
- Heartbeat pieces: a piece is the whole without its lists, so a new field can't be forgotten; the first try leaves a margin and so is seldom repeated.
Senders and receivers share one bound on pieces (256; receivers kept up to 4,096).
- Tests: LeaderFixture serves two files, placements and refused settings are tables.
The check that a repeated piece is no batch asked for the wrong job and now asks for the right one; more pieces than are kept are shown to be ignored.
No check is gone.

--- a/src/config/socket_budget.cpp
+++ b/src/config/socket_budget.cpp
@@ -29,7 +29,7 @@
   return std::max(least, static_cast<size_t>(share * static_cast<double>(whole)));
 }
 
-size_t less(size_t whole, size_t part) {
+size_t remaining(size_t whole, size_t part) {
   return whole > part ? whole - part : 0;
 }
 
@@ -47,7 +47,7 @@
 /// What is left beside the fixed sockets and the orders, and no more than the operators' share.
 size_t sockets_to_serve(const Settings& settings, const SocketBudget& budget) {
   const size_t sockets = all_sockets(settings);
-  const size_t left = less(sockets, budget.fixed + budget.orders);
+  const size_t left = remaining(sockets, budget.fixed + budget.orders);
   return std::min(left, share_of(sockets, settings.tuning.sockets, kFewestServed));
 }
 
@@ -59,8 +59,8 @@
   budget.orders = share_of(all_sockets(settings), kOrderShare, kFewestOrders);
   budget.served_and_refused = sockets_to_serve(settings, budget);
   budget.refusals = share_of(budget.served_and_refused, kRefusalShare, kFewestRefusals);
-  const size_t served = less(budget.served_and_refused, budget.refusals);
-  budget.kept_open = less(served, share_of(served, kTurnoverShare, kFewestTurnover));
+  const size_t served = remaining(budget.served_and_refused, budget.refusals);
+  budget.kept_open = remaining(served, share_of(served, kTurnoverShare, kFewestTurnover));
   budget.users_in_progress = share_of(served, kUserShare, 1);
   return budget;
 }
@@ -75,8 +75,8 @@
                      ", which leaves less than " + std::to_string(kFewestServed) + " for workers");
 }
 
-std::optional<std::string> cost_of_few_sockets(const Settings& settings,
-                                               const SocketBudget& budget) {
+std::optional<std::string> cost_of_few_sockets(const Settings& settings) {
+  const SocketBudget budget = socket_budget(settings);
   const size_t asked_for = share_of(all_sockets(settings), settings.tuning.sockets, kFewestServed);
   if (budget.served_and_refused >= asked_for) return std::nullopt;
   return std::string(kField) + ": " + std::to_string(all_sockets(settings)) +
--- a/src/config/socket_budget.h
+++ b/src/config/socket_budget.h
@@ -42,7 +42,6 @@
 
 /// What operators are to know of a budget that works, but not as well as the platform's other
 /// settings let expect. None if there is nothing to say.
-std::optional<std::string> cost_of_few_sockets(const Settings& settings,
-                                               const SocketBudget& budget);
+std::optional<std::string> cost_of_few_sockets(const Settings& settings);
 
 }  // namespace sumacquay
--- a/src/dispatch/leader_core.cpp
+++ b/src/dispatch/leader_core.cpp
@@ -28,7 +28,7 @@
 void LeaderCore::raise_token(Machine& m) {
   ++m.counter;
   m.token_confirmed = false;
-  numbers_.note_token(m.counter);
+  numbers_.note_use(m.counter);
 }
 
 const Job* LeaderCore::find_job(const std::string& id) const {
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -128,7 +128,7 @@
 
  private:
   // leader_core.cpp
-  uint64_t token(const Machine& m) const { return numbers_.token(m.counter); }
+  uint64_t token(const Machine& m) const { return numbers_.with_term(m.counter); }
   const Job* find_job(const std::string& id) const;
   Job* find_job(const std::string& id);
   const MachineType* type(const std::string& name) const;
--- a/src/leadership/term_numbers.h
+++ b/src/leadership/term_numbers.h
@@ -17,13 +17,16 @@
   uint64_t new_attempt() {
     const uint64_t number = next_attempt_++;
     note_use(number);
-    return numbered(number);
+    return with_term(number);
   }
   size_t attempts_left() const { return kTokenCounterEnd - next_attempt_; }
 
-  /// A worker's token; `counter` rises with each order that may still be carried out late.
-  uint64_t token(uint64_t counter) const { return numbered(counter); }
-  void note_token(uint64_t counter) { note_use(counter); }
+  uint64_t with_term(uint64_t number) const { return (term_ << kTokenCounterBits) | number; }
+  /// A number is in use, of an attempt or of a worker's token.
+  void note_use(uint64_t number) {
+    if (static_cast<double>(number) > kNearly * static_cast<double>(kTokenCounterEnd))
+      nearly_used_up_ = true;
+  }
 
   /// Few numbers are left: the node should get a new term.
   bool nearly_used_up() const { return nearly_used_up_; }
@@ -33,12 +36,6 @@
   /// node has a new term.
   static constexpr double kNearly = 0.9;
 
-  uint64_t numbered(uint64_t number) const { return (term_ << kTokenCounterBits) | number; }
-  void note_use(uint64_t number) {
-    if (static_cast<double>(number) > kNearly * static_cast<double>(kTokenCounterEnd))
-      nearly_used_up_ = true;
-  }
-
   uint64_t term_;
   uint64_t next_attempt_ = 1;
   bool nearly_used_up_ = false;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <chrono>
+#include <optional>
 #include <utility>
 
 #include "net/asio_conversions.h"
@@ -55,7 +56,7 @@
 
   void forget_server() {
     server_ = nullptr;
-    listed_as_idle_ = false;
+    idle_entry_.reset();
   }
 
   /// For how long nothing has been asked. Only while it is idle.
@@ -74,12 +75,12 @@
 
   /// The only place that changes the state, and with it the server's list of idle connections.
   void enter(State next) {
-    if (state_ == State::Idle && listed_as_idle_) server_->idle_.erase(idle_entry_);
-    listed_as_idle_ = next == State::Idle && service_ == Service::Handled;
+    if (idle_entry_) server_->idle_.erase(*idle_entry_);
+    idle_entry_.reset();
     state_ = next;
-    if (next != State::Idle) return;
+    if (next != State::Idle || service_ == Service::Refused) return;
     idle_since_ = Clock::now();
-    if (listed_as_idle_) idle_entry_ = server_->idle_.insert(server_->idle_.end(), this);
+    idle_entry_ = server_->idle_.insert(server_->idle_.end(), this);
   }
 
   void wait_for_request() {
@@ -133,7 +134,7 @@
   }
 
   void handle() {
-    if (service_ == Service::Refused) return refuse(kUnavailable);
+    if (service_ == Service::Refused) return refuse(kUnavailable, kRetryAfterSeconds);
     enter(State::Handling);
     timer_.cancel();
     const HttpRequest request = parser_.take_request();
@@ -145,8 +146,7 @@
     });
   }
 
-  void refuse(int status) {
-    const int retry_after_s = status == kUnavailable ? kRetryAfterSeconds : 0;
+  void refuse(int status, int retry_after_s = 0) {
     write(HttpReply{status, {}, retry_after_s}, KeepAlive::No);
   }
 
@@ -177,8 +177,7 @@
   tcp::socket socket_;
   asio::steady_timer timer_;
   State state_ = State::Idle;
-  bool listed_as_idle_ = false;
-  IdleConnections::iterator idle_entry_;  ///< while it is listed
+  std::optional<IdleConnections::iterator> idle_entry_;  ///< none while it is not idle
   HttpRequestParser parser_;
   std::array<char, kChunkBytes> chunk_{};
   std::string out_;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -31,6 +31,15 @@
   double stale_s = 120;
 };
 
+/// What has become of a server's connections.
+struct ConnectionCounts {
+  size_t open = 0;
+  /// Closed with an answer, since the start, because more peers came than can be kept.
+  size_t closed_after_answer = 0;
+  /// Refused, since the start, for want of a place, with an answer or without.
+  size_t refused = 0;
+};
+
 /// Keeps connections alive, takes one request at a time on each, and is bounded everywhere. What is
 /// over a limit is answered 413, and what isn't HTTP 400; then the connection is closed. A peer
 /// that finds no place is refused at once, and never waits for others to leave.
@@ -46,11 +55,7 @@
   /// Closes all connections; new ones are accepted as before.
   void close_all();
 
-  size_t open_connections() const { return connections_.size(); }
-  /// Connections that were closed with an answer because more peers came than can be kept.
-  size_t closed_after_answer() const { return closed_after_answer_; }
-  /// Connections that were refused for want of a place, with an answer or without.
-  size_t refused() const { return refused_; }
+  ConnectionCounts counts() const { return {connections_.size(), closed_after_answer_, refused_}; }
 
  private:
   class Connection;
--- a/src/node/action_executor.cpp
+++ b/src/node/action_executor.cpp
@@ -52,18 +52,16 @@
 }
 
 void ActionExecutor::perform(const SendOrders& order) {
-  if (const auto client = waiting_.empty() ? workers_.find_or_open(order.addr) : nullptr)
-    return send(order, client);
-  if (workers_.all_busy() || !waiting_.empty())
-    return waiting_.push_back({order, steady_now() + order_deadline()});
-  asio::post(io_, [this, order, generation = core_.generation()] {
-    if (core_.get(generation)) give_up(order);
-  });
+  waiting_.push_back({order, steady_now() + order_deadline()});
+  send_waiting();
 }
 
 /// The core takes it for an order that may still be executed, which is safe and slower.
 void ActionExecutor::give_up(const SendOrders& order) {
-  if (core_) core_->orders_done(order.machine, std::nullopt, false, steady_now());
+  asio::post(io_, [this, machine = order.machine, generation = core_.generation()] {
+    if (LeaderCore* core = core_.get(generation))
+      core->orders_done(machine, std::nullopt, false, steady_now());
+  });
 }
 
 void ActionExecutor::send(const SendOrders& order, const std::shared_ptr<HttpClient>& client) {
@@ -81,16 +79,15 @@
                   });
 }
 
-/// A connection has come free: the orders that have waited longest go out. An order was decided
-/// while this node led, and goes out only while it does.
+/// Sends orders, those that have waited longest first, until all connections are busy. An order was
+/// decided while this node led, and goes out only while it does.
 void ActionExecutor::send_waiting() {
   while (!waiting_.empty()) {
-    const WaitingOrder& next = waiting_.front();
     const Seconds now = steady_now();
-    const bool too_late = !core_ || !leadership_.may_act(now) || now >= next.until;
-    const auto client = too_late ? nullptr : workers_.find_or_open(next.order.addr);
-    if (!client && !too_late && workers_.all_busy()) return;
-    const SendOrders order = next.order;
+    const bool in_time = leadership_.may_act(now) && now < waiting_.front().until;
+    const auto client = in_time ? workers_.find_or_open(waiting_.front().order.addr) : nullptr;
+    if (in_time && !client && workers_.all_busy()) return;
+    const SendOrders order = std::move(waiting_.front().order);
     waiting_.pop_front();
     if (client)
       send(order, client);
--- a/src/node/connection_log.cpp
+++ b/src/node/connection_log.cpp
@@ -4,7 +4,7 @@
 
 namespace sumacquay {
 
-bool ConnectionLog::observe(Seconds now, const Counts& counts) {
+bool ConnectionLog::observe(Seconds now, const ConnectionCounts& counts) {
   if (now < next_) return false;
   next_ = now + pause_;
   const size_t closed = counts.closed_after_answer - told_.closed_after_answer;
--- a/src/node/connection_log.h
+++ b/src/node/connection_log.h
@@ -1,7 +1,6 @@
 #pragma once
-#include <cstddef>
-
-#include "fleet/machine.h"
+#include "jobs/spec.h"
+#include "net/http_server.h"
 
 namespace sumacquay {
 
@@ -12,18 +11,13 @@
   /// `pause`: the least time between two lines.
   explicit ConnectionLog(Seconds pause) : pause_(pause) {}
 
-  struct Counts {
-    size_t open = 0;
-    size_t closed_after_answer = 0;  ///< since the start
-    size_t refused = 0;              ///< since the start
-  };
   /// True if it wrote a line.
-  bool observe(Seconds now, const Counts& counts);
+  bool observe(Seconds now, const ConnectionCounts& counts);
 
  private:
   Seconds pause_;
   Seconds next_ = 0;
-  Counts told_;
+  ConnectionCounts told_;
 };
 
 }  // namespace sumacquay
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -62,7 +62,7 @@
       tick_timer_(io) {}
 
 void Node::start() {
-  if (const auto cost = cost_of_few_sockets(settings_, sockets_)) spdlog::warn(*cost);
+  if (const auto cost = cost_of_few_sockets(settings_)) spdlog::warn(*cost);
   HttpLimits limits;
   limits.connections = sockets_.served_and_refused;
   limits.refusals = sockets_.refusals;
@@ -86,10 +86,12 @@
 
 void Node::tick() {
   outage_log_.observe(steady_now(), served());
-  log_connections();
+  connection_log_.observe(steady_now(), server_->counts());
   election_.tick(random());
-  resign_if_no_worker_reaches_us();
-  resign_if_term_is_used_up();
+  if (const auto reason = reason_to_resign()) {
+    spdlog::info("{}: leaves the lead to another node", *reason);
+    election_.resign();
+  }
   tick_core();
   tick_timer_.expires_after(
       to_microseconds(settings_.report_s * settings_.tuning.round * kTickRoundShare));
@@ -98,25 +100,15 @@
   });
 }
 
-void Node::log_connections() {
-  connection_log_.observe(steady_now(), {server_->open_connections(),
-                                         server_->closed_after_answer(), server_->refused()});
-}
-
-/// A leader that has used up the numbers of its term could start nothing any more. Without peers
-/// nobody else gets a term, and this node is the next leader itself.
-void Node::resign_if_term_is_used_up() {
-  if (!leads_now() || !core_->term_nearly_used_up()) return;
-  spdlog::info("term {} has few attempts left: leaves the lead for a new term", leadership_.term());
-  election_.resign();
-}
-
-/// The state service still renews the lease of a leader that workers can't reach: it has to go by
-/// itself, or every worker's lease would end.
-void Node::resign_if_no_worker_reaches_us() {
-  if (settings_.peers.empty() || !leads_now() || !core_->no_worker_reaches_us(steady_now())) return;
-  spdlog::info("no worker gets through: leaves the lead to another node");
-  election_.resign();
+/// Why this node should leave the lead, none if it should not. The state service still renews the
+/// lease of a leader that workers can't reach: it has to go by itself, or every worker's lease
+/// would end. One that has used up the numbers of its term could start nothing any more.
+std::optional<std::string> Node::reason_to_resign() const {
+  if (!leads_now()) return std::nullopt;
+  if (core_->term_nearly_used_up()) return "few attempts are left of its term";
+  if (!settings_.peers.empty() && core_->no_worker_reaches_us(steady_now()))
+    return "no worker gets through";
+  return std::nullopt;
 }
 
 void Node::tick_core() {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -36,10 +36,8 @@
   double random();
   void tick();
   void tick_core();
-  void log_connections();
   void on_committed();
-  void resign_if_no_worker_reaches_us();
-  void resign_if_term_is_used_up();
+  std::optional<std::string> reason_to_resign() const;
   // requests
   void on_request(const HttpRequest& request, const Respond& respond);
   void on_report(const HttpRequest& request, const Respond& respond);
--- a/src/node/worker_clients.cpp
+++ b/src/node/worker_clients.cpp
@@ -49,9 +49,7 @@
 }
 
 bool WorkerClients::all_busy() const {
-  return pool_.size() >= limit_ &&
-         std::all_of(pool_.begin(), pool_.end(),
-                     [](const PooledClient& pooled) { return pooled.client->in_progress() > 0; });
+  return pool_.size() >= limit_ && longest_unused() == pool_.end();
 }
 
 void WorkerClients::clear() {
@@ -60,11 +58,14 @@
 }
 
 /// Finds the first that isn't busy: a look at all of thousands for each order would cost more than
-/// the order. False: all are busy.
+/// the order. The end: all are busy.
+WorkerClients::Pool::const_iterator WorkerClients::longest_unused() const {
+  return std::find_if(pool_.begin(), pool_.end(),
+                      [](const PooledClient& pooled) { return pooled.client->in_progress() == 0; });
+}
+
 bool WorkerClients::drop_longest_unused() {
-  const auto idle = std::find_if(pool_.begin(), pool_.end(), [](const PooledClient& pooled) {
-    return pooled.client->in_progress() == 0;
-  });
+  const auto idle = longest_unused();
   if (idle == pool_.end()) return false;
   by_address_.erase(idle->address);
   pool_.erase(idle);
--- a/src/node/worker_clients.h
+++ b/src/node/worker_clients.h
@@ -29,6 +29,7 @@
     std::shared_ptr<HttpClient> client;
   };
   using Pool = std::list<PooledClient>;
+  Pool::const_iterator longest_unused() const;
   bool drop_longest_unused();
 
   asio::io_context& io_;
--- a/src/peer/leader_details.cpp
+++ b/src/peer/leader_details.cpp
@@ -1,12 +1,6 @@
 #include "peer/leader_details.h"
 
 namespace sumacquay {
-namespace {
-
-/// A batch has a piece for each 64 KiB; more than this is nothing that a leader sends.
-constexpr uint64_t kMostPieces = 4096;
-
-}  // namespace
 
 void LeaderDetails::take(const wire::Heartbeat& heartbeat) {
   if (heartbeat.piece) return take_piece(heartbeat, *heartbeat.piece);
@@ -15,7 +9,7 @@
 
 void LeaderDetails::take_piece(const wire::Heartbeat& heartbeat,
                                const wire::HeartbeatPiece& piece) {
-  if (piece.part == wire::HeartbeatPart::Beat || piece.pieces > kMostPieces) return;
+  if (piece.part == wire::HeartbeatPart::Beat || piece.pieces > kMostHeartbeatPieces) return;
   Batch& batch = batches_[piece.part];
   const std::pair<uint64_t, uint64_t> term_and_number{heartbeat.term, piece.batch};
   if (term_and_number < batch.term_and_number) return;
--- a/src/peer/leader_details.h
+++ b/src/peer/leader_details.h
@@ -1,5 +1,6 @@
 #pragma once
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <string>
 #include <utility>
@@ -11,6 +12,9 @@
 /// `Peers` on every node. Nothing that safety needs rests on it.
 namespace sumacquay {
 
+/// Pieces of a batch that are sent and kept: each has up to 64 KiB.
+inline constexpr size_t kMostHeartbeatPieces = 256;
+
 /// Takes in heartbeats of leaders. What comes in several pieces is shown once all have come, in any
 /// order; if one is lost, what has come of them is shown as soon as the next batch begins.
 class LeaderDetails {
--- a/src/peer/peers.cpp
+++ b/src/peer/peers.cpp
@@ -19,8 +19,6 @@
 constexpr double kDeadlinePeriods = 2;
 constexpr size_t kBodyLimit = HttpLimits{}.body_bytes;
 
-/// The pieces of the counts and hints of a large fleet, told at once.
-constexpr size_t kQueuedPerPeer = 256;
 /// A peer with so many heartbeats under way gets no more until one is answered or given up.
 constexpr size_t kHeartbeatsUnderWay = 2;
 
@@ -39,7 +37,7 @@
   for (const auto& peer : settings.peers) {
     peers_[peer.node].heard = Clock::now();
     clients_[peer.node] = std::make_unique<HttpClient>(
-        io, peer.addr, fixed_sockets::kClientConnectionsPerPeer, kQueuedPerPeer);
+        io, peer.addr, fixed_sockets::kClientConnectionsPerPeer, kMostHeartbeatPieces);
   }
 }
 
@@ -47,7 +45,6 @@
   HttpLimits limits;
   limits.connections = fixed_sockets::kServerConnectionsPerPeer * settings_.peers.size() +
                        fixed_sockets::kServerConnectionsSpare;
-  limits.kept_open = limits.connections;
   server_ = std::make_unique<HttpServer>(
       io_, settings_.peer_listen, limits,
       [this](const HttpRequest& request, const Respond& respond) { on_request(request, respond); });
--- a/src/wire/heartbeat.cpp
+++ b/src/wire/heartbeat.cpp
@@ -256,20 +256,22 @@
           list.begin() + static_cast<std::ptrdiff_t>(end)};
 }
 
-Heartbeat piece_of(const Heartbeat& whole, const HeartbeatPiece& piece) {
-  Heartbeat heartbeat;
-  heartbeat.part = piece.index == 0 ? whole.part : HeartbeatPart::Beat;
-  heartbeat.piece = piece;
-  heartbeat.node = whole.node;
-  heartbeat.term = whole.term;
-  heartbeat.leading = whole.leading;
-  heartbeat.served = whole.served;
-  heartbeat.status = whole.status;
-  heartbeat.delegation = whole.delegation;
-  heartbeat.counts = share_of(whole.counts, piece);
-  heartbeat.images = share_of(whole.images, piece);
-  heartbeat.booting = share_of(whole.booting, piece);
-  return heartbeat;
+Heartbeat without_lists(const Heartbeat& whole) {
+  Heartbeat head = whole;
+  head.counts.clear();
+  head.images.clear();
+  head.booting.clear();
+  return head;
+}
+
+/// `head`: the whole without its lists.
+std::string encode_piece(const Heartbeat& whole, Heartbeat head, const HeartbeatPiece& piece) {
+  head.piece = piece;
+  if (piece.index > 0) head.part = HeartbeatPart::Beat;
+  head.counts = share_of(whole.counts, piece);
+  head.images = share_of(whole.images, piece);
+  head.booting = share_of(whole.booting, piece);
+  return encode_heartbeat(head);
 }
 
 size_t longest_list(const Heartbeat& heartbeat) {
@@ -312,16 +314,18 @@
 
 std::vector<std::string> encode_heartbeat_pieces(const Heartbeat& heartbeat, uint64_t batch,
                                                  size_t limit) {
+  // Members differ in size, and each piece has a head of its own.
+  constexpr double kMargin = 0.9;
   std::string whole = encode_heartbeat(heartbeat);
   if (whole.size() <= limit) return {std::move(whole)};
-  // Members differ in size and each piece has a head of its own, so the first try may be too few.
+  const Heartbeat head = without_lists(heartbeat);
   const size_t most = longest_list(heartbeat);
-  for (size_t pieces = whole.size() / limit + 1;; ++pieces) {
+  const double fits = kMargin * static_cast<double>(limit);
+  for (auto pieces = static_cast<size_t>(static_cast<double>(whole.size()) / fits) + 1;; ++pieces) {
     std::vector<std::string> bodies;
     bool all_fit = true;
     for (size_t index = 0; index < pieces && all_fit; ++index) {
-      bodies.push_back(
-          encode_heartbeat(piece_of(heartbeat, {batch, index, pieces, heartbeat.part})));
+      bodies.push_back(encode_piece(heartbeat, head, {batch, index, pieces, heartbeat.part}));
       all_fit = bodies.back().size() <= limit || pieces >= most;
     }
     if (all_fit) return bodies;
--- a/tests/action_executor_test.cpp
+++ b/tests/action_executor_test.cpp
@@ -3,7 +3,7 @@
 
 #include <gtest/gtest.h>
 
-#include <set>
+#include <utility>
 
 #include "node/steady_time.h"
 
--- a/tests/formats_test.cpp
+++ b/tests/formats_test.cpp
@@ -397,7 +397,7 @@
   EXPECT_EQ(details.counts(of_last_piece).running, 100000u);
   details.take(third.back());
   details.take(pieces_of(whole, 4)[0]);
-  EXPECT_EQ(details.counts(of_last_piece).running, 100000u) << "a repeat is not a batch";
+  EXPECT_EQ(details.counts(of_first_piece).running, 100000u) << "a repeat is not a batch";
   auto of_next_leader = whole;
   of_next_leader.term = 78;
   for (const auto& piece : pieces_of(of_next_leader, 1)) details.take(piece);
@@ -415,7 +415,12 @@
   EXPECT_FALSE(wire::decode_heartbeat(wire::encode_heartbeat(hostile))->piece);
   hostile.piece = wire::HeartbeatPiece{1, 0, 1, wire::HeartbeatPart::Beat};
   details.take(*wire::decode_heartbeat(wire::encode_heartbeat(hostile)));
-  EXPECT_EQ(details.counts(hostile.counts[0].job).running, 0u);
+  for (size_t index = 0; index <= kMostHeartbeatPieces; ++index) {
+    hostile.piece =
+        wire::HeartbeatPiece{2, index, kMostHeartbeatPieces + 1, wire::HeartbeatPart::Counts};
+    details.take(hostile);
+  }
+  EXPECT_EQ(details.counts(hostile.counts[0].job).running, 0u) << "more than is ever kept";
 }
 
 TEST(Ranges, AgreeWithASetOfNumbers) {
--- a/tests/large_fleet_test.cpp
+++ b/tests/large_fleet_test.cpp
@@ -9,121 +9,76 @@
 
 #include "dispatch/leader_core.h"
 #include "generators.h"
+#include "leader_fixture.h"
 
 namespace sumacquay {
 namespace {
 
 constexpr uint64_t kTerm = 7;
-constexpr uint64_t kToken = kTerm << kTokenCounterBits;
-constexpr double kNow = 1000;
 constexpr int kMachines = 4500;
 
-struct LargeFleet : ::testing::Test {
-  Settings settings;
-  MachineType type;
-  std::unique_ptr<LeaderCore> core;
-  uint64_t revision = 100;
-  uint64_t reports = 0;
-
-  LargeFleet() {
-    settings.report_s = 6;
-    settings.lease_s = 31;
+struct LargeFleet : testing::LeaderFixture {
+  LargeFleet() : LeaderFixture(kTerm, 6, 31) {
     settings.cancel_s = 70;
-    TeamSettings team;
-    team.name = "t";
-    settings.teams = {team};
-    type.name = "g";
-    type.room = {4, 4, 16};
-    type.zones = {"e", "w"};
     type.boot_s = 50;
-    core = std::make_unique<LeaderCore>(settings, kTerm, kNow, kNow);
-    core->set_types({type});
+    new_core();
   }
 
   static std::string machine(int i) { return "i-" + std::to_string(100000 + i); }
   static std::string job_id(int i) { return "job-" + std::to_string(100000 + i); }
 
-  static JobRecord job(int i, uint32_t tasks, JobKind kind = JobKind::Array) {
-    JobRecord record;
-    record.spec.id = job_id(i);
-    record.spec.team = "t";
-    record.spec.kind = kind;
-    record.spec.tasks = tasks;
-    record.spec.need = {1, 1, 1};
-    record.submitted_ms = 1;
-    return record;
-  }
-
-  WorkerReport report(int i, uint64_t token, std::vector<TaskReport> tasks = {}) {
-    WorkerReport r;
-    r.machine = machine(i);
-    r.addr = "10.0.0.2:9";
-    r.type = "g";
-    r.zone = i % 2 == 0 ? "e" : "w";
-    r.session = 1;
-    r.seq = ++reports;
-    r.token = token;
-    r.tasks = std::move(tasks);
-    return r;
+  WorkerReport next_report(int i, uint64_t shown, std::vector<TaskReport> tasks = {}) {
+    return report(machine(i), ++reports, shown, std::move(tasks));
   }
 
-  /// Machines that are up and have shown the leader's token.
   void add_machines(int count) {
-    for (int i = 0; i < count; ++i) {
-      core->report(report(i, 0), true, kNow);
-      core->report(report(i, kToken), true, kNow);
-    }
+    for (int i = 0; i < count; ++i) add_machine(machine(i));
+    reports += 2;
   }
 
-  size_t placed(int job) const { return core->jobs().at(job_id(job)).placements.size(); }
+  size_t placed(int i) const { return core->jobs().at(job_id(i)).placements.size(); }
 
-  /// Machines of each request in the actions of a tick.
-  template <class Kind, class Count>
-  static std::vector<size_t> counts(const std::vector<Action>& actions, Count count) {
-    std::vector<size_t> out;
-    for (const auto& action : actions)
-      if (const auto* one = std::get_if<Kind>(&action)) out.push_back(count(*one));
-    return out;
-  }
-  static std::vector<size_t> rented(const std::vector<Action>& actions) {
-    return counts<Rent>(actions, [](const Rent& rent) { return static_cast<size_t>(rent.count); });
-  }
+  uint64_t reports = 0;
 };
 
-TEST_F(LargeFleet, AnArrayOfATaskForEachMachineIsPlacedInOneRound) {
-  add_machines(kMachines);
-  core->job_stored(job(1, kMachines), 5, kNow);
-  core->tick(kNow);
-  EXPECT_EQ(placed(1), size_t{kMachines});
-}
-
-TEST_F(LargeFleet, AnArrayThatNoFleetCouldStartFillsTheRoomThereIs) {
-  add_machines(10);
-  core->job_stored(job(1, 100000), 5, kNow);
-  core->tick(kNow);
-  EXPECT_EQ(placed(1), 40u) << "of a hundred thousand";
-}
-
-TEST_F(LargeFleet, AGangOfAMachineEachIsPlacedWhole) {
-  add_machines(kMachines);
-  auto gang = job(1, kMachines, JobKind::Gang);
-  gang.spec.need = {4, 4, 4};
-  core->job_stored(gang, 5, kNow);
-  core->tick(kNow);
-  EXPECT_EQ(placed(1), size_t{kMachines});
+TEST_F(LargeFleet, AJobOfAnySizeIsPlacedInOneRoundAsFarAsThereIsRoom) {
+  struct Case {
+    JobKind kind;
+    int machines;
+    uint32_t tasks;
+    Amounts need;
+    size_t placed;
+  };
+  constexpr Amounts kSmall{1, 1, 1};
+  constexpr Amounts kWholeMachine{4, 4, 4};
+  const std::vector<Case> cases = {
+      {JobKind::Array, kMachines, kMachines, kSmall, kMachines},
+      {JobKind::Gang, kMachines, kMachines, kWholeMachine, kMachines},
+      {JobKind::Array, 10, 100000, kSmall, 40},
+  };
+  for (const Case& c : cases) {
+    new_core();
+    add_machines(c.machines);
+    JobRecord record = job(job_id(1), c.tasks);
+    record.spec.kind = c.kind;
+    record.spec.need = c.need;
+    core->job_stored(record, 5, kNow);
+    core->tick(kNow);
+    EXPECT_EQ(placed(1), c.placed) << c.machines << " machines, " << c.tasks << " tasks";
+  }
 }
 
 TEST_F(LargeFleet, RentsInProportionToTheFleetInRequestsThatTheCloudTakes) {
   add_machines(kMachines);
-  core->job_stored(job(1, 4 * kMachines), 5, kNow);
-  core->job_stored(job(2, 4 * kMachines), 6, kNow);
+  core->job_stored(job(job_id(1), 4 * kMachines), 5, kNow);
+  core->job_stored(job(job_id(2), 4 * kMachines), 6, kNow);
   const auto requests = rented(core->tick(kNow));
-  size_t all = 0;
-  for (const size_t request : requests) {
-    EXPECT_LE(request, 50u) << "the protocol's limit";
+  int all = 0;
+  for (const int request : requests) {
+    EXPECT_LE(request, 50) << "the protocol's limit";
     all += request;
   }
-  EXPECT_EQ(all, static_cast<size_t>(settings.tuning.rent * kMachines));
+  EXPECT_EQ(all, static_cast<int>(settings.tuning.rent * kMachines));
 }
 
 TEST_F(LargeFleet, ManyMachinesAreReturnedInSeveralRequests) {
@@ -134,7 +89,7 @@
   for (int step = 0; step < 40 && returned.size() < kIdle; ++step) {
     now += settings.report_s;
     for (int i = 0; i < kIdle; ++i)
-      if (!returned.contains(machine(i))) core->report(report(i, kToken), true, now);
+      if (!returned.contains(machine(i))) core->report(next_report(i, token), true, now);
     for (const auto& action : core->tick(now)) {
       const auto* release = std::get_if<Release>(&action);
       if (!release) continue;
@@ -152,8 +107,7 @@
   EXPECT_TRUE(testing::holds(
       "fleet that comes back",
       [this] {
-        core = std::make_unique<LeaderCore>(settings, kTerm, kNow, kNow);
-        core->set_types({type});
+        new_core();
         const int cancelled = *rc::gen::inRange(0, kMachines);
         const int waiting = *rc::gen::inRange(1000, 3000);
         std::mt19937_64 random(static_cast<uint64_t>(*rc::gen::inRange(0, 1 << 30)));
@@ -162,15 +116,16 @@
           host.id = machine(i);
           host.addr = "10.0.0.2:9";
           host.type = "g";
-          host.zone = i % 2 == 0 ? "e" : "w";
+          host.zone = "e";
           core->host_stored(host, kNow);
-          auto record = job(i, 1);
+          auto record = job(job_id(i), 1);
           record.started = true;
           record.hosts = std::vector<std::string>{machine(i)};
           if (i < cancelled) record.state = JobState::Cancelled;
           core->job_stored(record, ++revision, kNow);
         }
-        for (int i = 0; i < waiting; ++i) core->job_stored(job(kMachines + i, 1), ++revision, kNow);
+        for (int i = 0; i < waiting; ++i)
+          core->job_stored(job(job_id(kMachines + i), 1), ++revision, kNow);
         RC_ASSERT(!core->all_accounted());
         std::vector<int> order(kMachines);
         std::iota(order.begin(), order.end(), 0);
@@ -178,13 +133,13 @@
         constexpr uint64_t kOldToken = (kTerm - 1) << kTokenCounterBits;
         for (const int i : order) {
           const TaskReport task{{job_id(i), 0}, kOldToken | 1, TaskState::Running};
-          const auto answer = core->report(report(i, kOldToken, {task}), true, kNow);
-          RC_ASSERT(answer.fresh && answer.token >= kToken);
+          const auto answer = core->report(next_report(i, kOldToken, {task}), true, kNow);
+          RC_ASSERT(answer.fresh && answer.token >= token);
           const bool stops =
               std::any_of(answer.commands.begin(), answer.commands.end(),
                           [](const Command& command) { return command.verb == Verb::Stop; });
           RC_ASSERT(stops == (i < cancelled));
-          core->report(report(i, kToken, {task}), true, kNow);
+          core->report(next_report(i, token, {task}), true, kNow);
         }
         RC_ASSERT(core->all_accounted());
         core->tick(kNow);
@@ -203,7 +158,7 @@
     core->orders_done(machine(0), std::nullopt, false, kNow);
   }
   EXPECT_TRUE(core->term_nearly_used_up());
-  EXPECT_EQ(core->report(report(0, kToken), true, kNow).token >> kTokenCounterBits, kTerm);
+  EXPECT_EQ(term_of_token(core->report(next_report(0, token), true, kNow).token), kTerm);
 }
 
 // Beyond the last number an attempt would be one of the next leader's.
--- /dev/null
+++ b/tests/leader_fixture.h
@@ -0,0 +1,82 @@
+#pragma once
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "dispatch/leader_core.h"
+
+namespace sumacquay::testing {
+
+/// A leader's decisions driven by hand: one team without limits, and one type of machine with room
+/// for four tasks of `job`.
+struct LeaderFixture : ::testing::Test {
+  static constexpr double kNow = 1000;
+
+  LeaderFixture(uint64_t leaders_term, Seconds report_s, Seconds lease_s)
+      : term(leaders_term), token(leaders_term << kTokenCounterBits) {
+    settings.report_s = report_s;
+    settings.lease_s = lease_s;
+    TeamSettings team;
+    team.name = "t";
+    settings.teams = {team};
+    type.name = "g";
+    type.room = {4, 4, 16};
+    type.zones = {"e"};
+    new_core();
+  }
+
+  void new_core() {
+    core = std::make_unique<LeaderCore>(settings, term, kNow, kNow);
+    core->set_types({type});
+  }
+
+  static JobRecord job(const std::string& id, uint32_t tasks) {
+    JobRecord record;
+    record.spec.id = id;
+    record.spec.team = "t";
+    record.spec.tasks = tasks;
+    record.spec.need = {1, 1, 1};
+    record.submitted_ms = 1;
+    return record;
+  }
+
+  static WorkerReport report(const std::string& machine, uint64_t seq, uint64_t token,
+                             std::vector<TaskReport> tasks = {}) {
+    WorkerReport r;
+    r.machine = machine;
+    r.addr = "10.0.0.2:9";
+    r.type = "g";
+    r.zone = "e";
+    r.session = 1;
+    r.seq = seq;
+    r.token = token;
+    r.tasks = std::move(tasks);
+    return r;
+  }
+
+  /// A machine that is up and has shown the leader's token.
+  void add_machine(const std::string& id) const {
+    core->report(report(id, 1, 0), true, kNow);
+    core->report(report(id, 2, token), true, kNow);
+  }
+
+  /// How many machines each request among the actions asks the cloud for.
+  static std::vector<int> rented(const std::vector<Action>& actions) {
+    std::vector<int> counts;
+    for (const auto& action : actions)
+      if (const auto* rent = std::get_if<Rent>(&action)) counts.push_back(rent->count);
+    return counts;
+  }
+
+  uint64_t term;
+  uint64_t token;  ///< of a machine whose orders were all answered
+  Settings settings;
+  MachineType type;
+  std::unique_ptr<LeaderCore> core;
+  uint64_t revision = 100;
+};
+
+}  // namespace sumacquay::testing
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -57,6 +57,13 @@
     io.run_for(time);
   }
 
+  /// Requests whose answers take long.
+  void hold_places(HttpClient& slow, int count) {
+    for (int i = 0; i < count; ++i)
+      slow.request("POST", "/never", "", 20, [](const HttpResult&) {});
+    run_until([&] { return handled == count; });
+  }
+
   HttpResult ask(HttpClient& client, const std::string& path, const std::string& body,
                  double deadline) {
     std::optional<HttpResult> result;
@@ -108,7 +115,6 @@
 // connections that nobody used stayed open.
 TEST_F(Loopback, TheConnectionThatIsIdleLongestGivesWay) {
   limits.connections = 2;
-  limits.kept_open = 2;
   serve();
   const Endpoint to{"127.0.0.1", server->port()};
   HttpClient first(io, to, 1, 1);
@@ -143,10 +149,10 @@
   for (int round = 0; round < kRounds; ++round)
     for (const auto& peer : peers) EXPECT_TRUE(ask(*peer, "/a", "", 2).ok());
   EXPECT_EQ(handled, kPeers * kRounds);
-  EXPECT_LE(server->open_connections(), limits.kept_open + 1);
-  EXPECT_EQ(server->refused(), 0u);
+  EXPECT_LE(server->counts().open, limits.kept_open + 1);
+  EXPECT_EQ(server->counts().refused, 0u);
   const size_t in_turn = kPeers - limits.kept_open;
-  EXPECT_EQ(server->closed_after_answer(), in_turn * kRounds)
+  EXPECT_EQ(server->counts().closed_after_answer, in_turn * kRounds)
       << "those that stay open are used again: nobody is closed for others";
 }
 
@@ -156,36 +162,30 @@
   limits.refusals = 2;
   limits.kept_open = 2;
   serve();
-  const Endpoint to{"127.0.0.1", server->port()};
-  HttpClient first(io, to, 1, 1);
-  HttpClient second(io, to, 1, 1);
-  for (HttpClient* slow : {&first, &second})
-    slow->request("POST", "/never", "", 20, [](const HttpResult&) {});
-  run_until([&] { return handled == 2; });
+  HttpClient slow(io, {"127.0.0.1", server->port()}, 2, 2);
+  hold_places(slow, 2);
   const std::string refusal = raw("GET /b HTTP/1.1\r\n\r\n");
   EXPECT_NE(refusal.find("503"), std::string::npos);
   EXPECT_NE(refusal.find("Retry-After: 1"), std::string::npos);
   EXPECT_NE(refusal.find("Connection: close"), std::string::npos);
   EXPECT_EQ(handled, 2);
-  EXPECT_EQ(server->refused(), 1u);
+  EXPECT_EQ(server->counts().refused, 1u);
 }
 
 TEST_F(Loopback, BeyondTheRefusalsAConnectionIsClosedAtOnce) {
   limits.connections = 2;
   limits.refusals = 1;
   limits.kept_open = 1;
-  limits.request_s = 5;
   serve();
   HttpClient slow(io, {"127.0.0.1", server->port()}, 1, 1);
-  slow.request("POST", "/never", "", 20, [](const HttpResult&) {});
-  run_until([&] { return handled == 1; });
+  hold_places(slow, 1);
   tcp::socket says_nothing(io);
   says_nothing.connect({asio::ip::make_address("127.0.0.1"), server->port()});
-  run_until([&] { return server->refused() == 1; });
+  run_until([&] { return server->counts().refused == 1; });
   const auto before = std::chrono::steady_clock::now();
   EXPECT_EQ(raw("GET /b HTTP/1.1\r\n\r\n"), "");
   EXPECT_LT(std::chrono::steady_clock::now() - before, std::chrono::seconds(2));
-  EXPECT_EQ(server->open_connections(), limits.connections);
+  EXPECT_EQ(server->counts().open, limits.connections);
 }
 
 // Users who have left keep connections for minutes; workers report over theirs.
@@ -200,8 +200,8 @@
   EXPECT_TRUE(ask(left, "/a", "", 2).ok());
   run_for(std::chrono::milliseconds(60));
   EXPECT_TRUE(ask(worker, "/b", "", 2).ok());
-  EXPECT_EQ(server->closed_after_answer(), 0u);
-  EXPECT_EQ(server->open_connections(), 1u);
+  EXPECT_EQ(server->counts().closed_after_answer, 0u);
+  EXPECT_EQ(server->counts().open, 1u);
   EXPECT_TRUE(ask(worker, "/b", "", 2).ok());
   EXPECT_EQ(handled, 3);
 }
--- a/tests/prompt_dispatch_test.cpp
+++ b/tests/prompt_dispatch_test.cpp
@@ -7,6 +7,7 @@
 #include "backlog/pending_queue.h"
 #include "dispatch/leader_core.h"
 #include "generators.h"
+#include "leader_fixture.h"
 #include "world/world.h"
 
 namespace sumacquay {
@@ -70,56 +71,9 @@
 
 constexpr uint64_t kTerm = 1;
 constexpr uint64_t kToken = kTerm << kTokenCounterBits;
-constexpr double kNow = 1000;
 
-struct PromptLeader : ::testing::Test {
-  Settings settings;
-  MachineType type;
-  std::unique_ptr<LeaderCore> core;
-  uint64_t revision = 100;
-
-  PromptLeader() {
-    settings.report_s = 1;
-    settings.lease_s = 10;
-    settings.tuning.prompt_dispatch = true;
-    TeamSettings team;
-    team.name = "t";
-    settings.teams = {team};
-    type.name = "g";
-    type.room = {4, 4, 16};
-    type.zones = {"e"};
-    core = std::make_unique<LeaderCore>(settings, kTerm, kNow, kNow);
-    core->set_types({type});
-  }
-
-  static JobRecord job(const std::string& id, uint32_t tasks) {
-    JobRecord record;
-    record.spec.id = id;
-    record.spec.team = "t";
-    record.spec.tasks = tasks;
-    record.spec.need = {1, 1, 1};
-    record.submitted_ms = 1;
-    return record;
-  }
-
-  static WorkerReport report(const std::string& machine, uint64_t seq, uint64_t token,
-                             std::vector<TaskReport> tasks = {}) {
-    WorkerReport r;
-    r.machine = machine;
-    r.addr = "10.0.0.2:9";
-    r.type = "g";
-    r.zone = "e";
-    r.session = 1;
-    r.seq = seq;
-    r.token = token;
-    r.tasks = std::move(tasks);
-    return r;
-  }
-
-  void add_machine(const std::string& id) const {
-    core->report(report(id, 1, 0), true, kNow);
-    core->report(report(id, 2, kToken), true, kNow);
-  }
+struct PromptLeader : testing::LeaderFixture {
+  PromptLeader() : LeaderFixture(kTerm, 1, 10) { settings.tuning.prompt_dispatch = true; }
 
   std::vector<RecordWrite> writes(size_t most = 20) const {
     return core->wanted_writes(kNow, most);
@@ -272,13 +226,13 @@
   const auto many = [](size_t i) { return std::to_string(1000 + i); };
   for (size_t i = 0; i < machines; ++i) leader.add_machine("i-" + many(i));
   for (size_t i = 0; i < jobs; ++i)
-    leader.core->job_stored(PromptLeader::job("job-" + many(i), 1), 5 + i, kNow);
-  leader.core->tick(kNow);
+    leader.core->job_stored(PromptLeader::job("job-" + many(i), 1), 5 + i, PromptLeader::kNow);
+  leader.core->tick(PromptLeader::kNow);
   leader.write_all();
   leader.dispatched();
-  leader.core->job_stored(PromptLeader::job("job-1", 1), 500, kNow);
+  leader.core->job_stored(PromptLeader::job("job-1", 1), 500, PromptLeader::kNow);
   leader.core->request_round();
-  leader.core->tick(kNow);
+  leader.core->tick(PromptLeader::kNow);
   const size_t before = leader.core->work().dispatch_checks;
   leader.write_all();
   EXPECT_EQ(leader.dispatched().size(), 1u);
@@ -301,29 +255,19 @@
   EXPECT_FALSE(core->tick(kNow).empty()) << "with the next tick";
 }
 
-/// Machines in each request for a hundred full machines and work for more than that again.
-std::vector<int> rented_by(const LeaderCore& core, const std::vector<Action>& actions) {
-  EXPECT_EQ(core.machines().size(), 100u);
-  std::vector<int> counts;
-  for (const auto& action : actions)
-    if (const auto* rent = std::get_if<Rent>(&action)) counts.push_back(rent->count);
-  return counts;
-}
-
 TEST_F(PromptLeader, RentsAtThePaceOfTheFleetInRequestsThatTheCloudTakes) {
   for (int i = 0; i < 100; ++i) add_machine("i-" + std::to_string(1000 + i));
   core->job_stored(job("job-1", 400), 5, kNow);
   core->job_stored(job("job-2", 480), 6, kNow);
   settings.tuning.rent = 0.7;
-  const auto requests = rented_by(*core, core->tick(kNow));
-  EXPECT_EQ(requests, (std::vector<int>{50, 20}));
+  EXPECT_EQ(rented(core->tick(kNow)), (std::vector<int>{50, 20}));
 }
 
 TEST_F(PromptLeader, RentsAFewAtOnceUnlessToldOtherwise) {
   for (int i = 0; i < 100; ++i) add_machine("i-" + std::to_string(1000 + i));
   core->job_stored(job("job-1", 400), 5, kNow);
   core->job_stored(job("job-2", 480), 6, kNow);
-  EXPECT_EQ(rented_by(*core, core->tick(kNow)), std::vector<int>{12});
+  EXPECT_EQ(rented(core->tick(kNow)), std::vector<int>{12});
 }
 
 // ---------------------------------------------------------------- several controllers
--- a/tests/socket_budget_test.cpp
+++ b/tests/socket_budget_test.cpp
@@ -18,13 +18,14 @@
   return settings;
 }
 
-bool accepted(const Settings& settings) {
+/// The refusal of the settings, empty if they are taken.
+std::string refusal_of(const Settings& settings) {
   try {
     check_sockets(settings, "f.toml");
-  } catch (const SettingsError&) {
-    return false;
+  } catch (const SettingsError& error) {
+    return error.what();
   }
-  return true;
+  return "";
 }
 
 TEST(SocketBudget, NeverGivesOutMoreThanThereAreAndLeavesEachItsShare) {
@@ -32,7 +33,7 @@
     Settings settings = with_sockets(*rc::gen::inRange(1, 20000), *rc::gen::inRange(0, 20));
     settings.tuning.sockets = *rc::gen::inRange(10, 71) / 100.0;
     const SocketBudget budget = socket_budget(settings);
-    if (!accepted(settings)) return;
+    if (!refusal_of(settings).empty()) return;
     const auto out = static_cast<double>(budget.fixed + budget.served_and_refused + budget.orders);
     RC_ASSERT(out <= settings.max_sockets);
     const size_t served = budget.served_and_refused - budget.refusals;
@@ -47,30 +48,29 @@
   EXPECT_EQ(budget.served_and_refused, 1545u);
   EXPECT_GT(budget.kept_open, 1300u);
   EXPECT_EQ(budget.orders, 441u);
-  EXPECT_FALSE(cost_of_few_sockets(with_sockets(2208, 4), budget));
 }
 
-TEST(SocketBudget, SettingsThatCannotServeAreRefusedWithTheFieldsName) {
-  const Settings settings = with_sockets(60, 4);
-  try {
-    check_sockets(settings, "f.toml");
-    FAIL() << "accepted";
-  } catch (const SettingsError& error) {
-    const std::string line = error.what();
-    EXPECT_NE(line.find("f.toml"), std::string::npos) << line;
-    EXPECT_NE(line.find("params.quota.fd_limit"), std::string::npos) << line;
-    EXPECT_EQ(line.find('\n'), std::string::npos) << line;
+TEST(SocketBudget, TooFewAreRefusedAndTightOnesSayWhatTheyCostWithTheFieldsName) {
+  const std::string field = "params.quota.fd_limit: ";
+  struct Case {
+    double sockets;
+    std::string refusal, cost;  ///< how they begin; empty: there is none
+  };
+  const std::vector<Case> cases = {
+      {60, "f.toml: " + field + "too few", ""}, {120, "", field + "120 sockets"}, {2208, "", ""}};
+  for (const Case& c : cases) {
+    const Settings settings = with_sockets(c.sockets, 4);
+    const std::string refusal = refusal_of(settings);
+    EXPECT_EQ(refusal.empty(), c.refusal.empty()) << refusal;
+    EXPECT_TRUE(refusal.starts_with(c.refusal)) << refusal;
+    EXPECT_EQ(refusal.find('\n'), std::string::npos) << refusal;
+    if (!refusal.empty()) continue;
+    const std::string cost = cost_of_few_sockets(settings).value_or("");
+    EXPECT_EQ(cost.empty(), c.cost.empty()) << cost;
+    EXPECT_TRUE(cost.starts_with(c.cost)) << cost;
   }
 }
 
-TEST(SocketBudget, TightSettingsServeAndSayWhatTheyCost) {
-  const Settings settings = with_sockets(120, 4);
-  ASSERT_TRUE(accepted(settings));
-  const auto cost = cost_of_few_sockets(settings, socket_budget(settings));
-  ASSERT_TRUE(cost.has_value());
-  EXPECT_NE(cost->find("params.quota.fd_limit: 120 sockets"), std::string::npos) << *cost;
-}
-
 TEST(ConnectionLog, TellsOnceInASpanAndOnlyOfWhatIsNew) {
   ConnectionLog log(10);
   EXPECT_FALSE(log.observe(100, {5, 0, 0}));
