Mirror: a copy that is loaded from an empty state service misses no change

Cause: revision 0 stood for "no page has come". A node whose first page came at revision 0 took the revision of a later page as the first, and missed what was written between them. Change: none is told apart from 0. The test fails with the old condition.

--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -110,7 +110,7 @@
 void Mirror::take_page(const LoadPosition& position, const wire::StorePage& page) {
   // Changes are followed from the first page's revision on, so none between pages is missed.
   LoadPosition next = position;
-  if (next.first_revision == 0) next.first_revision = page.revision;
+  if (!next.first_revision) next.first_revision = page.revision;
   for (const auto& item : page.items) apply_item(item);
   if (page.more && !page.items.empty()) {
     next.after = page.items.back().key;
@@ -119,7 +119,7 @@
   next.after.clear();
   ++next.prefix;
   if (next.prefix < load_order().size()) return load_page(next);
-  loading_done(next.first_revision);
+  loading_done(*next.first_revision);
 }
 
 void Mirror::loading_done(uint64_t first_revision) {
--- a/src/store/mirror.h
+++ b/src/store/mirror.h
@@ -100,9 +100,10 @@
 
   /// How far the loading is.
   struct LoadPosition {
-    size_t prefix = 0;            ///< of the prefixes that are loaded, by number
-    std::string after;            ///< the last key that has come; empty: none
-    uint64_t first_revision = 0;  ///< of the first page; 0: none has come
+    size_t prefix = 0;  ///< of the prefixes that are loaded, by number
+    std::string after;  ///< the last key that has come; empty: none
+    /// Of the first page, which is 0 in a service where nothing was ever written.
+    std::optional<uint64_t> first_revision;
   };
 
   void enter(State next);
--- a/tests/users_test.cpp
+++ b/tests/users_test.cpp
@@ -923,6 +923,25 @@
   expect_all("job-1", "200 pending", "after the load");
 }
 
+TEST_F(TwoNodes, ACopyLoadedFromAnEmptyServiceMissesNoChangeBetweenItsPages) {
+  // At revision 0 nothing was ever written: the first page is as empty as the service.
+  state.revision = 0;
+  prepare(b);
+  state.before = [&](const HttpRequest& request) {
+    if (request.query.find(keys::kHost) == std::string::npos) return false;
+    ++state.revision;
+    state.set(keys::kLeader, wire::encode_leader({"n", 1, 1, 1}));
+    return true;
+  };
+  b.mirror->start();
+  until([&] { return b.mirror->loaded(); });
+  std::optional<bool> fresh;
+  b.mirror->read_barrier([&](bool known) { fresh = known; });
+  until([&] { return fresh.has_value(); });
+  EXPECT_TRUE(*fresh);
+  EXPECT_EQ(b.mirror->leader().value.node, "n");
+}
+
 TEST_F(TwoNodes, ChangesInAnyOrderGiveTheSameCopy) {
   state.log_backwards = true;
   const std::string host = wire::encode_host({"i-1", "127.0.0.1:1", "g", "e", false});
