Followers sleep until their election is due; orders come from the backlog

Cause: every node woke forty times a second (a quarter of a round) whatever it was, two timer calls and a wait each; a leader looked at all runs of all machines for orders at each of those ticks, and at all machines for whether any worker gets through. Change: Leadership tells when it has something to do next, and a follower's tick waits for that, a change of the leader's record or of its own state. Machines with orders come from the queue that prompt dispatch had, which each round fills; leases are looked at with rounds, which alone place anew; one look at all machines for reports only once none has come for long.

--- a/src/dispatch/backlog.cpp
+++ b/src/dispatch/backlog.cpp
@@ -1,16 +1,15 @@
-// Prompt dispatch: what waits to be ordered or written is queued as it comes up, so that between
-// two ticks it can go out at a cost that follows what there is to send.
+// What waits to be ordered is queued as it comes up, so that it goes out at a cost that follows
+// what there is to send. With prompt dispatch the same holds for what waits to be written.
 #include "dispatch/leader_core.h"
 
 namespace sumacquay {
 
 void LeaderCore::note_orders(const Machine& m) {
-  if (prompt()) backlog_.orders.put(m.info.id);
+  backlog_.orders.put(m.info.id);
 }
 
 /// The job's tasks may be started now wherever they were placed.
 void LeaderCore::note_orders_of(const Job& job) {
-  if (!prompt()) return;
   for (const auto& [task, places] : job.placements)
     for (const auto& [machine, attempt] : places) backlog_.orders.put(machine);
 }
@@ -28,11 +27,10 @@
 
 /// With each round: whatever came up without a note, by the passing of time above all.
 void LeaderCore::fill_backlog(Seconds now) {
-  if (!prompt()) return;
-  for (const auto& [id, m] : machines_) {
-    note_machine_record(m);
+  for (const auto& [id, m] : machines_)
     if (has_orders(m)) note_orders(m);
-  }
+  if (!prompt()) return;
+  for (const auto& [id, m] : machines_) note_machine_record(m);
   for (const auto& [id, job] : jobs_) note_job_record(job, now);
 }
 
--- a/src/dispatch/commands.cpp
+++ b/src/dispatch/commands.cpp
@@ -72,10 +72,6 @@
 }
 
 void LeaderCore::order_starts(Seconds now, std::vector<Action>& out) {
-  if (!prompt()) {
-    for (auto& [id, m] : machines_) order_starts_of(id, m, now, out);
-    return;
-  }
   while (const auto id = backlog_.orders.pop()) {
     const auto m = machines_.find(*id);
     if (m != machines_.end()) order_starts_of(*id, m->second, now, out);
--- a/src/dispatch/leader_core.cpp
+++ b/src/dispatch/leader_core.cpp
@@ -88,8 +88,8 @@
 std::vector<Action> LeaderCore::tick(Seconds now) {
   std::vector<Action> out;
   note_running(now);
-  expire(now);
   if (now >= next_round_) {
+    expire(now);
     next_round_ = now + settings_.tuning.round * settings_.report_s;
     round(now);
     move_replicas(now);
--- a/src/dispatch/leader_core.h
+++ b/src/dispatch/leader_core.h
@@ -307,7 +307,7 @@
   std::map<std::string, Seconds> newest_booted_;
   ZoneReachability zone_reachability_;
   HostRecordWrites host_record_writes_;
-  DispatchBacklog backlog_;  ///< with prompt dispatch alone
+  DispatchBacklog backlog_;  ///< records with prompt dispatch alone
   std::vector<MachineType> types_;
   RentalRequests rental_requests_;
   std::unordered_map<std::string, Amounts> used_;  ///< by team
@@ -319,6 +319,7 @@
   Seconds next_round_ = 0, next_provision_ = 0, next_release_ = 0, next_move_ = 0,
           next_summary_ = 0;
   bool releasing_ = false;
+  Seconds latest_report_ = 0;  ///< of any machine
   Work work_;
 };
 
--- a/src/dispatch/machine_lifecycle.cpp
+++ b/src/dispatch/machine_lifecycle.cpp
@@ -61,6 +61,8 @@
 /// that can't be reached, and each of them would lose its lease though other nodes could answer it.
 /// A new leader waits longer, since workers must find it first.
 bool LeaderCore::no_worker_reaches_us(Seconds now) const {
+  const Seconds patience = kAllSilent * settings_.report_s + 0.5;
+  if (now - latest_report_ <= patience) return false;
   size_t up = 0;
   Seconds newest = took_over_at_ + kFindLeader * settings_.lease_s;
   for (const auto& [id, m] : machines_) {
@@ -68,7 +70,7 @@
     ++up;
     newest = std::max(newest, m.last_report);
   }
-  return up >= kTooManyForChance && now - newest > kAllSilent * settings_.report_s + 0.5;
+  return up >= kTooManyForChance && now - newest > patience;
 }
 
 /// When the worker's lease has ended for certain, counted from the last answer that anybody could
--- a/src/dispatch/reports.cpp
+++ b/src/dispatch/reports.cpp
@@ -87,7 +87,7 @@
   m.latest_own = r.sequence();
   answer.fresh = true;
   m.last_answered = now;
-  m.last_report = now;
+  m.last_report = latest_report_ = now;
   const bool newest = r.sequence() > m.latest;
   const bool no_orders_out = !m.order_in_flight;
   if (newest) apply_report(m, r, no_orders_out, now);
--- a/src/leadership/leadership.cpp
+++ b/src/leadership/leadership.cpp
@@ -1,6 +1,7 @@
 #include "leadership/leadership.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace sumacquay {
 
@@ -60,6 +61,23 @@
   effects_.renew(lease_);
 }
 
+Seconds Leadership::due_at(Seconds now) const {
+  constexpr Seconds kNever = std::numeric_limits<Seconds>::infinity();
+  const Seconds renewal = renewing_ ? kNever : next_renew_;
+  switch (state_) {
+    case State::Follower:
+      if (campaign_at_ >= 0) return campaign_at_;
+      return now < rest_until_ ? rest_until_ : kNever;
+    case State::Campaigning:
+      return campaign_end_;
+    case State::Leading:
+      return std::min(valid_until_, renewal);
+    case State::Expired:
+      return std::min(valid_until_ + config_.grace, renewal);
+  }
+  return kNever;
+}
+
 void Leadership::granted(Seconds now, Campaign campaign, std::optional<uint64_t> lease,
                          Seconds asked_at) {
   if (state_ != State::Campaigning || campaign != campaign_) return;
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -40,6 +40,8 @@
 
   Leadership(Config config, Effects effects) : config_(config), effects_(std::move(effects)) {}
 
+  /// When `tick` has something to do next, unless an event or a change of the records comes before.
+  Seconds due_at(Seconds now) const;
   /// `leader_known`: the records are loaded and show a leader's key. `jitter`: from 0 to 1.
   void tick(Seconds now, bool loaded, bool leader_known, double jitter);
   void granted(Seconds now, Campaign campaign, std::optional<uint64_t> lease, Seconds asked_at);
--- a/src/node/election.cpp
+++ b/src/node/election.cpp
@@ -47,6 +47,12 @@
   leadership_.tick(steady_now(), mirror_.loaded(), mirror_.leader().version != 0, jitter);
 }
 
+Seconds Election::due_at() const {
+  const Seconds records_due = to_seconds(mirror_.known_at()) + settings_.renew_s();
+  const Seconds leadership_due = leadership_.due_at(steady_now());
+  return reading_records_ ? leadership_due : std::min(leadership_due, records_due);
+}
+
 /// Where little is written the watch says nothing for long, and nobody can tell silence from a cut.
 void Election::keep_records_known() {
   const Seconds known_at = to_seconds(mirror_.known_at());
--- a/src/node/election.h
+++ b/src/node/election.h
@@ -25,6 +25,8 @@
   const Leadership& leadership() const { return leadership_; }
   /// `jitter`: from 0 to 1, so that nodes don't campaign all at once.
   void tick(double jitter);
+  /// When the next tick is due, unless the leadership or the leader's record changes before.
+  Seconds due_at() const;
   /// Leaves the lead to another node, for longer than that takes to be elected.
   void resign();
   void on_leader_record();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 #include "node/heartbeat_details.h"
 #include "node/steady_time.h"
 
@@ -73,7 +75,10 @@
       io_, settings_.listen, limits,
       [this](const HttpRequest& request, const Respond& respond) { on_request(request, respond); });
   mirror_.set_listener({[this](const std::string& id) { on_job_record(id); },
-                        [this] { election_.on_leader_record(); }});
+                        [this] {
+                          election_.on_leader_record();
+                          request_tick();
+                        }});
   mirror_.start();
   peers_.start();
   machine_types_.start();
@@ -85,6 +90,7 @@
 }
 
 void Node::tick() {
+  tick_requested_ = false;
   outage_log_.observe(steady_now(), served());
   connection_log_.observe(steady_now(), server_->counts());
   election_.tick(random());
@@ -93,13 +99,31 @@
     election_.resign();
   }
   tick_core();
-  tick_timer_.expires_after(
-      to_microseconds(settings_.report_s * settings_.tuning.round * kTickRoundShare));
+  schedule_tick(tick_requested_ ? 0 : time_to_next_tick());
+}
+
+/// Something has changed that a tick should see, however long the next one was to come.
+void Node::request_tick() {
+  tick_requested_ = true;
+  schedule_tick(0);
+}
+
+void Node::schedule_tick(Seconds delay) {
+  tick_timer_.expires_after(to_microseconds(delay));
   tick_timer_.async_wait([this](auto error) {
     if (!error) tick();
   });
 }
 
+/// A leader looks at its workers steadily. Any other node sleeps until its election has something
+/// to do, but for no longer than between two renewals.
+Seconds Node::time_to_next_tick() const {
+  const Seconds shortest = settings_.report_s * settings_.tuning.round * kTickRoundShare;
+  if (core_) return shortest;
+  return std::clamp(election_.due_at() - steady_now(), shortest,
+                    std::max(shortest, settings_.renew_s()));
+}
+
 /// Why this node should leave the lead, none if it should not. The state service still renews the
 /// lease of a leader that workers can't reach: it has to go by itself, or every worker's lease
 /// would end. One that has used up the numbers of its term could start nothing any more.
@@ -191,6 +215,7 @@
 
 void Node::on_leadership(Leadership::State from, Leadership::State to) {
   spdlog::info("leadership: {} -> {} (term {})", name(from), name(to), leadership_.term());
+  request_tick();
   if (to == Leadership::State::Follower) return step_down();
   if (to == Leadership::State::Leading && from != Leadership::State::Expired) begin_to_lead();
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -35,6 +35,9 @@
  private:
   double random();
   void tick();
+  void request_tick();
+  void schedule_tick(Seconds delay);
+  Seconds time_to_next_tick() const;
   void tick_core();
   void on_committed();
   std::optional<std::string> reason_to_resign() const;
@@ -87,6 +90,7 @@
   ConnectionLog connection_log_;
   std::unique_ptr<HttpServer> server_;
   asio::steady_timer tick_timer_;
+  bool tick_requested_ = false;  ///< since the last tick began
   Seconds next_core_tick_ = 0;
   std::map<std::string, uint64_t> peer_terms_;  ///< of peers that follow this node's term
 };
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -366,6 +366,56 @@
   EXPECT_EQ(campaigns, 2) << "nobody else has taken it";
 }
 
+/// A machine with what the records show it and what it has asked for.
+struct TickedMachine {
+  std::vector<std::string> log;
+  Leadership::Campaign campaign = 0;
+  Leadership machine{{2, 0.5, 3, 0.002}, effects()};
+
+  Leadership::Effects effects() {
+    Leadership::Effects e;
+    e.grant = [this](Leadership::Campaign c, Seconds) { campaign = c, log.emplace_back("grant"); };
+    e.elect = [this](Leadership::Campaign, uint64_t) { log.emplace_back("elect"); };
+    e.renew = [this](uint64_t) { log.emplace_back("renew"); };
+    e.changed = [this](Leadership::State, Leadership::State to) { log.emplace_back(name(to)); };
+    return e;
+  }
+};
+
+TEST(LeadershipMachine, DoesNothingBetweenEventsBeforeItIsDue) {
+  EXPECT_TRUE(rc::check("ticks at events and when due do what steady ticks do", [] {
+    constexpr Seconds kStep = 0.01;
+    TickedMachine steady, sleeping;
+    bool leader_known = false;
+    const auto steps = *rc::gen::container<std::vector<int>>(200, rc::gen::inRange(0, 40));
+    Seconds now = 0;
+    uint64_t term = 0;
+    for (const int event : steps) {
+      term += event == 4;
+      for (auto* m : {&steady, &sleeping}) {
+        if (event == 0) m->machine.granted(now, m->campaign, 7, now);
+        if (event == 1) m->machine.elected(now, m->campaign, true, term + 1);
+        if (event == 2) m->machine.renewed(now, 7, now, true, false);
+        if (event == 3) m->machine.renewed(now, 7, now, false, false);
+        if (event == 4) m->machine.saw_term(now, term);
+        if (event == 5) m->machine.resign(now, 1);
+        if (event == 7) m->machine.renewed(now, 7, now, false, true);
+      }
+      if (event == 6) leader_known = !leader_known;
+      bool changed = true;
+      for (int i = 0; i < 20; ++i, now += kStep) {
+        steady.machine.tick(now, true, leader_known, 0.5);
+        if (changed || now >= sleeping.machine.due_at(now - kStep)) {
+          const auto before = sleeping.log.size();
+          sleeping.machine.tick(now, true, leader_known, 0.5);
+          changed = sleeping.log.size() != before;
+        }
+        RC_ASSERT(steady.log == sleeping.log);
+      }
+    }
+  }));
+}
+
 TEST(LeadershipMachine, AnswersPastItsLeaseForTheGraceOnlyAndStepsDownForAHigherTerm) {
   std::vector<Leadership::State> seen;
   Leadership::Effects e;
