--- a/tests/cost_test.cpp
+++ b/tests/cost_test.cpp
@@ -75,6 +75,16 @@
   }
 };
 
+TEST_F(LargeArray, TicksBetweenTwoRoundsLookAtNoMachineForOrdersUnlessItHasAny) {
+  take_over();
+  core->tick(now);
+  const size_t before = core->work().dispatch_checks;
+  const double until_next_round = settings.tuning.round * settings.report_s;
+  for (double share = 0.2; share < 1; share += 0.2) core->tick(now + share * until_next_round);
+  ASSERT_EQ(core->work().rounds, 1u);
+  EXPECT_EQ(core->work().dispatch_checks, before);
+}
+
 TEST_F(LargeArray, ATakeoverLooksAtEachTaskOnce) {
   take_over();
   ASSERT_EQ(core->jobs().at("job-1").placements.size(), kTasks);
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <limits>
 #include <map>
 #include <random>
 
@@ -382,6 +383,12 @@
   }
 };
 
+TEST(LeadershipMachine, AFollowerThatKnowsALeaderHasNothingDue) {
+  TickedMachine follower;
+  follower.machine.tick(1, true, true, 0.5);
+  EXPECT_EQ(follower.machine.due_at(1), std::numeric_limits<Seconds>::infinity());
+}
+
 TEST(LeadershipMachine, DoesNothingBetweenEventsBeforeItIsDue) {
   EXPECT_TRUE(rc::check("ticks at events and when due do what steady ticks do", [] {
     constexpr Seconds kStep = 0.01;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -111,6 +111,30 @@
   EXPECT_EQ(handled, 0);
 }
 
+// Each handler beyond these is a look at all sockets, and on a small machine a wait of its own.
+TEST_F(Loopback, ARequestOnAnOpenConnectionTakesAHandlerAtTheServerAndTwoAtTheClient) {
+  serve();
+  asio::io_context client_io;
+  HttpClient client(client_io, {"127.0.0.1", server->port()}, 1, 1);
+  size_t at_server = 0;
+  size_t at_client = 0;
+  for (int i = 0; i < 3; ++i) {  // the first one opens the connection
+    bool answered = false;
+    at_server = at_client = 0;
+    client.request("POST", "/a", "body", 5, [&](const HttpResult& r) { answered = r.ok(); });
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!answered && std::chrono::steady_clock::now() < end) {
+      at_server += io.poll();
+      at_client += client_io.poll();
+    }
+    at_server += io.poll();
+    at_client += client_io.poll();
+    ASSERT_TRUE(answered);
+  }
+  EXPECT_EQ(at_server, 1u);
+  EXPECT_LE(at_client, 2u);
+}
+
 // More machines than the server's share of sockets: whoever came last found no socket while
 // connections that nobody used stayed open.
 TEST_F(Loopback, TheConnectionThatIsIdleLongestGivesWay) {
