--- a/src/leadership/leadership.cpp
+++ b/src/leadership/leadership.cpp
@@ -62,7 +62,7 @@
 }
 
 Seconds Leadership::due_at(Seconds now) const {
-  constexpr Seconds kNever = std::numeric_limits<Seconds>::infinity();
+  constexpr Seconds kNever = std::numeric_limits<Seconds>::max();
   const Seconds renewal = renewing_ ? kNever : next_renew_;
   switch (state_) {
     case State::Follower:
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -386,13 +386,14 @@
 TEST(LeadershipMachine, AFollowerThatKnowsALeaderHasNothingDue) {
   TickedMachine follower;
   follower.machine.tick(1, true, true, 0.5);
-  EXPECT_EQ(follower.machine.due_at(1), std::numeric_limits<Seconds>::infinity());
+  EXPECT_EQ(follower.machine.due_at(1), std::numeric_limits<Seconds>::max());
 }
 
 TEST(LeadershipMachine, DoesNothingBetweenEventsBeforeItIsDue) {
   EXPECT_TRUE(rc::check("ticks at events and when due do what steady ticks do", [] {
     constexpr Seconds kStep = 0.01;
-    TickedMachine steady, sleeping;
+    TickedMachine steady;
+    TickedMachine sleeping;
     bool leader_known = false;
     const auto steps = *rc::gen::container<std::vector<int>>(200, rc::gen::inRange(0, 40));
     Seconds now = 0;
