--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -25,6 +25,7 @@
   /// So many may stay open after an answer. Beyond them an answer closes its connection, so that
   /// more peers than connections are served in turn, and none loses a request to the closing.
   size_t kept_open = 300;
+  // Connections past these are closed by a sweep, up to a quarter of the shorter one late.
   double request_s = 5;  ///< for one request to arrive whole
   double idle_s = 120;   ///< between requests
   /// Idle for longer than this, a connection gives way to one that is used.
