--- a/review/standins/platform.cpp
+++ b/review/standins/platform.cpp
@@ -26,10 +26,19 @@
 constexpr double kTick = 0.02;
 constexpr double kReportTimeout = 4;
 
+/// A port that is free now, below the range from which the system takes ports for clients.
 unsigned short free_port() {
-  asio::io_context io;
-  asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
-  return acceptor.local_endpoint().port();
+  static std::mt19937 random{std::random_device{}()};
+  static std::set<unsigned short> taken;
+  for (;;) {
+    const auto port = static_cast<unsigned short>(12000 + random() % 20000);
+    asio::io_context io;
+    asio::ip::tcp::acceptor acceptor(io);
+    acceptor.open(asio::ip::tcp::v4());
+    asio::error_code error;
+    acceptor.bind({asio::ip::make_address("127.0.0.1"), port}, error);
+    if (!error && taken.insert(port).second) return port;
+  }
 }
 
 Endpoint free_endpoint() {
