--- a/review/standins/platform.cpp
+++ b/review/standins/platform.cpp
@@ -381,8 +381,8 @@
 
 Platform::Platform(Options options_in, const std::string& record_path)
     : options(std::move(options_in)), record_(record_path), timer_(io) {
-  char pattern[] = "/tmp/review-XXXXXX";
-  directory_ = mkdtemp(pattern);
+  std::string pattern = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
+  directory_ = mkdtemp(pattern.data());
   for (int i = 0; i < options.controllers; ++i) {
     controllers.push_back(free_endpoint());
     peers.push_back(free_endpoint());
