--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -20,6 +20,14 @@
     platform.capacity[{"trireme-96", "a"}] = 2;
     return 0;
   });
+  // The leader places tasks only on machines whose workers have shown its token. All have to, or
+  // the service and the gang would get other machines than the ones meant for them.
+  const auto all_known = [&] {
+    for (const auto& id : machines)
+      if (!platform.find_worker(id)->token_reported()) return false;
+    return true;
+  };
+  if (!platform.wait_for(15, all_known)) return kCouldNotRun;
   JobSpec service = array_job("job-000000", "tameio-ops-00", 2, {33, 4, 100});
   service.kind = JobKind::Service;
   service.priority = Priority::Production;
--- a/review/standins/platform.cpp
+++ b/review/standins/platform.cpp
@@ -298,6 +298,8 @@
   if (shift != shift_) return;
   const auto answer = sim::parse_worker_commands(result.body);
   if (!answer || answer->fencing_token < token_) return;
+  // Its last report carried this token, if it had it already, and has been answered.
+  if (answer->fencing_token == token_) token_reported_ = true;
   if (answer->fencing_token > token_) changed();
   token_ = answer->fencing_token;
   last_answered_sent_ = sent_at;
--- a/review/standins/platform.h
+++ b/review/standins/platform.h
@@ -107,6 +107,8 @@
   void set_exited(const AttemptKey& key, Attempt& attempt, ExitCause cause);
   void changed();
   uint64_t shift() const { return shift_; }
+  /// Whether a report has shown the leader the token that the worker has seen.
+  bool token_reported() const { return token_reported_; }
   /// The controller to which it reports.
   size_t controller() const { return controller_; }
   /// The direct commands that it carried out.
@@ -138,6 +140,7 @@
   double session_began_, last_answered_sent_ = -1;
   double next_report_, last_report_ = -1;
   bool in_flight_ = false;
+  bool token_reported_ = false;
   std::vector<std::pair<HttpRequest, Respond>> held_;  ///< requests that came while it hung
 };
 
