Log commands to workers and permissions to discard, with their fencing token

Cause: a worker that starts a task a second time has carried out a copy of an old request, was told to by a later leader, or has begun a new agent epoch. The log showed neither the token of a request nor when the worker was allowed to forget the attempt, so the three could not be told apart.

--- a/src/dispatch/command_dispatcher.cpp
+++ b/src/dispatch/command_dispatcher.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "logging/log_event.h"
+
 namespace sumacquay {
 namespace {
 
@@ -12,6 +14,12 @@
 constexpr double kCheckpointGraceFactor = 1.5;
 constexpr Seconds kCheckpointGraceExtra = 1;
 
+size_t count_discards(const std::vector<Command>& commands) {
+  return static_cast<size_t>(
+      std::count_if(commands.begin(), commands.end(),
+                    [](const Command& command) { return command.type == CommandType::Discard; }));
+}
+
 }  // namespace
 
 void CommandDispatcher::enqueue(const Machine& machine) {
@@ -76,6 +84,10 @@
         commands.push_back({CommandType::Discard, id.task, id.attempt, 0});
     }
   }
+  if (const size_t discards = count_discards(commands); discards > 0)
+    log_debug("attempts_discarded", log_field("machine", machine.host.id),
+              log_field("fencing_token", state_.fencing_token(machine)),
+              log_field("count", discards));
   return commands;
 }
 
@@ -106,6 +118,9 @@
   for (auto& [attempt_id, attempt] : machine.attempts)
     if (!attempt.desired_running && attempt.may_be_present()) attempt.stop_sent = true;
   machine.commands_in_flight = true;
+  log_debug("commands_sent", log_field("machine", id),
+            log_field("fencing_token", batch.fencing_token),
+            log_field("count", batch.commands.size()));
   actions.emplace_back(std::move(batch));
 }
 
