Simulated workers: keep exited attempts until they are discarded, report a higher token as the protocol says

Cause: WorkerState held one attempt for each task, so a second attempt of a task on a machine erased the first, which a real worker lists until it is told to discard it. A copy of the first start would then have been carried out in the simulation and not by a real worker. And each higher fencing token made a worker send a heartbeat at once; the protocol counts it as a change at most once in half of a lease. Both are needed to judge copies of commands and the cost of fencing tokens.

Change: WorkerState holds its tasks by TaskAttemptId (moved beside TaskKey); `advance_fencing_token` says whether the worker reports the change. The load test's workers and those of the simulation share both.

--- a/src/fleet/machine.h
+++ b/src/fleet/machine.h
@@ -19,13 +19,6 @@
 /// Timestamp of an event that has not happened; earlier than any other timestamp.
 constexpr Seconds kNever = -std::numeric_limits<Seconds>::infinity();
 
-/// Identifies one attempt to run a task. Attempt numbers are never reused.
-struct TaskAttemptId {
-  TaskKey task;
-  uint64_t attempt = 0;
-  auto operator<=>(const TaskAttemptId&) const = default;
-};
-
 /// State of an attempt according to its worker's last heartbeat; Scheduled until it is listed
 /// there.
 enum class TaskAttemptState { Scheduled, Fetching, Waiting, Running, Checkpointing, Exited };
--- a/src/fleet/worker_heartbeat.h
+++ b/src/fleet/worker_heartbeat.h
@@ -17,6 +17,13 @@
   auto operator<=>(const TaskKey&) const = default;
 };
 
+/// Identifies one attempt to run a task. Attempt numbers are never reused.
+struct TaskAttemptId {
+  TaskKey task;
+  uint64_t attempt = 0;
+  auto operator<=>(const TaskAttemptId&) const = default;
+};
+
 /// State of a task attempt as reported by its worker.
 enum class TaskState { Fetching, Waiting, Running, Checkpointing, Exited };
 /// Reason why a task attempt has exited. `GangMemberGone`: another task of its gang exited.
--- a/src/simulators/simulated_fleet.cpp
+++ b/src/simulators/simulated_fleet.cpp
@@ -66,11 +66,11 @@
 void SimulatedFleet::remove(const std::string& id) {
   const auto found = workers_.find(id);
   if (found == workers_.end()) return;
-  std::vector<std::pair<TaskKey, uint64_t>> lost;
-  for (const auto& [key, task] : found->second->state().tasks)
-    if (task.active()) lost.emplace_back(key, task.attempt);
+  std::vector<TaskAttemptId> lost;
+  for (const auto& [attempt_id, task] : found->second->state().tasks)
+    if (task.active()) lost.push_back(attempt_id);
   workers_.erase(found);
-  for (const auto& [key, attempt] : lost) on_gang_task_lost(key, attempt);
+  for (const auto& attempt_id : lost) on_gang_task_lost(attempt_id.task, attempt_id.attempt);
 }
 
 std::vector<std::string> SimulatedFleet::ids() const {
--- a/src/simulators/simulated_worker.cpp
+++ b/src/simulators/simulated_worker.cpp
@@ -53,8 +53,8 @@
 
 SimulatedWorker::~SimulatedWorker() {
   *alive_ = false;
-  for (const auto& [key, task] : state_.tasks)
-    if (task.active()) context_.checker.on_task_removed(state_, key);
+  for (const auto& [id, task] : state_.tasks)
+    if (task.active()) context_.checker.on_task_removed(state_, id.task);
 }
 
 Seconds SimulatedWorker::random_between(Seconds low, Seconds high) {
@@ -77,7 +77,7 @@
 
 void SimulatedWorker::schedule_wake_up() {
   Seconds next = heartbeat_in_flight_ ? kNever : next_heartbeat_;
-  for (const auto& [key, task] : state_.tasks)
+  for (const auto& [id, task] : state_.tasks)
     if (task.active()) next = std::min(next, task.next_transition_at);
   const Seconds lease_end =
       state_.last_answered_heartbeat_at.value_or(state_.agent_epoch_started_at) +
@@ -101,78 +101,77 @@
 void SimulatedWorker::end_agent_epoch_if_expired(Seconds now) {
   if (!state_.lease_expired(context_.timing.lease_s, now)) return;
   ++context_.counts.leases_lost;
-  std::vector<std::pair<TaskKey, uint64_t>> ended_attempts;
-  for (const auto& [key, task] : state_.tasks)
-    if (task.active()) ended_attempts.emplace_back(key, task.attempt);
-  for (const auto& [key, attempt] : ended_attempts) context_.checker.on_task_removed(state_, key);
+  std::vector<TaskAttemptId> ended_attempts;
+  for (const auto& [id, task] : state_.tasks)
+    if (task.active()) ended_attempts.push_back(id);
+  for (const auto& id : ended_attempts) context_.checker.on_task_removed(state_, id.task);
   state_.restart_agent_epoch_if_expired(context_.timing.lease_s, now);
-  for (const auto& [key, attempt] : ended_attempts) context_.gang_task_lost(key, attempt);
+  for (const auto& id : ended_attempts) context_.gang_task_lost(id.task, id.attempt);
   expedite_heartbeat(now);
 }
 
 // ---------------------------------------------------------------- tasks
 
 void SimulatedWorker::advance_tasks(Seconds now) {
-  std::vector<TaskKey> due;
-  for (const auto& [key, task] : state_.tasks)
-    if (task.active() && now >= task.next_transition_at) due.push_back(key);
-  for (const auto& key : due) {
-    const auto task = state_.tasks.find(key);
-    if (task != state_.tasks.end()) advance_task(key, task->second, now);
+  std::vector<TaskAttemptId> due;
+  for (const auto& [id, task] : state_.tasks)
+    if (task.active() && now >= task.next_transition_at) due.push_back(id);
+  for (const auto& id : due) {
+    const auto task = state_.tasks.find(id);
+    if (task != state_.tasks.end()) advance_task(id, task->second, now);
   }
 }
 
-void SimulatedWorker::advance_task(const TaskKey& key, WorkerTask& task, Seconds now) {
-  const SubmittedJob& job = context_.jobs.at(key.job);
+void SimulatedWorker::advance_task(const TaskAttemptId& id, WorkerTask& task, Seconds now) {
+  const SubmittedJob& job = context_.jobs.at(id.task.job);
   switch (task.state) {
     case TaskState::Fetching:
-      if (job.spec.kind != JobKind::Gang) return set_running(key, task, job.run_s, now);
+      if (job.spec.kind != JobKind::Gang) return set_running(id, task, job.run_s, now);
       task.state = TaskState::Waiting;
       task.next_transition_at = now + context_.timing.gang_wait_s;
       expedite_heartbeat(now);
-      return context_.gang_task_ready(state_.id, key, task.attempt);
+      return context_.gang_task_ready(state_.id, id.task, id.attempt);
     case TaskState::Waiting:
-      return set_exited(key, task, ExitCause::GangIncomplete);
+      return set_exited(id, task, ExitCause::GangIncomplete);
     case TaskState::Running:
-      return set_exited(key, task, ExitCause::Done);
+      return set_exited(id, task, ExitCause::Done);
     case TaskState::Checkpointing:
     case TaskState::Exited:
       return;
   }
 }
 
-void SimulatedWorker::set_running(const TaskKey& key, WorkerTask& task, Seconds run_s,
+void SimulatedWorker::set_running(const TaskAttemptId& id, WorkerTask& task, Seconds run_s,
                                   Seconds now) {
-  const bool service = context_.jobs.at(key.job).spec.kind == JobKind::Service;
+  const bool service = context_.jobs.at(id.task.job).spec.kind == JobKind::Service;
   task.state = TaskState::Running;
   task.next_transition_at = service ? kNever : now + run_s;
-  context_.task_running(key.job);
+  context_.task_running(id.task.job);
   expedite_heartbeat(now);
 }
 
-void SimulatedWorker::set_exited(const TaskKey& key, WorkerTask& task, ExitCause cause) {
-  const uint64_t attempt = task.attempt;
+void SimulatedWorker::set_exited(const TaskAttemptId& id, WorkerTask& task, ExitCause cause) {
   task.state = TaskState::Exited;
   task.cause = cause;
-  if (cause == ExitCause::Done) context_.jobs.at(key.job).done.insert(key.task);
-  context_.checker.on_task_removed(state_, key);
+  if (cause == ExitCause::Done) context_.jobs.at(id.task.job).done.insert(id.task.task);
+  context_.checker.on_task_removed(state_, id.task);
   expedite_heartbeat(steady_now());
-  if (cause != ExitCause::Done) context_.gang_task_lost(key, attempt);
+  if (cause != ExitCause::Done) context_.gang_task_lost(id.task, id.attempt);
 }
 
 void SimulatedWorker::start_gang_task(const TaskKey& key, uint64_t attempt, Seconds run_s) {
-  const auto task = state_.tasks.find(key);
-  if (task == state_.tasks.end() || task->second.attempt != attempt) return;
-  if (task->second.state != TaskState::Waiting) return;
-  set_running(key, task->second, run_s, steady_now());
+  const TaskAttemptId id{key, attempt};
+  const auto task = state_.tasks.find(id);
+  if (task == state_.tasks.end() || task->second.state != TaskState::Waiting) return;
+  set_running(id, task->second, run_s, steady_now());
   schedule_wake_up();
 }
 
 void SimulatedWorker::end_gang_task(const TaskKey& key, uint64_t attempt, ExitCause cause) {
-  const auto task = state_.tasks.find(key);
-  if (task == state_.tasks.end() || task->second.attempt != attempt) return;
-  if (!task->second.active()) return;
-  set_exited(key, task->second, cause);
+  const TaskAttemptId id{key, attempt};
+  const auto task = state_.tasks.find(id);
+  if (task == state_.tasks.end() || !task->second.active()) return;
+  set_exited(id, task->second, cause);
   schedule_wake_up();
 }
 
@@ -182,11 +181,12 @@
       start_task(command, now);
       continue;
     }
+    const TaskAttemptId id{command.key, command.attempt};
     WorkerTask* task = state_.find(command);
     if (!task) continue;
-    if (command.type == CommandType::Discard && !task->active()) state_.tasks.erase(command.key);
+    if (command.type == CommandType::Discard && !task->active()) state_.tasks.erase(id);
     if (command.type == CommandType::Stop && task->active())
-      set_exited(command.key, *task, ExitCause::Stopped);
+      set_exited(id, *task, ExitCause::Stopped);
   }
 }
 
@@ -194,7 +194,6 @@
   if (!state_.accepts_start(command)) return;
   const auto job = context_.jobs.find(command.key.job);
   WorkerTask task;
-  task.attempt = command.attempt;
   if (job == context_.jobs.end()) {
     task.state = TaskState::Exited;
     task.cause = ExitCause::Unknown;
@@ -202,7 +201,7 @@
     task.next_transition_at = now + random_between(0.5, 1.5) * context_.timing.fetch_s;
     context_.checker.on_task_started(state_, command.key, now);
   }
-  state_.tasks[command.key] = task;
+  state_.tasks[{command.key, command.attempt}] = task;
   expedite_heartbeat(now);
 }
 
@@ -213,6 +212,10 @@
       std::min(next_heartbeat_, std::max(now, last_heartbeat_ + kMinHeartbeatInterval));
 }
 
+void SimulatedWorker::advance_fencing_token(uint64_t seen, Seconds now) {
+  if (state_.advance_fencing_token(seen, context_.timing.lease_s, now)) expedite_heartbeat(now);
+}
+
 void SimulatedWorker::send_heartbeat(Seconds now) {
   last_heartbeat_ = now;
   next_heartbeat_ =
@@ -254,8 +257,7 @@
   const auto worker_commands = parse_worker_commands(body);
   if (!worker_commands || worker_commands->fencing_token < state_.fencing_token) return;
   ++context_.counts.heartbeats_answered;
-  if (worker_commands->fencing_token > state_.fencing_token) expedite_heartbeat(now);
-  state_.advance_fencing_token(worker_commands->fencing_token);
+  advance_fencing_token(worker_commands->fencing_token, now);
   state_.last_answered_heartbeat_at = sent_at;
   execute(worker_commands->commands, now);
 }
@@ -289,8 +291,7 @@
   const bool accepted = worker_commands->fencing_token >= state_.fencing_token &&
                         worker_commands->agent_epoch == state_.agent_epoch;
   if (accepted) {
-    if (worker_commands->fencing_token > state_.fencing_token) expedite_heartbeat(now);
-    state_.advance_fencing_token(worker_commands->fencing_token);
+    advance_fencing_token(worker_commands->fencing_token, now);
     execute(worker_commands->commands, now);
   }
   const std::string body = worker_heartbeat_body(state_.heartbeat());
--- a/src/simulators/simulated_worker.h
+++ b/src/simulators/simulated_worker.h
@@ -77,11 +77,12 @@
   void schedule_wake_up();
   void on_wake_up();
   void advance_tasks(Seconds now);
-  void advance_task(const TaskKey& key, WorkerTask& task, Seconds now);
-  void set_running(const TaskKey& key, WorkerTask& task, Seconds run_s, Seconds now);
-  void set_exited(const TaskKey& key, WorkerTask& task, ExitCause cause);
+  void advance_task(const TaskAttemptId& id, WorkerTask& task, Seconds now);
+  void set_running(const TaskAttemptId& id, WorkerTask& task, Seconds run_s, Seconds now);
+  void set_exited(const TaskAttemptId& id, WorkerTask& task, ExitCause cause);
   void end_agent_epoch_if_expired(Seconds now);
   void expedite_heartbeat(Seconds now);
+  void advance_fencing_token(uint64_t seen, Seconds now);
   void send_heartbeat(Seconds now);
   void on_heartbeat_response(const HttpResult& result, Seconds sent_at, uint64_t agent_epoch);
   void on_leader_response(const std::string& body, Seconds sent_at, Seconds now);
--- a/src/simulators/worker_state.cpp
+++ b/src/simulators/worker_state.cpp
@@ -3,6 +3,19 @@
 #include <algorithm>
 
 namespace sumacquay::simulators {
+namespace {
+
+/// Time in which a worker reports only one higher fencing token promptly, as a fraction of the
+/// lease.
+constexpr double kTokenChangeIntervalLeases = 0.5;
+
+bool has_active_attempt(const std::map<TaskAttemptId, WorkerTask>& tasks, const TaskKey& task) {
+  for (auto at = tasks.lower_bound({task, 0}); at != tasks.end() && at->first.task == task; ++at)
+    if (at->second.active()) return true;
+  return false;
+}
+
+}  // namespace
 
 WorkerHeartbeat WorkerState::heartbeat() {
   WorkerHeartbeat heartbeat;
@@ -15,13 +28,19 @@
   heartbeat.sequence_number = ++sequence_number;
   heartbeat.fencing_token = fencing_token;
   heartbeat.tasks.reserve(tasks.size());
-  for (const auto& [key, task] : tasks)
-    heartbeat.tasks.push_back({key, task.attempt, task.state, task.cause});
+  for (const auto& [id, task] : tasks)
+    heartbeat.tasks.push_back({id.task, id.attempt, task.state, task.cause});
   return heartbeat;
 }
 
-void WorkerState::advance_fencing_token(uint64_t seen) {
-  fencing_token = std::max(fencing_token, seen);
+bool WorkerState::advance_fencing_token(uint64_t seen, Seconds lease, Seconds now) {
+  if (seen <= fencing_token) return false;
+  fencing_token = seen;
+  if (token_change_reported_at &&
+      now - *token_change_reported_at < lease * kTokenChangeIntervalLeases)
+    return false;
+  token_change_reported_at = now;
+  return true;
 }
 
 bool WorkerState::lease_expired(Seconds lease, Seconds now) const {
@@ -37,15 +56,12 @@
 }
 
 bool WorkerState::accepts_start(const Command& command) const {
-  const auto found = tasks.find(command.key);
-  if (found == tasks.end()) return true;
-  return found->second.attempt != command.attempt && !found->second.active();
+  return !tasks.contains({command.key, command.attempt}) && !has_active_attempt(tasks, command.key);
 }
 
 WorkerTask* WorkerState::find(const Command& command) {
-  const auto found = tasks.find(command.key);
-  if (found == tasks.end() || found->second.attempt != command.attempt) return nullptr;
-  return &found->second;
+  const auto found = tasks.find({command.key, command.attempt});
+  return found == tasks.end() ? nullptr : &found->second;
 }
 
 }  // namespace sumacquay::simulators
--- a/src/simulators/worker_state.h
+++ b/src/simulators/worker_state.h
@@ -10,7 +10,6 @@
 
 /// State of a task attempt on its worker.
 struct WorkerTask {
-  uint64_t attempt = 0;
   TaskState state = TaskState::Fetching;
   ExitCause cause = ExitCause::None;
   Seconds next_transition_at = 0;  ///< time of the next state change without a command
@@ -24,14 +23,19 @@
   std::string id, addr, type, zone;
   bool spot = false;
   uint64_t agent_epoch = 1, sequence_number = 0, fencing_token = 0;
+  std::optional<Seconds> token_change_reported_at;  ///< the last higher token that was a change
   Seconds agent_epoch_started_at = 0;
   std::optional<Seconds> last_answered_heartbeat_at;  ///< send time of the last answered heartbeat
-  std::map<TaskKey, WorkerTask> tasks;
+  /// Exited attempts stay until they are discarded or the lease expires, also when a later attempt
+  /// of the task has been started.
+  std::map<TaskAttemptId, WorkerTask> tasks;
 
   /// Builds the next heartbeat; increments the sequence number.
   WorkerHeartbeat heartbeat();
-  /// Raises the fencing token to `seen`; older tokens have no effect.
-  void advance_fencing_token(uint64_t seen);
+  /// Raises the fencing token to `seen`; older tokens have no effect. Returns whether the worker
+  /// reports this with a prompt heartbeat: a higher token counts as a change at most once in half
+  /// of `lease`.
+  bool advance_fencing_token(uint64_t seen, Seconds lease, Seconds now);
   /// Whether the lease has expired: it runs from the send time of the last answered heartbeat, or
   /// from the start of the agent epoch.
   bool lease_expired(Seconds lease, Seconds now) const;
--- a/tests/simulation/command_channel.cpp
+++ b/tests/simulation/command_channel.cpp
@@ -82,7 +82,7 @@
   const bool late = now - delivery.sent_at > kLateCommandThreshold;
   late_commands_ += late;
   if (executed) {
-    machine->fencing_token = worker_commands.fencing_token;
+    workers_.advance_fencing_token(*machine, worker_commands.fencing_token);
     late_commands_executed_ += late;
     workers_.execute(*machine, worker_commands.commands, delivery.sent_at);
   }
@@ -99,7 +99,7 @@
   std::optional<WorkerHeartbeat> heartbeat;
   if (reachable) {
     if (probe.agent_epoch == machine->agent_epoch)
-      machine->advance_fencing_token(probe.fencing_token);
+      workers_.advance_fencing_token(*machine, probe.fencing_token);
     heartbeat = machine->heartbeat();
   }
   const Seconds answer_delay = reachable ? random.between(kMinDelay, kMaxDelay)
@@ -125,7 +125,7 @@
   env_.loop.schedule(env_.random.between(kMinHeldUpDelay, kMaxHeldUpDelay), [this, probe] {
     SimulatedMachine* machine = env_.fleet.find(probe.machine);
     if (machine && machine->agent_epoch == probe.agent_epoch)
-      machine->advance_fencing_token(probe.fencing_token);
+      workers_.advance_fencing_token(*machine, probe.fencing_token);
   });
 }
 
--- a/tests/simulation/machine.h
+++ b/tests/simulation/machine.h
@@ -53,8 +53,8 @@
   template <class Visit>
   void for_each_present_task(Visit&& visit) const {
     for (const auto& [id, machine] : machines_)
-      for (const auto& [key, task] : machine.tasks)
-        if (task.active()) visit(machine, key);
+      for (const auto& [attempt_id, task] : machine.tasks)
+        if (task.active()) visit(machine, attempt_id.task);
   }
 
  private:
--- a/tests/simulation/workers.cpp
+++ b/tests/simulation/workers.cpp
@@ -26,7 +26,7 @@
   // Lease expiry also applies to hung machines: their tasks end with the lease.
   machine.restart_agent_epoch_if_expired(env_.options.lease_s, now);
   if (machine.faults.hung.active(now)) return;
-  for (auto& [key, task] : machine.tasks) run_task(machine, key, task);
+  for (auto& [id, task] : machine.tasks) run_task(machine, id.task, task);
   if (machine.heartbeat_sent && now - *machine.heartbeat_sent > kHeartbeatTimeout)
     switch_to_next_controller(machine);
   if (!machine.heartbeat_sent && now >= machine.next_heartbeat) send_heartbeat(machine);
@@ -68,7 +68,7 @@
     MachineTask* task = machine.find(command);
     if (!task) continue;
     if (command.type != CommandType::Stop) {
-      if (!task->active()) machine.tasks.erase(command.key);
+      if (!task->active()) machine.tasks.erase({command.key, command.attempt});
     } else if (task->active()) {
       task->state = TaskState::Exited;
       task->cause = ExitCause::Stopped;
@@ -80,8 +80,8 @@
                          Seconds command_sent_at) {
   if (!machine.accepts_start(command)) return;
   const Seconds fetch = env_.random.between(env_.options.min_fetch_s, env_.options.max_fetch_s);
-  machine.tasks[command.key] = {command.attempt, TaskState::Fetching, ExitCause::None,
-                                env_.now() + fetch};
+  machine.tasks[{command.key, command.attempt}] = {TaskState::Fetching, ExitCause::None,
+                                                   env_.now() + fetch};
   env_.checker.on_task_started(machine, command.key, command_sent_at);
 }
 
@@ -141,12 +141,16 @@
       reply.fencing_token < machine->fencing_token)
     return;
   machine->last_answered_heartbeat_at = delivery.sent_at;
-  if (reply.fencing_token > machine->fencing_token)
-    machine->next_heartbeat = std::min(machine->next_heartbeat, now + kMaxPromptHeartbeatDelay);
-  machine->fencing_token = reply.fencing_token;
+  advance_fencing_token(*machine, reply.fencing_token);
   execute(*machine, reply.commands, delivery.replied_at);
 }
 
+void Workers::advance_fencing_token(SimulatedMachine& machine, uint64_t seen) {
+  const Seconds now = env_.now();
+  if (machine.advance_fencing_token(seen, env_.options.lease_s, now))
+    machine.next_heartbeat = std::min(machine.next_heartbeat, now + kMaxPromptHeartbeatDelay);
+}
+
 /// Directs the worker to the controller named in the reply, or to the next one.
 void Workers::follow_redirect(SimulatedMachine& machine, const ReplyDelivery& delivery) {
   const auto& redirect = delivery.reply.leader;
--- a/tests/simulation/workers.h
+++ b/tests/simulation/workers.h
@@ -19,6 +19,8 @@
   explicit Workers(Environment& environment) : env_(environment) {}
 
   void step();
+  /// The worker has seen a fencing token, in a reply, a command or a probe.
+  void advance_fencing_token(SimulatedMachine& machine, uint64_t seen);
   /// Executes commands; `command_sent_at`: when the controller sent them.
   void execute(SimulatedMachine& machine, const std::vector<Command>& commands,
                Seconds command_sent_at);
--- a/tests/simulators_test.cpp
+++ b/tests/simulators_test.cpp
@@ -165,6 +165,29 @@
   EXPECT_EQ(post().status, 429);
 }
 
+TEST(WorkerState, KeepsExitedAttemptAfterLaterAttemptOfTaskStarted) {
+  WorkerState worker;
+  const TaskKey task{"job-1", 0};
+  worker.tasks[{task, 1}] = {TaskState::Exited, ExitCause::Stopped};
+  EXPECT_FALSE(worker.accepts_start({CommandType::Start, task, 1, 0}));
+  EXPECT_TRUE(worker.accepts_start({CommandType::Start, task, 2, 0}));
+  worker.tasks[{task, 2}] = {TaskState::Running, ExitCause::None};
+  EXPECT_FALSE(worker.accepts_start({CommandType::Start, task, 3, 0})) << "attempt 2 is active";
+  worker.tasks[{task, 2}].state = TaskState::Exited;
+  EXPECT_FALSE(worker.accepts_start({CommandType::Start, task, 1, 0}));
+  EXPECT_EQ(worker.heartbeat().tasks.size(), 2u);
+}
+
+TEST(WorkerState, ReportsHigherFencingTokenAtMostOnceInHalfOfLease) {
+  WorkerState worker;
+  EXPECT_TRUE(worker.advance_fencing_token(5, 10, 100));
+  EXPECT_FALSE(worker.advance_fencing_token(5, 10, 110)) << "not higher";
+  EXPECT_TRUE(worker.advance_fencing_token(6, 10, 110));
+  EXPECT_FALSE(worker.advance_fencing_token(7, 10, 114.9));
+  EXPECT_EQ(worker.fencing_token, 7u) << "the token is raised all the same";
+  EXPECT_TRUE(worker.advance_fencing_token(8, 10, 115));
+}
+
 /// Two zones with one machine each, and a job of a team with a limit of two GPUs.
 struct CheckedDeployment {
   SubmittedJobs jobs;
