Raise the fencing token with the answer that lets a worker forget an attempt

A request to /orders that had been carried out arrived again after the leader's end, and the worker started the task a second time while it ran elsewhere. Under a leader that went on, copies did the same, and broke quota and wrong_place too.

Cause: the leader sent `clear` with the fencing token of the request that had started the attempt. After a `clear` the worker no longer knows the attempt, so a copy of that request, whose token and agent epoch were still valid, started it again. The token rose only after commands without an answer.

The next leader's first request comes 0.9 s later.

Change: if a request under the current token has started a task, the answer with the next `clear` has a higher one. Why it works: the worker takes both from one answer, so it knows either the attempt or a token that rejects the copy. Nothing waits for that token: `required_token_counter`, which a worker must have shown before anything starts or counts as gone, is apart from the token that is sent, and rises as before. Starts in answers to heartbeats can't arrive late and need no new token, nor do those of earlier terms.

Tests: the simulation delivers copies of commands that were carried out, in all its runs, and the checker reports any start by a copy (`started_again`).

--- a/src/dispatch/cluster_state.cpp
+++ b/src/dispatch/cluster_state.cpp
@@ -143,9 +143,19 @@
                      });
 }
 
+void ClusterState::fence_unanswered_commands(Machine& machine) {
+  advance_fencing_token(machine);
+  machine.required_token_counter = machine.fencing_token_counter;
+  machine.fencing_token_acknowledged = false;
+}
+
+void ClusterState::fence_copies_of_starts(Machine& machine) {
+  if (machine.token_used_for_starts) advance_fencing_token(machine);
+}
+
 void ClusterState::advance_fencing_token(Machine& machine) {
   ++machine.fencing_token_counter;
-  machine.fencing_token_acknowledged = false;
+  machine.token_used_for_starts = false;
   token_allocator_.record_use(machine.fencing_token_counter);
 }
 
--- a/src/dispatch/cluster_state.h
+++ b/src/dispatch/cluster_state.h
@@ -119,11 +119,22 @@
   uint64_t fencing_token(const Machine& machine) const {
     return token_allocator_.with_term(machine.fencing_token_counter);
   }
-  /// Invalidates all commands that were sent under the previous token, however late they arrive.
-  void advance_fencing_token(Machine& machine);
+  /// The lowest fencing token whose acknowledgement shows that the worker rejects all commands
+  /// without an answer.
+  uint64_t required_fencing_token(const Machine& machine) const {
+    return token_allocator_.with_term(machine.required_token_counter);
+  }
+  /// Invalidates commands that were not answered and may still arrive. The machine counts as not
+  /// acknowledged until its worker has shown the new token.
+  void fence_unanswered_commands(Machine& machine);
+  /// Invalidates copies of requests that the worker has carried out. Nothing waits for the new
+  /// token: until the worker has seen it, the worker still knows the attempts that these requests
+  /// started, and then copies have no effect.
+  void fence_copies_of_starts(Machine& machine);
 
  private:
   void raise_priority(const std::string& id, Priority priority);
+  void advance_fencing_token(Machine& machine);
 
   const Settings& settings_;
   uint64_t term_;
--- a/src/dispatch/command_dispatcher.cpp
+++ b/src/dispatch/command_dispatcher.cpp
@@ -14,10 +14,10 @@
 constexpr double kCheckpointGraceFactor = 1.5;
 constexpr Seconds kCheckpointGraceExtra = 1;
 
-size_t count_discards(const std::vector<Command>& commands) {
+size_t count(const std::vector<Command>& commands, CommandType type) {
   return static_cast<size_t>(
       std::count_if(commands.begin(), commands.end(),
-                    [](const Command& command) { return command.type == CommandType::Discard; }));
+                    [type](const Command& command) { return command.type == type; }));
 }
 
 }  // namespace
@@ -84,10 +84,17 @@
         commands.push_back({CommandType::Discard, id.task, id.attempt, 0});
     }
   }
-  if (const size_t discards = count_discards(commands); discards > 0)
-    log_debug("attempts_discarded", log_field("machine", machine.host.id),
-              log_field("fencing_token", state_.fencing_token(machine)),
-              log_field("count", discards));
+  return commands;
+}
+
+std::vector<Command> CommandDispatcher::commands_in_heartbeat_response(Machine& machine) {
+  std::vector<Command> commands = commands_for(machine, true);
+  const size_t discards = count(commands, CommandType::Discard);
+  if (discards == 0) return commands;
+  state_.fence_copies_of_starts(machine);
+  log_debug("attempts_discarded", log_field("machine", machine.host.id),
+            log_field("fencing_token", state_.fencing_token(machine)),
+            log_field("count", discards));
   return commands;
 }
 
@@ -118,6 +125,7 @@
   for (auto& [attempt_id, attempt] : machine.attempts)
     if (!attempt.desired_running && attempt.may_be_present()) attempt.stop_sent = true;
   machine.commands_in_flight = true;
+  if (count(batch.commands, CommandType::Start) > 0) machine.token_used_for_starts = true;
   log_debug("commands_sent", log_field("machine", id),
             log_field("fencing_token", batch.fencing_token),
             log_field("count", batch.commands.size()));
--- a/src/dispatch/command_dispatcher.h
+++ b/src/dispatch/command_dispatcher.h
@@ -26,15 +26,19 @@
   /// due with time. Called once per round; checks every machine.
   void enqueue_all_due();
 
-  /// All commands that are due for the worker: stops first, which are never truncated, then starts
-  /// and, if `include_discards`, permissions to discard attempts that have exited.
-  std::vector<Command> commands_for(Machine& machine, bool include_discards);
+  /// All commands that are due for the worker, for the answer to its heartbeat: stops first, which
+  /// are never truncated, then starts and permissions to discard attempts that have exited. A
+  /// worker that has discarded an attempt would carry out a copy of the request that started it, so
+  /// this may advance the fencing token. The answer must carry the token that is current
+  /// afterwards.
+  std::vector<Command> commands_in_heartbeat_response(Machine& machine);
   /// Appends a `SendCommands` for each queued machine that has commands and can receive them now.
   void dispatch(Seconds now, std::vector<Action>& actions);
 
  private:
   bool startable(const Machine& machine, const TaskAttemptId& id, const TaskAttempt& attempt) const;
   bool has_unsent_commands(const Machine& machine) const;
+  std::vector<Command> commands_for(Machine& machine, bool include_discards);
   void add_stops(Machine& machine, std::vector<Command>& commands) const;
   bool may_discard(const TaskAttemptId& id, const TaskAttempt& attempt) const;
   void dispatch_to(const std::string& id, Machine& machine, Seconds now,
--- a/src/dispatch/reconciler.cpp
+++ b/src/dispatch/reconciler.cpp
@@ -93,7 +93,7 @@
   const bool no_commands_in_flight = !machine.commands_in_flight;
   if (newest) reconcile(machine, heartbeat, no_commands_in_flight, now);
   if (newest && may_act && machine.fencing_token_acknowledged && no_commands_in_flight)
-    answer.commands = commands_.commands_for(machine, true);
+    answer.commands = commands_.commands_in_heartbeat_response(machine);
   else
     // The response renews the worker's lease. Without these stops, a cancelled task whose stop
     // command was lost would keep running for as long as the lease is renewed.
@@ -116,7 +116,7 @@
     // The commands may still be executed minutes later unless a higher fencing token rejects them.
     // Until the worker acknowledges the new token, no task is started there and no attempt counts
     // as gone.
-    state_.advance_fencing_token(*machine);
+    state_.fence_unanswered_commands(*machine);
     machine->next_commands_at = now + state_.settings().heartbeat_period_s;
     for (auto& [id, attempt] : machine->attempts) attempt.stop_sent = false;
   }
@@ -153,7 +153,7 @@
   machine.last_lease_renewal_at = std::max(machine.last_lease_renewal_at, now);
 }
 
-/// Removes attempts that the heartbeat of a worker with the current fencing token does not list,
+/// Removes attempts that the heartbeat of a worker with the required fencing token does not list,
 /// except those whose start command may still be in flight.
 void Reconciler::remove_unlisted(Machine& machine, const WorkerHeartbeat& heartbeat, Seconds now) {
   for (const auto& id : absent_attempts(machine, heartbeat)) {
@@ -187,13 +187,13 @@
   machine.reclaim_at = heartbeat.preemption_notice_s
                            ? std::optional<Seconds>(now + *heartbeat.preemption_notice_s)
                            : std::nullopt;
-  const bool current_token = heartbeat.fencing_token >= state_.fencing_token(machine);
-  if (current_token && !machine.commands_in_flight && !machine.fencing_token_acknowledged) {
+  const bool required_token = heartbeat.fencing_token >= state_.required_fencing_token(machine);
+  if (required_token && !machine.commands_in_flight && !machine.fencing_token_acknowledged) {
     machine.fencing_token_acknowledged = true;
     commands_.enqueue(machine);
   }
   for (const auto& task : heartbeat.tasks) reconcile_task(machine, task, now);
-  if (!current_token) return;
+  if (!required_token) return;
   if (absence_is_conclusive) remove_unlisted(machine, heartbeat, now);
   accept_worker(machine, now);
 }
--- a/src/dispatch/reconciler.h
+++ b/src/dispatch/reconciler.h
@@ -24,7 +24,7 @@
 ///
 /// Every attempt that a heartbeat lists is present. An attempt that it does not list is gone only
 /// if the heartbeat is a periodic one, is newer than all previous heartbeats and carries the
-/// current fencing token, and if no commands to the machine are in flight.
+/// required fencing token, and if no commands to the machine are in flight.
 class Reconciler {
  public:
   Reconciler(ClusterState& state, AttemptTracker& attempts, CommandDispatcher& commands,
--- a/src/fleet/machine.h
+++ b/src/fleet/machine.h
@@ -64,7 +64,13 @@
   HeartbeatSequence latest_sequence;
   HeartbeatSequence latest_heartbeat_sequence;  ///< newest worker-initiated heartbeat
   uint64_t fencing_token_counter = 0;           ///< low bits of the worker's current fencing token
-  bool fencing_token_acknowledged = false;      ///< its heartbeats carry the current fencing token
+  /// The lowest counter of a fencing token that rejects all commands without an answer.
+  uint64_t required_token_counter = 0;
+  /// Its heartbeats carry at least the required fencing token.
+  bool fencing_token_acknowledged = false;
+  /// A request under the current fencing token has started a task, so copies of the request are
+  /// valid until the worker sees a higher token.
+  bool token_used_for_starts = false;
   /// Since the failover, the worker has reported its tasks, or it can have none.
   bool reconciled = false;
   /// Time of the last applied heartbeat, including responses to commands and probes.
--- a/tests/simulation/checker.cpp
+++ b/tests/simulation/checker.cpp
@@ -80,6 +80,11 @@
     add_violation("wrong_place", key, machine.id + ": the job does not allow spot machines");
 }
 
+void Checker::on_started_again(const SimulatedMachine& machine, const TaskKey& key,
+                               uint64_t attempt) {
+  add_violation("started_again", key, fmt::format("{}: attempt {}", machine.id, attempt));
+}
+
 void Checker::check_dependencies_done(const SimulatedMachine& machine, const TaskKey& key) {
   const auto& dependencies = jobs_.at(key.job).spec.dependencies;
   if (dependencies.empty()) return;
--- a/tests/simulation/checker.h
+++ b/tests/simulation/checker.h
@@ -23,6 +23,8 @@
   /// A machine has executed a start command; `command_sent_at`: when the controller sent it.
   void on_task_started(const SimulatedMachine& machine, const TaskKey& key,
                        Seconds command_sent_at);
+  /// A copy of an executed command starts the attempt again, which the worker has discarded.
+  void on_started_again(const SimulatedMachine& machine, const TaskKey& key, uint64_t attempt);
   /// The key-value store has applied a leader's transaction; `nonce` identifies the process.
   void on_leader_write(uint64_t term, uint64_t nonce);
   void on_records_changed(const std::vector<SimulatedStore::Change>& changes);
--- a/tests/simulation/command_channel.cpp
+++ b/tests/simulation/command_channel.cpp
@@ -19,6 +19,14 @@
 constexpr Seconds kMinDelay = 0.001, kMaxDelay = 0.01;
 /// Delay of messages that are held up at random, without another fault.
 constexpr Seconds kMinHeldUpDelay = 0.5, kMaxHeldUpDelay = 40;
+/// Delay of copies: half of them arrive soon, the others up to several leases later.
+constexpr Seconds kMinCopyDelay = 0.02, kMaxSoonCopyDelay = 5;
+constexpr double kMaxCopyDelayLeases = 3;
+
+bool accepted_by(const SimulatedMachine& machine, const SendCommands& worker_commands) {
+  return worker_commands.fencing_token >= machine.fencing_token &&
+         worker_commands.agent_epoch == machine.agent_epoch;
+}
 }  // namespace
 
 void CommandChannel::send(ControllerProcess& sender, const SendCommands& worker_commands) {
@@ -77,20 +85,47 @@
   if (!machine || !machine->up(now)) return;
   const Fault& hung = machine->faults.hung;
   if (hung.active(now)) return deliver(delivery, hung.end() - now);
-  const bool executed = worker_commands.fencing_token >= machine->fencing_token &&
-                        worker_commands.agent_epoch == machine->agent_epoch;
+  const bool executed = accepted_by(*machine, worker_commands);
   const bool late = now - delivery.sent_at > kLateCommandThreshold;
   late_commands_ += late;
   if (executed) {
     workers_.advance_fencing_token(*machine, worker_commands.fencing_token);
     late_commands_executed_ += late;
     workers_.execute(*machine, worker_commands.commands, delivery.sent_at);
+    maybe_copy(worker_commands);
   }
   const WorkerHeartbeat heartbeat = machine->heartbeat();
   if (!delivery.answer_lost && !machine->faults.inbound_loss.active(now))
     delivery.answer(env_.random.between(kMinDelay, kMaxDelay), heartbeat, executed);
 }
 
+void CommandChannel::maybe_copy(const SendCommands& worker_commands) {
+  Random& random = env_.copy_random;
+  if (!random.chance(env_.options.command_copy_fraction)) return;
+  const bool soon = random.chance(0.5);
+  const Seconds max_delay = soon ? kMaxSoonCopyDelay : env_.options.lease_s * kMaxCopyDelayLeases;
+  deliver_copy(worker_commands, random.between(kMinCopyDelay, max_delay));
+}
+
+void CommandChannel::deliver_copy(const SendCommands& worker_commands, Seconds delay) {
+  env_.loop.schedule(delay, [this, worker_commands] { arrive_copy(worker_commands); });
+}
+
+/// Nobody waits for the answer to a copy.
+void CommandChannel::arrive_copy(const SendCommands& worker_commands) {
+  SimulatedMachine* machine = env_.fleet.find(worker_commands.machine);
+  if (!machine) return;
+  const Fault& hung = machine->faults.hung;
+  if (hung.active(env_.now())) return deliver_copy(worker_commands, hung.end() - env_.now());
+  ++copies_;
+  if (!accepted_by(*machine, worker_commands)) return;
+  ++copies_accepted_;
+  for (const auto& command : worker_commands.commands)
+    if (command.type == CommandType::Start && machine->accepts_start(command))
+      env_.checker.on_started_again(*machine, command.key, command.attempt);
+  workers_.execute(*machine, worker_commands.commands, env_.now());
+}
+
 void CommandChannel::send(ControllerProcess& sender, const Probe& probe) {
   Random& random = env_.random;
   SimulatedMachine* machine = env_.fleet.find(probe.machine);
--- a/tests/simulation/command_channel.h
+++ b/tests/simulation/command_channel.h
@@ -20,6 +20,10 @@
   /// Command batches that arrived late, and the number of them that were executed.
   size_t late_commands() const { return late_commands_; }
   size_t late_commands_executed() const { return late_commands_executed_; }
+  /// Copies of executed command batches that arrived, and the number of them that the worker did
+  /// not reject for their fencing token or agent epoch.
+  size_t copies() const { return copies_; }
+  size_t copies_accepted() const { return copies_accepted_; }
 
  private:
   using Answer =
@@ -40,12 +44,16 @@
   Answer answer_once(ControllerProcess& sender, const std::string& machine);
   void deliver(const Delivery& delivery, Seconds delay);
   void arrive(const Delivery& delivery);
+  void maybe_copy(const SendCommands& worker_commands);
+  void deliver_copy(const SendCommands& worker_commands, Seconds delay);
+  void arrive_copy(const SendCommands& worker_commands);
   bool can_reach(size_t controller, const SimulatedMachine* machine);
   void deliver_late(const Probe& probe);
 
   Environment& env_;
   Workers& workers_;
   size_t late_commands_ = 0, late_commands_executed_ = 0;
+  size_t copies_ = 0, copies_accepted_ = 0;
 };
 
 }  // namespace sumacquay::simulation
--- a/tests/simulation/environment.cpp
+++ b/tests/simulation/environment.cpp
@@ -7,6 +7,7 @@
 Environment::Environment(uint64_t seed, SimulationOptions simulation_options)
     : options(std::move(simulation_options)),
       random(seed),
+      copy_random(~seed),
       controllers(loop, options),
       network(loop, controllers),
       checker(loop, options, fleet, jobs) {}
--- a/tests/simulation/environment.h
+++ b/tests/simulation/environment.h
@@ -23,6 +23,8 @@
   const SimulationOptions options;
   EventLoop loop;
   Random random;
+  /// For copies of commands alone. Copies must have no effect, so they must not change other draws.
+  Random copy_random;
   Fleet fleet;
   ObservedJobs jobs;
   ControllerHosts controllers;
--- a/tests/simulation/options.h
+++ b/tests/simulation/options.h
@@ -27,6 +27,8 @@
   Seconds min_boot_s = 2, max_boot_s = 6;
   Seconds min_task_s = 2, max_task_s = 15;
   Seconds min_fetch_s = 0.1, max_fetch_s = 1;
+  /// Fraction of the command batches that arrive a second time after the worker has executed them.
+  double command_copy_fraction = 0.3;
   bool prompt_dispatch = false;
   double open_team_guaranteed_gpus = 0;  ///< guarantee of the team without a quota
 };
