Command dispatcher: one function for each kind of command and of message

Cause: `commands_for(machine, include_discards)` served requests and answers to heartbeats by a boolean, and whether a message starts or discards anything was counted afterwards from what it had built.

Change: `commands_in_request` and `commands_in_heartbeat_response`, made of `add_stops`, `add_starts` and `add_discards`; the last two return how many they added, on which the fencing token depends. Within an answer all starts now stand before the permissions to discard, as the comment always said; they were mixed in the order of attempts, so that 300 discards could crowd out a start.

--- a/src/dispatch/command_dispatcher.cpp
+++ b/src/dispatch/command_dispatcher.cpp
@@ -14,12 +14,6 @@
 constexpr double kCheckpointGraceFactor = 1.5;
 constexpr Seconds kCheckpointGraceExtra = 1;
 
-size_t count(const std::vector<Command>& commands, CommandType type) {
-  return static_cast<size_t>(
-      std::count_if(commands.begin(), commands.end(),
-                    [type](const Command& command) { return command.type == type; }));
-}
-
 }  // namespace
 
 void CommandDispatcher::enqueue(const Machine& machine) {
@@ -71,25 +65,37 @@
          job->stored.done.contains(id.task.task);
 }
 
-std::vector<Command> CommandDispatcher::commands_for(Machine& machine, bool include_discards) {
-  std::vector<Command> commands;
-  add_stops(machine, commands);
+/// Appends starts until the message is full. Returns the number of starts appended.
+size_t CommandDispatcher::add_starts(Machine& machine, std::vector<Command>& commands) const {
+  size_t starts = 0;
   for (auto& [id, attempt] : machine.attempts) {
     if (commands.size() >= kMaxCommandsPerMessage) break;
-    if (startable(machine, id, attempt)) {
-      attempt.start_sent = true;
-      commands.push_back({CommandType::Start, id.task, id.attempt, 0});
-    } else if (attempt.state == TaskAttemptState::Exited) {
-      if (include_discards && may_discard(id, attempt))
-        commands.push_back({CommandType::Discard, id.task, id.attempt, 0});
-    }
+    if (!startable(machine, id, attempt)) continue;
+    attempt.start_sent = true;
+    commands.push_back({CommandType::Start, id.task, id.attempt, 0});
+    ++starts;
   }
-  return commands;
+  return starts;
+}
+
+/// Appends permissions to discard attempts until the message is full. Returns the number appended.
+size_t CommandDispatcher::add_discards(const Machine& machine,
+                                       std::vector<Command>& commands) const {
+  size_t discards = 0;
+  for (const auto& [id, attempt] : machine.attempts) {
+    if (commands.size() >= kMaxCommandsPerMessage) break;
+    if (attempt.state != TaskAttemptState::Exited || !may_discard(id, attempt)) continue;
+    commands.push_back({CommandType::Discard, id.task, id.attempt, 0});
+    ++discards;
+  }
+  return discards;
 }
 
 std::vector<Command> CommandDispatcher::commands_in_heartbeat_response(Machine& machine) {
-  std::vector<Command> commands = commands_for(machine, true);
-  const size_t discards = count(commands, CommandType::Discard);
+  std::vector<Command> commands;
+  add_stops(machine, commands);
+  add_starts(machine, commands);
+  const size_t discards = add_discards(machine, commands);
   if (discards == 0) return commands;
   state_.fence_copies_of_starts(machine);
   log_debug("attempts_discarded", log_field("machine", machine.host.id),
@@ -98,6 +104,15 @@
   return commands;
 }
 
+/// Stops and starts alone: only answers to heartbeats let a worker discard attempts.
+std::vector<Command> CommandDispatcher::commands_in_request(Machine& machine) {
+  std::vector<Command> commands;
+  add_stops(machine, commands);
+  const size_t starts = add_starts(machine, commands);
+  if (starts > 0) machine.token_used_for_starts = true;
+  return commands;
+}
+
 /// Whether a start or stop is due that has not been sent yet.
 bool CommandDispatcher::has_unsent_commands(const Machine& machine) const {
   return std::any_of(machine.attempts.begin(), machine.attempts.end(),
@@ -121,11 +136,10 @@
     return;
   SendCommands batch{id, machine.host.addr, state_.fencing_token(machine),
                      std::max<uint64_t>(machine.latest_sequence.agent_epoch, 1),
-                     commands_for(machine, false)};
+                     commands_in_request(machine)};
   for (auto& [attempt_id, attempt] : machine.attempts)
     if (!attempt.desired_running && attempt.may_be_present()) attempt.stop_sent = true;
   machine.commands_in_flight = true;
-  if (count(batch.commands, CommandType::Start) > 0) machine.token_used_for_starts = true;
   log_debug("commands_sent", log_field("machine", id),
             log_field("fencing_token", batch.fencing_token),
             log_field("count", batch.commands.size()));
--- a/src/dispatch/command_dispatcher.h
+++ b/src/dispatch/command_dispatcher.h
@@ -38,8 +38,10 @@
  private:
   bool startable(const Machine& machine, const TaskAttemptId& id, const TaskAttempt& attempt) const;
   bool has_unsent_commands(const Machine& machine) const;
-  std::vector<Command> commands_for(Machine& machine, bool include_discards);
+  std::vector<Command> commands_in_request(Machine& machine);
   void add_stops(Machine& machine, std::vector<Command>& commands) const;
+  size_t add_starts(Machine& machine, std::vector<Command>& commands) const;
+  size_t add_discards(const Machine& machine, std::vector<Command>& commands) const;
   bool may_discard(const TaskAttemptId& id, const TaskAttempt& attempt) const;
   void dispatch_to(const std::string& id, Machine& machine, Seconds now,
                    std::vector<Action>& actions);
