--- a/tests/command_copy_test.cpp
+++ b/tests/command_copy_test.cpp
@@ -236,7 +236,8 @@
 // Guards against a second start in the seconds in which a leader has ended and no worker has seen
 // the next one's token.
 TEST(CommandCopies, StartNothingTwiceWhileLeaderIsReplaced) {
-  size_t copies = 0, failovers = 0;
+  size_t copies = 0;
+  size_t failovers = 0;
   for (uint64_t seed = 1; seed <= 8; ++seed) {
     SimulationOptions options;
     options.command_copy_fraction = 1;
