Simulated record cache: a late answer about an election doesn't replace newer records

Cause: `on_election_won` replaced the copy of sq/term whatever was read since. When the answer to a process's earlier campaign came after the records of a later one, that leader kept the older version as a precondition, each of its writes failed, and no task was started any more (`waits`). The node's RecordTables::on_leader_written has this check; the simulation lacked it.

Change: the same check.

--- a/tests/simulation/simulated_record_cache.cpp
+++ b/tests/simulation/simulated_record_cache.cpp
@@ -79,7 +79,9 @@
 }
 
 void SimulatedRecordCache::on_election_won(const wire::LeaderRecord& record, uint64_t revision) {
-  leader_version_ = std::max(leader_version_, revision);
+  // The answer to an earlier campaign of this process may come after the records of a later one.
+  if (revision <= revision_) return;
+  leader_version_ = revision;
   leader_ = term_ = {record, revision};
 }
 
