--- a/tests/scheduler_safety_test.cpp
+++ b/tests/scheduler_safety_test.cpp
@@ -510,6 +510,33 @@
       << "three of the quota's four GPUs may be in use by unreconciled tasks";
 }
 
+// Guards against a quota overrun after a failover: a late heartbeat of a machine that is gone shows
+// tasks as done, while later attempts of them run on a machine that has not been heard yet.
+TEST_F(SchedulerSafetyTest, TasksCompletedByLateHeartbeatStillCountAgainstQuota) {
+  record.started = true;
+  record.hosts = {host.id};
+  record.spec.kind = JobKind::Array;
+  auto scheduler = leader(2, 10);
+  scheduler->restore_machine(host, now);
+  scheduler->on_job_record(record, 5, now);
+  std::vector<TaskStatus> done_tasks;
+  for (uint32_t task = 0; task < record.spec.tasks; ++task)
+    done_tasks.push_back({{"job-1", task}, 7 + task, TaskState::Exited, ExitCause::Done});
+  scheduler->on_heartbeat(heartbeat("i-8", 1, 0, done_tasks), true, now);
+  commit_planned_writes(*scheduler);
+  JobRecord other_job = record;
+  other_job.spec.id = "job-2";
+  other_job.spec.tasks = 4;
+  other_job.started = false;
+  scheduler->on_job_record(other_job, 600, now);
+  const auto fencing_token =
+      scheduler->on_heartbeat(heartbeat("i-9", 1, 0), true, now).fencing_token;
+  scheduler->on_heartbeat(heartbeat("i-9", 2, fencing_token), true, now + 0.1);
+  scheduler->tick(now + 0.2);
+  EXPECT_LE(scheduler->jobs().at("job-2").possible_placements.size(), 2u)
+      << "two of the quota's four GPUs may be in use on the machine that has not been heard";
+}
+
 TEST_F(SchedulerSafetyTest, CommandAnswerDoesNotDisproveStartInHeartbeatAnswer) {
   auto scheduler = leader(1, 0);
   scheduler->on_job_record(record, 5, now);
