Simulated images and gangs: fetches, waiting for one another, incomplete gangs

The simulation could not show a gang that never runs: images took a random time, and the tasks of a gang started independently of one another.

With SimulationOptions::fetch_gb_per_s, a machine fetches an image once for all its tasks, at a rate of its own within a third of the catalog's, gives the fetch up when no task waits for it any more, and keeps it afterwards. With gang_wait_s, the tasks of a gang start together once all of them wait under one attempt number, exit as incomplete after that time, and exit when a task of the running gang is gone. The checker then holds a gang to the rule of 90 s by whether it runs: a gang whose tasks are present but do not all run waits as well, if all of its tasks could be placed in the room that other jobs leave. The bound is unchanged.

Not modelled: caches that evict images, and images that share a machine's rate.

--- a/src/jobs/spec.h
+++ b/src/jobs/spec.h
@@ -69,6 +69,8 @@
   uint32_t zone_limit() const { return spread ? (tasks + 1) / 2 : tasks; }
   /// Whether the placement of a task depends on the zones of the job's other tasks.
   bool has_zone_constraint() const { return one_zone || spread; }
+  /// Whether its tasks start only together.
+  bool is_multi_task_gang() const { return kind == JobKind::Gang && tasks > 1; }
   /// Whether its tasks write checkpoints.
   bool checkpoints() const { return checkpoint_interval_s > 0; }
 };
--- a/tests/simulation/checker.cpp
+++ b/tests/simulation/checker.cpp
@@ -216,9 +216,10 @@
   }
 }
 
-Checker::Usage Checker::usage() const {
+Checker::Usage Checker::usage(const std::string& without) const {
   Usage out;
   fleet_.for_each_present_task([&](const SimulatedMachine& machine, const TaskKey& key) {
+    if (key.job == without) return;
     const JobSpec& spec = jobs_.at(key.job).spec;
     out.team_gpus[spec.team] += spec.request.gpus;
     out.machine_used[machine.id] += spec.request;
@@ -238,17 +239,38 @@
 
 bool Checker::could_start(const std::string& id, const ObservedJob& job, const Usage& used) const {
   const JobSpec& spec = job.spec;
+  if (!job.accepted || job.cancel_requested || job.complete() || !dependencies_done(spec))
+    return false;
+  if (options_.models_gangs() && spec.is_multi_task_gang()) return gang_could_run(id, job);
   size_t absent = 0;
   for (uint32_t task = 0; task < spec.tasks; ++task)
     if (!job.done_tasks.contains(task) && !used.present.contains({id, task})) ++absent;
-  if (!job.accepted || job.cancel_requested || absent == 0 || !dependencies_done(spec))
-    return false;
+  if (absent == 0) return false;
   const size_t required = spec.kind == JobKind::Gang ? absent : 1;
-  if (placeable_tasks(id, spec, used) < required) return false;
+  return placeable_tasks(id, spec, used) >= required && within_quota(spec, required, used);
+}
+
+bool Checker::gang_could_run(const std::string& id, const ObservedJob& job) const {
+  const JobSpec& spec = job.spec;
+  if (running_tasks(id) == spec.tasks) return false;
+  const Usage others = usage(id);
+  return placeable_tasks(id, spec, others) >= spec.tasks && within_quota(spec, spec.tasks, others);
+}
+
+size_t Checker::running_tasks(const std::string& id) const {
+  std::set<uint32_t> running;
+  for (const auto& [name, machine] : fleet_.machines())
+    for (const auto& [attempt_id, task] : machine.tasks)
+      if (attempt_id.task.job == id && task.state == TaskState::Running)
+        running.insert(attempt_id.task.task);
+  return running.size();
+}
+
+bool Checker::within_quota(const JobSpec& spec, size_t tasks, const Usage& used) const {
   if (spec.team != kLimitedTeam) return true;
   const auto team = used.team_gpus.find(kLimitedTeam);
   const double team_gpus = team == used.team_gpus.end() ? 0 : team->second;
-  return team_gpus + static_cast<double>(required) * spec.request.gpus <= kLimitedTeamGpus;
+  return team_gpus + static_cast<double>(tasks) * spec.request.gpus <= kLimitedTeamGpus;
 }
 
 size_t Checker::placeable_tasks(const std::string& id, const JobSpec& spec,
--- a/tests/simulation/checker.h
+++ b/tests/simulation/checker.h
@@ -69,8 +69,14 @@
   bool dependencies_done(const JobSpec& spec) const;
   void check_cancelled_and_quota();
   void check_waiting_jobs();
-  Usage usage() const;
+  /// `without`: a job whose tasks are left out.
+  Usage usage(const std::string& without = {}) const;
+  size_t running_tasks(const std::string& id) const;
   bool could_start(const std::string& id, const ObservedJob& job, const Usage& used) const;
+  /// Whether a gang could run but doesn't: all of its tasks could be placed if those that are
+  /// present were not.
+  bool gang_could_run(const std::string& id, const ObservedJob& job) const;
+  bool within_quota(const JobSpec& spec, size_t tasks, const Usage& used) const;
   /// The number of the job's tasks that could be placed in the free capacity.
   size_t placeable_tasks(const std::string& id, const JobSpec& spec, const Usage& used) const;
   bool can_place_on(const SimulatedMachine& machine, const JobSpec& spec,
--- a/tests/simulation/cloud.cpp
+++ b/tests/simulation/cloud.cpp
@@ -10,11 +10,17 @@
 /// Timeout of a release request as a fraction of the worker lease.
 constexpr double kReleaseTimeoutFraction = 0.5;
 constexpr double kReleaseAnswerLossProbability = 0.1;
+/// The fetch rates of machines differ from the catalog's by up to this fraction.
+constexpr double kFetchRateDeviation = 1.0 / 3;
 }  // namespace
 
 std::string Cloud::add_machine(Seconds up_at, const std::optional<std::string>& zone, bool spot) {
   const size_t controller = env_.random.below(env_.controllers.size());
-  return env_.fleet.add(up_at, zone, spot, controller);
+  std::string id = env_.fleet.add(up_at, zone, spot, controller);
+  env_.fleet.machines().at(id).images.set_fetch_rate(
+      env_.options.fetch_gb_per_s *
+      env_.image_random.between(1 - kFetchRateDeviation, 1 + kFetchRateDeviation));
+  return id;
 }
 
 void Cloud::scale_out(ControllerProcess& requester, const ScaleOut& request) {
--- a/tests/simulation/environment.h
+++ b/tests/simulation/environment.h
@@ -25,6 +25,7 @@
   Random random;
   /// For copies of commands alone. Copies must have no effect, so they must not change other draws.
   Random copy_random;
+  Random image_random;  ///< for the machines' fetch rates alone
   Fleet fleet;
   ObservedJobs jobs;
   ControllerHosts controllers;
--- a/tests/simulation/machine.h
+++ b/tests/simulation/machine.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "simulation/fault.h"
+#include "simulation/image_store.h"
 #include "simulation/random.h"
 #include "simulators/worker_state.h"
 
@@ -24,6 +25,7 @@
 struct SimulatedMachine : simulators::WorkerState {
   bool fails_all_tasks = false;  ///< all tasks started on it fail
   MachineFaults faults;
+  ImageStore images;
   Seconds up_at = 0;
 
   size_t controller = 0;  ///< receives the worker's heartbeats
--- a/tests/simulation/options.cpp
+++ b/tests/simulation/options.cpp
@@ -2,6 +2,11 @@
 
 namespace sumacquay::simulation {
 
+namespace {
+/// Larger than all images of a simulation together: the simulated workers keep every image.
+constexpr double kImageCacheGb = 100000;
+}  // namespace
+
 std::string node_name(size_t controller) {
   return "n" + std::to_string(controller);
 }
@@ -14,6 +19,10 @@
   type.boot_s = options.declared_boot_s;
   type.price = 10;
   type.spot_price = 3;
+  if (options.models_images()) {
+    type.fetch_gb_per_s = options.fetch_gb_per_s;
+    type.cache_gb = kImageCacheGb;
+  }
   return type;
 }
 
@@ -23,6 +32,10 @@
   settings.lease_s = options.lease_s;
   settings.cancel_s = options.cancel_s;
   settings.list_lag_s = 2;
+  if (options.models_gangs()) {
+    settings.gang_wait_s = options.gang_wait_s;
+    settings.gang_peer_s = options.gang_peer_s;
+  }
   settings.state_txn_ops = 12;
   settings.tuning.prompt_dispatch = options.prompt_dispatch;
   settings.zones = machine_type(options).zones;
--- a/tests/simulation/options.h
+++ b/tests/simulation/options.h
@@ -30,7 +30,18 @@
   /// Fraction of the command batches that arrive a second time after the worker has executed them.
   double command_copy_fraction = 0.3;
   bool prompt_dispatch = false;
+  /// Mean rate at which machines fetch images; the rates differ by up to a third. 0: machines have
+  /// every image, and each task starts after a random time.
+  double fetch_gb_per_s = 0;
+  /// How long a gang's task waits for the others before it exits as incomplete. 0: the tasks of a
+  /// gang start independently of one another.
+  Seconds gang_wait_s = 0;
+  /// How soon the tasks of a running gang notice that one of them is gone.
+  Seconds gang_peer_s = 3;
   double open_team_guaranteed_gpus = 0;  ///< guarantee of the team without a quota
+
+  bool models_images() const { return fetch_gb_per_s > 0; }
+  bool models_gangs() const { return gang_wait_s > 0; }
 };
 
 std::string node_name(size_t controller);
--- a/tests/simulation/simulation.h
+++ b/tests/simulation/simulation.h
@@ -75,6 +75,15 @@
   std::vector<std::string> machines() const { return env_.fleet.running(now()); }
   /// Machines with a task of the job.
   std::vector<std::string> machines_running(const std::string& job) const;
+  /// Machines with a task of the job in this state.
+  std::vector<std::string> machines_with(const std::string& job, TaskState state) const;
+  /// Whether all tasks of the job run.
+  bool all_run(const std::string& job) const;
+  bool complete(const std::string& job) const { return env_.jobs.at(job).complete(); }
+  /// Stores the image on all machines.
+  void preload_image(const std::string& image);
+  /// Machines that fetch an image.
+  std::vector<std::string> fetching_machines() const;
   const std::string& zone_of(const std::string& machine) const;
 
  private:
--- a/tests/simulation/users.cpp
+++ b/tests/simulation/users.cpp
@@ -8,6 +8,9 @@
 namespace sumacquay::simulation {
 
 namespace {
+/// Random jobs use this many images, of at most this size.
+constexpr uint64_t kImages = 5;
+constexpr double kMaxImageGb = 30;
 constexpr Seconds kMinRetryDelay = 1, kMaxRetryDelay = 1.2;
 }  // namespace
 
@@ -25,6 +28,10 @@
   spec.spot = random.chance(0.3);
   spec.checkpoint_interval_s = random.chance(0.5) ? 2 : 0;
   spec.checkpoint_duration_s = 1;
+  if (!env_.options.models_images()) return spec;
+  spec.image = "img-" + std::to_string(random.below(kImages));
+  spec.image_gb = random.between(0, kMaxImageGb);
+  if (spec.kind == JobKind::Gang && spec.team == kOpenTeam) spec.request = {8, 2, 32};
   return spec;
 }
 
--- a/tests/simulation/workers.cpp
+++ b/tests/simulation/workers.cpp
@@ -18,6 +18,7 @@
 
 void Workers::step() {
   for (auto& [id, machine] : env_.fleet.machines()) step(machine);
+  gangs_.step();
 }
 
 void Workers::step(SimulatedMachine& machine) {
@@ -26,6 +27,7 @@
   // Lease expiry also applies to hung machines: their tasks end with the lease.
   machine.restart_agent_epoch_if_expired(env_.options.lease_s, now);
   if (machine.faults.hung.active(now)) return;
+  if (env_.options.models_images()) fetch_images(machine);
   for (auto& [id, task] : machine.tasks) run_task(machine, id.task, task);
   if (machine.heartbeat_sent && now - *machine.heartbeat_sent > kHeartbeatTimeout)
     switch_to_next_controller(machine);
@@ -34,15 +36,51 @@
 
 // ---------------------------------------------------------------- tasks
 
+void Workers::fetch_images(SimulatedMachine& machine) {
+  std::map<std::string, double> awaited;
+  for (const auto& [id, task] : machine.tasks) {
+    const JobSpec& spec = env_.jobs.at(id.task.job).spec;
+    if (task.state == TaskState::Fetching) awaited[spec.image] = spec.image_gb;
+  }
+  machine.images.update(awaited, env_.now());
+}
+
 void Workers::run_task(SimulatedMachine& machine, const TaskKey& key, MachineTask& task) {
   const Seconds now = env_.now();
-  if (!task.active() || now < task.next_transition_at) return;
-  if (task.state != TaskState::Fetching) return finish_task(key, task);
-  task.state = TaskState::Running;
+  if (!task.active()) return;
+  if (task.state == TaskState::Fetching) {
+    const bool fetched = env_.options.models_images()
+                             ? machine.images.has(env_.jobs.at(key.job).spec.image)
+                             : now >= task.next_transition_at;
+    if (fetched) begin_task(machine, key, task);
+    return;
+  }
+  if (now < task.next_transition_at) return;
+  if (task.state != TaskState::Waiting) return finish_task(key, task);
+  task.state = TaskState::Exited;
+  task.cause = ExitCause::GangIncomplete;
+  gangs_.on_incomplete_exit();
+}
+
+/// The task has its image.
+void Workers::begin_task(SimulatedMachine& machine, const TaskKey& key, MachineTask& task) {
+  const Seconds now = env_.now();
   ObservedJob& job = env_.jobs.at(key.job);
-  if (!job.started_at) job.started_at = now;
-  task.next_transition_at =
-      now + env_.random.between(env_.options.min_task_s, env_.options.max_task_s);
+  const bool waits = env_.options.models_gangs() && job.spec.is_multi_task_gang();
+  if (waits && job.complete()) {
+    task.state = TaskState::Exited;
+    task.cause = ExitCause::Done;
+    return;
+  }
+  if (waits) {
+    task.state = TaskState::Waiting;
+    task.next_transition_at = now + env_.options.gang_wait_s;
+  } else {
+    task.state = TaskState::Running;
+    if (!job.started_at) job.started_at = now;
+    task.next_transition_at =
+        now + env_.random.between(env_.options.min_task_s, env_.options.max_task_s);
+  }
   if (!machine.fails_all_tasks) return;
   task.state = TaskState::Exited;
   task.cause = ExitCause::Error;
--- a/tests/simulation/workers.h
+++ b/tests/simulation/workers.h
@@ -4,6 +4,7 @@
 
 #include "simulation/controller_process.h"
 #include "simulation/environment.h"
+#include "simulation/gangs.h"
 
 namespace sumacquay::simulation {
 
@@ -16,7 +17,7 @@
 /// The workers on all machines: they run tasks and send heartbeats to the controllers.
 class Workers {
  public:
-  explicit Workers(Environment& environment) : env_(environment) {}
+  explicit Workers(Environment& environment) : env_(environment), gangs_(environment) {}
 
   void step();
   /// The worker has seen a fencing token, in a reply, a command or a probe.
@@ -34,6 +35,7 @@
   void end_faults();
 
   size_t delegate_replies() const { return delegate_replies_; }
+  const Gangs& gangs() const { return gangs_; }
   size_t duplicates_received() const { return duplicates_received_; }
   /// Duplicates received by a leader of a newer term than the one in which they were sent.
   size_t duplicates_received_by_new_leader() const { return duplicates_received_by_new_leader_; }
@@ -53,7 +55,9 @@
   };
 
   void step(SimulatedMachine& machine);
+  void fetch_images(SimulatedMachine& machine);
   void run_task(SimulatedMachine& machine, const TaskKey& key, MachineTask& task);
+  void begin_task(SimulatedMachine& machine, const TaskKey& key, MachineTask& task);
   void finish_task(const TaskKey& key, MachineTask& task);
   void start_task(SimulatedMachine& machine, const Command& command, Seconds command_sent_at);
   void send_heartbeat(SimulatedMachine& machine);
@@ -66,6 +70,7 @@
   void switch_to_next_controller(SimulatedMachine& machine);
 
   Environment& env_;
+  Gangs gangs_;
   Fault duplication_, heartbeat_delay_;
   double duplication_fraction_ = 0;
   DuplicateDelivery duplicate_delivery_ = DuplicateDelivery::AfterDelay;
