An exit in an earlier attempt of a gang doesn't stop the newer one

What users saw: a gang that runs is stopped and loses its progress since the last checkpoint, though none of its tasks ended.

Cause: a worker reports an exited attempt until it may discard it. If the leader ends before that, the next leader hears of the exit, and AttemptTracker::handle_exit stopped all tasks of the gang, whatever their attempt number.

Change: the tracker now knows which attempt has lost the task (restart_gang_of). The tasks of a gang share an attempt number, and numbers only rise, so an attempt with a lower number than the gang's newest says nothing about the newest.

--- a/src/dispatch/attempt_tracker.cpp
+++ b/src/dispatch/attempt_tracker.cpp
@@ -111,7 +111,7 @@
     failures_.record_task_failure(machine, *job, now);
   if (attempt.cause == ExitCause::InsufficientResources || attempt.cause == ExitCause::Busy)
     job->backoff_until = now + state_.settings().heartbeat_period_s;
-  stop_gang_of(id.task, now);
+  restart_gang_of(id, now);
 }
 
 void AttemptTracker::handle_success(Machine& machine, const TaskAttemptId& id, Job& job,
@@ -135,7 +135,7 @@
     const TaskAttemptId id = machine.attempts.begin()->first;
     const bool present = machine.attempts.begin()->second.may_be_present();
     state_.remove_attempt(machine, id);
-    if (present) stop_gang_of(id.task, state_.failover_at());
+    if (present) restart_gang_of(id, state_.failover_at());
   }
 }
 
@@ -167,10 +167,11 @@
     }
 }
 
-void AttemptTracker::stop_gang_of(const TaskKey& task, Seconds now) {
-  Job* job = state_.find_job(task.job);
-  if (job && job->spec().kind == JobKind::Gang && job->spec().tasks > 1 && !job->complete())
-    stop_job(*job, false, now);
+void AttemptTracker::restart_gang_of(const TaskAttemptId& lost, Seconds now) {
+  Job* job = state_.find_job(lost.task.job);
+  if (!job || !job->spec().is_multi_task_gang() || job->complete()) return;
+  if (lost.attempt < job->gang_attempt) return;  // the newer attempt has not lost a task
+  stop_job(*job, false, now);
 }
 
 }  // namespace sumacquay
--- a/src/dispatch/attempt_tracker.h
+++ b/src/dispatch/attempt_tracker.h
@@ -36,9 +36,9 @@
   void request_stop(TaskAttempt& attempt, bool graceful, Seconds now);
   /// Stops all tasks of the job. Attempts whose start was not sent are removed immediately.
   void stop_job(Job& job, bool graceful, Seconds now);
-  /// Stops the remaining tasks of a gang that lost a member, because a gang is restarted as a
-  /// whole. Does nothing for other jobs.
-  void stop_gang_of(const TaskKey& task, Seconds now);
+  /// Stops the remaining tasks of a gang whose attempt has lost the given task, because a gang is
+  /// restarted as a whole. Does nothing for other jobs, nor if the gang has a newer attempt.
+  void restart_gang_of(const TaskAttemptId& lost, Seconds now);
 
  private:
   void request_stop_on(const std::string& machine_id, const TaskAttemptId& id, Seconds now);
--- a/src/dispatch/reconciler.cpp
+++ b/src/dispatch/reconciler.cpp
@@ -161,7 +161,7 @@
     if (attempt == machine.attempts.end()) continue;
     const bool present = attempt->second.may_be_present();
     state_.remove_attempt(machine, id);
-    if (present) attempts_.stop_gang_of(id.task, now);
+    if (present) attempts_.restart_gang_of(id, now);
   }
 }
 
