A gang whose image is fetched for longer than its tasks wait runs

After a machine is lost, three machines have the image of the gang and the one that replaces the lost one fetches it for 40 s. Every 30 s the same.

Cause: a task with its image waits for the others for gang_wait_s and then exits. The leader took that exit for a failed start, stopped the whole gang and placed it anew. Stopping the task that fetched ended its fetch, since no task waited for the image any more, so each attempt began where the one before had begun. The same happens when all machines fetch at different rates, when one of them is lost meanwhile, and when a leader ends.

Change: when a gang attempt loses a task, image fetches go on, all else of it is stopped, and the missing tasks are placed beside them under a new attempt number; without room or quota for all of them, everything is stopped in the same round, so nothing is held for part of a gang (complete_gang). A task that has its image then is stopped and joins the new attempt. Starts on machines that have the image wait while another machine may fetch for longer than gang_wait_s (GangStartBarrier). A new leader does the same with what it finds. Preemption, cancellation and crash loops stop the fetches as well.

Why it works: an attempt that ends because of a fetch leaves that fetch going, so the number of machines without the image falls from one attempt to the next. Attempt numbers are still used once for each task and machine.

--- a/src/dispatch/attempt_tracker.cpp
+++ b/src/dispatch/attempt_tracker.cpp
@@ -36,7 +36,7 @@
 }  // namespace
 
 void AttemptTracker::adopt(Machine& machine, const TaskAttemptId& id, TaskAttempt& attempt,
-                           Job& job, Seconds now) {
+                           Job& job, bool fetching, Seconds now) {
   const JobSpec& spec = job.spec();
   attempt.request = spec.request;
   attempt.image = spec.image;
@@ -56,15 +56,32 @@
       ++work_counters_.adoption_checks;
       newest = std::max(newest, placement.attempt);
     }
-  if (gang) job.gang_attempt = newest;
-  attempt.desired_running = id.attempt == newest && job.runnable() && id.task.task < spec.tasks &&
+  if (gang && newest > job.gang_attempt) {
+    job.gang_attempt = newest;
+    job.gang_attempt_state = GangAttemptState::Adopted;
+  }
+  const bool newest_or_fetch = id.attempt == newest || (fetching && continues_fetch(job, id));
+  attempt.desired_running = newest_or_fetch && job.runnable() && id.task.task < spec.tasks &&
                             !job.done.contains(id.task.task);
   // A task is restarted only after its earlier attempt is certainly gone. A heartbeat that still
   // lists the earlier attempt is outdated and must not stop the newer one.
   for (auto at = first; at != last; ++at)
-    for (const TaskPlacement& placement : at->second)
-      if (placement.attempt < newest)
-        request_stop_on(placement.machine, {{id.task.job, at->first}, placement.attempt}, now);
+    for (const TaskPlacement& placement : at->second) {
+      const TaskAttemptId older{{id.task.job, at->first}, placement.attempt};
+      if (older.attempt >= newest) continue;
+      const TaskAttempt* found = state_.find_attempt(older.task, placement);
+      const bool older_fetches = older == id ? fetching : found && found->fetching_image();
+      if (older_fetches && continues_fetch(job, older)) continue;
+      request_stop_on(placement.machine, older, now);
+    }
+}
+
+/// Whether a fetch for an attempt older than the newest goes on: it is a gang's, whose next attempt
+/// needs the image there, and the task has no other attempt.
+bool AttemptTracker::continues_fetch(const Job& job, const TaskAttemptId& id) const {
+  if (!job.spec().is_multi_task_gang()) return false;
+  const auto placements = job.possible_placements.find(id.task.task);
+  return placements != job.possible_placements.end() && placements->second.size() == 1;
 }
 
 void AttemptTracker::request_stop_on(const std::string& machine_id, const TaskAttemptId& id,
@@ -86,16 +103,29 @@
             log_field("to", name(next)));
   attempt.state = next;
   attempt.start_sent = true;
-  if (next == TaskAttemptState::Running || next == TaskAttemptState::Waiting) {
-    state_.record_image_use(machine, attempt.image, attempt.image_gb);
-    if (!attempt.running_since) attempt.running_since = now;
-  }
+  if (next == TaskAttemptState::Running || next == TaskAttemptState::Waiting)
+    on_image_present(machine, id, attempt, now);
   if (next == TaskAttemptState::Exited) {
     state_.remove_possible_placement(machine, id);
     handle_exit(machine, id, attempt, now);
   }
 }
 
+/// A task with its image that belongs to an abandoned attempt of its gang would wait in vain.
+void AttemptTracker::on_image_present(Machine& machine, const TaskAttemptId& id,
+                                      TaskAttempt& attempt, Seconds now) {
+  state_.record_image_use(machine, attempt.image, attempt.image_gb);
+  if (!attempt.running_since) attempt.running_since = now;
+  Job* job = state_.find_job(id.task.job);
+  if (!job || !job->spec().is_multi_task_gang()) return;
+  const bool abandoned =
+      id.attempt < job->gang_attempt || job->gang_attempt_state == GangAttemptState::Abandoned;
+  if (!abandoned) return gang_starts_.on_image_present(*job);
+  if (attempt.state != TaskAttemptState::Waiting) return;
+  request_stop(attempt, false, now);
+  commands_.enqueue(machine);
+}
+
 void AttemptTracker::handle_exit(Machine& machine, const TaskAttemptId& id, TaskAttempt& attempt,
                                  Seconds now) {
   if (attempt.exit_recorded) return;
@@ -150,28 +180,57 @@
   attempt.stop_since = now;
 }
 
+void AttemptTracker::remove_or_stop(const TaskAttemptId& id, const std::string& machine_id,
+                                    bool graceful, Seconds now) {
+  Machine* machine = state_.find_machine(machine_id);
+  if (!machine) return;
+  const auto attempt = machine->attempts.find(id);
+  if (attempt == machine->attempts.end()) return;
+  if (!attempt->second.start_sent)
+    state_.remove_attempt(*machine, id);  // no start command was sent
+  else
+    request_stop(attempt->second, graceful, now);
+  commands_.enqueue(*machine);
+}
+
 void AttemptTracker::stop_job(Job& job, bool graceful, Seconds now) {
+  if (job.spec().kind == JobKind::Gang && !job.possible_placements.empty())
+    job.gang_attempt_state = GangAttemptState::Abandoned;
   const auto placements_before = job.possible_placements;  // removals modify the job's map
   for (const auto& [task, placements] : placements_before)
-    for (const TaskPlacement& placement : placements) {
-      Machine* machine = state_.find_machine(placement.machine);
-      if (!machine) continue;
-      const TaskAttemptId id{{job.spec().id, task}, placement.attempt};
-      const auto attempt = machine->attempts.find(id);
-      if (attempt == machine->attempts.end()) continue;
-      if (!attempt->second.start_sent)
-        state_.remove_attempt(*machine, id);  // no start command was sent
-      else
-        request_stop(attempt->second, graceful, now);
-      commands_.enqueue(*machine);
-    }
+    for (const TaskPlacement& placement : placements)
+      remove_or_stop({{job.spec().id, task}, placement.attempt}, placement.machine, graceful, now);
 }
 
 void AttemptTracker::restart_gang_of(const TaskAttemptId& lost, Seconds now) {
   Job* job = state_.find_job(lost.task.job);
   if (!job || !job->spec().is_multi_task_gang() || job->complete()) return;
   if (lost.attempt < job->gang_attempt) return;  // the newer attempt has not lost a task
-  stop_job(*job, false, now);
+  abandon_gang_attempt(*job, now);
+}
+
+void AttemptTracker::abandon_gang_attempt(Job& job, Seconds now) {
+  if (job.possible_placements.empty()) return;
+  if (failures_.crash_looping(job)) return stop_job(job, false, now);
+  if (job.gang_attempt_state == GangAttemptState::Abandoned) return;
+  job.gang_attempt_state = GangAttemptState::Abandoned;
+  size_t fetching = 0;
+  size_t stopped = 0;
+  const auto placements_before = job.possible_placements;  // removals modify the job's map
+  for (const auto& [task, placements] : placements_before)
+    for (const TaskPlacement& placement : placements) {
+      const TaskAttemptId id{{job.spec().id, task}, placement.attempt};
+      const TaskAttempt* attempt = state_.find_attempt(id.task, placement);
+      if (attempt && attempt->fetching_image()) {
+        ++fetching;
+        continue;
+      }
+      ++stopped;
+      remove_or_stop(id, placement.machine, false, now);
+    }
+  log_info("gang_attempt_abandoned", log_field("job", job.spec().id),
+           log_field("attempt", job.gang_attempt), log_field("fetching", fetching),
+           log_field("stopped", stopped));
 }
 
 }  // namespace sumacquay
--- a/src/dispatch/cluster_state.cpp
+++ b/src/dispatch/cluster_state.cpp
@@ -123,7 +123,35 @@
   if (placements == job->possible_placements.end()) return;
   placements->second.erase({machine.host.id, id.attempt});
   if (placements->second.empty()) job->possible_placements.erase(placements);
-  if (job->possible_placements.empty()) job->gang_attempt = 0;
+  if (!job->possible_placements.empty()) return;
+  job->gang_attempt = 0;
+  job->gang_attempt_state = GangAttemptState::None;
+}
+
+TaskAttempt* ClusterState::find_attempt(const TaskKey& task, const TaskPlacement& placement) {
+  Machine* machine = find_machine(placement.machine);
+  if (!machine) return nullptr;
+  const auto attempt = machine->attempts.find({task, placement.attempt});
+  return attempt == machine->attempts.end() ? nullptr : &attempt->second;
+}
+
+const TaskAttempt* ClusterState::find_attempt(const TaskKey& task,
+                                              const TaskPlacement& placement) const {
+  const Machine* machine = find_machine(placement.machine);
+  if (!machine) return nullptr;
+  const auto attempt = machine->attempts.find({task, placement.attempt});
+  return attempt == machine->attempts.end() ? nullptr : &attempt->second;
+}
+
+bool ClusterState::only_image_fetches_left(const Job& job) const {
+  return std::all_of(
+      job.possible_placements.begin(), job.possible_placements.end(), [&](const auto& entry) {
+        return std::all_of(
+            entry.second.begin(), entry.second.end(), [&](const TaskPlacement& placement) {
+              const TaskAttempt* attempt = find_attempt({job.spec().id, entry.first}, placement);
+              return attempt && attempt->fetching_image();
+            });
+      });
 }
 
 void ClusterState::remove_attempt(Machine& machine, const TaskAttemptId& id) {
--- a/src/dispatch/cluster_state.h
+++ b/src/dispatch/cluster_state.h
@@ -104,6 +104,12 @@
   void add_possible_placement(Machine& machine, const TaskAttemptId& id);
   void remove_possible_placement(Machine& machine, const TaskAttemptId& id);
   void remove_attempt(Machine& machine, const TaskAttemptId& id);
+  /// Null if the leader has no such attempt.
+  TaskAttempt* find_attempt(const TaskKey& task, const TaskPlacement& placement);
+  const TaskAttempt* find_attempt(const TaskKey& task, const TaskPlacement& placement) const;
+  /// Whether all that is present of the job are image fetches that are to go on. True for a job of
+  /// which nothing is present.
+  bool only_image_fetches_left(const Job& job) const;
   /// Whether tasks of the job may be on machines that have not been reconciled since the failover.
   bool placement_unknown(const Job& job) const;
   /// Whether no task of the job can be present on any machine.
--- a/src/dispatch/command_dispatcher.cpp
+++ b/src/dispatch/command_dispatcher.cpp
@@ -35,7 +35,8 @@
 /// the machine, so that a later leader finds the task.
 bool CommandDispatcher::startable(const Machine& machine, const TaskAttemptId& id,
                                   const TaskAttempt& attempt) const {
-  if (!attempt.desired_running || attempt.state != TaskAttemptState::Scheduled ||
+  if (!attempt.desired_running || attempt.start_held ||
+      attempt.state != TaskAttemptState::Scheduled ||
       machine.host_record_state != HostRecordState::Durable)
     return false;
   const Job* job = state_.find_job(id.task.job);
--- a/src/dispatch/job_state.h
+++ b/src/dispatch/job_state.h
@@ -19,6 +19,14 @@
   auto operator<=>(const TaskPlacement&) const = default;
 };
 
+/// State of a gang's newest attempt, the one with the number `Job::gang_attempt`.
+enum class GangAttemptState {
+  None,       ///< no task is placed
+  Intact,     ///< placed by this leader, no started task of it is lost: a missing task may join
+  Adopted,    ///< found on machines after a failover; tasks may be missing
+  Abandoned,  ///< it lost a task or is being stopped; at most image fetches go on
+};
+
 /// The leader's in-memory state of a job: the stored record, pending changes to it, and the
 /// possible placements of its tasks.
 struct Job {
@@ -39,8 +47,11 @@
   std::map<uint32_t, std::set<TaskPlacement>> possible_placements;
   /// The highest of the job's own priority and the priorities of its dependents.
   Priority priority = Priority::Low;
-  bool counted_as_arrival = false;        ///< the forecast has counted the job, once ready
-  uint64_t gang_attempt = 0;              ///< attempt number shared by all tasks of a gang
+  bool counted_as_arrival = false;  ///< the forecast has counted the job, once ready
+  /// Attempt number shared by all tasks of a gang. Image fetches of earlier attempts may go on.
+  uint64_t gang_attempt = 0;
+  GangAttemptState gang_attempt_state = GangAttemptState::None;
+  bool gang_starts_held = false;          ///< starts of the gang may be held back
   std::set<std::string> failed_machines;  ///< tasks failed there; avoided in placement
   /// Machines on which tasks have failed since the job's last success.
   std::set<std::string> failed_machines_since_success;
--- a/src/dispatch/placement_round.cpp
+++ b/src/dispatch/placement_round.cpp
@@ -28,9 +28,9 @@
 
 /// Places the tasks that fit, preempts for the others and adds those that remain to `unplaced_`.
 void PlacementRound::place_job(Job& job, std::vector<CandidateMachine>& candidates, Seconds now) {
-  const size_t max_tasks =
-      std::min(context_.quota.remaining_tasks(job), state_.token_allocator().attempts_left());
-  auto request = max_tasks > 0 ? create_request(job, max_tasks) : std::nullopt;
+  if (job.spec().kind == JobKind::Gang && !job.possible_placements.empty())
+    return complete_gang(job, candidates, now);
+  auto request = create_request(job, max_placeable_tasks(job));
   if (!request) return;
   if (request->prefer_cached_image && !context_.failures.crash_looping(job))
     place_on_machines_with_image(job, *request, candidates, now);
@@ -48,6 +48,28 @@
   unplaced_.push_back(std::move(*request));
 }
 
+/// Places the missing tasks of a gang of which image fetches go on, or whose current attempt waits
+/// for the image of the last of its tasks. A gang is placed completely or not at all: without room
+/// for all missing tasks, all that is present of it is stopped.
+void PlacementRound::complete_gang(Job& job, std::vector<CandidateMachine>& candidates,
+                                   Seconds now) {
+  if (job.gang_attempt_state == GangAttemptState::Adopted) {
+    context_.attempts.abandon_gang_attempt(job, now);
+    if (!state_.only_image_fetches_left(job)) return;
+  }
+  auto request = create_request(job, max_placeable_tasks(job));
+  if (request) place_fitting_tasks(job, *request, candidates, now);
+  if (request && request->tasks.empty()) return;
+  log_info("gang_fetches_stopped", log_field("job", job.spec().id),
+           log_field("reason", request ? "no_room" : "quota"));
+  context_.attempts.stop_job(job, false, now);
+}
+
+/// How many more tasks of the job the quota of its team and the attempt numbers of the term allow.
+size_t PlacementRound::max_placeable_tasks(const Job& job) const {
+  return std::min(context_.quota.remaining_tasks(job), state_.token_allocator().attempts_left());
+}
+
 // ---------------------------------------------------------------- requests
 
 size_t PlacementRound::max_tasks_per_round() const {
@@ -72,13 +94,13 @@
                                                                size_t max_tasks) const {
   const JobSpec& spec = job.spec();
   const bool gang = spec.kind == JobKind::Gang;
-  if (gang && max_tasks < spec.tasks) return std::nullopt;
+  if (max_tasks == 0) return std::nullopt;
   if (!gang && context_.failures.crash_looping(job)) max_tasks = std::min<size_t>(max_tasks, 1);
   const size_t limit = gang ? spec.tasks : std::min(max_tasks, max_tasks_per_round());
   PlacementRequest request;
   request.spec = &spec;
   request.tasks = tasks_to_place(job, limit);
-  if (request.tasks.empty()) return std::nullopt;
+  if (request.tasks.empty() || request.tasks.size() > max_tasks) return std::nullopt;
   if (spec.has_zone_constraint())
     for_each_possible_placement(job, [this, &request](uint32_t, const TaskPlacement& placement) {
       if (const Machine* machine = state_.find_machine(placement.machine))
@@ -155,7 +177,10 @@
   const JobSpec& spec = job.spec();
   FencingTokenAllocator& token_allocator = state_.token_allocator();
   const bool gang = spec.kind == JobKind::Gang;
-  if (gang) job.gang_attempt = token_allocator.new_attempt();
+  if (gang && job.gang_attempt_state != GangAttemptState::Intact) {
+    job.gang_attempt = token_allocator.new_attempt();
+    job.gang_attempt_state = GangAttemptState::Intact;
+  }
   job.start_record_requested = true;
   for (const Assignment& assignment : assignments) {
     Machine& machine = state_.machines().at(candidates[assignment.candidate].machine);
@@ -175,6 +200,7 @@
     context_.records.enqueue_machine(machine);
     context_.commands.enqueue(machine);
   }
+  context_.gang_starts.on_tasks_placed(job);
   context_.records.enqueue_job(job, now);
 }
 
--- a/src/dispatch/placement_round.h
+++ b/src/dispatch/placement_round.h
@@ -8,6 +8,7 @@
 #include "dispatch/cluster_state.h"
 #include "dispatch/command_dispatcher.h"
 #include "dispatch/failure_attribution.h"
+#include "dispatch/gang_start_barrier.h"
 #include "dispatch/preemptor.h"
 #include "dispatch/quota_tracker.h"
 #include "dispatch/record_queue.h"
@@ -24,6 +25,8 @@
   SchedulingQueue& queue;
   QuotaTracker& quota;
   Preemptor& preemptor;
+  AttemptTracker& attempts;
+  GangStartBarrier& gang_starts;
   CommandDispatcher& commands;
   RecordQueue& records;
   WorkCounters& work_counters;
@@ -44,6 +47,8 @@
 
  private:
   void place_job(Job& job, std::vector<CandidateMachine>& candidates, Seconds now);
+  void complete_gang(Job& job, std::vector<CandidateMachine>& candidates, Seconds now);
+  size_t max_placeable_tasks(const Job& job) const;
   std::optional<PlacementRequest> create_request(const Job& job, size_t max_tasks) const;
   std::vector<uint32_t> tasks_to_place(const Job& job, size_t max_tasks) const;
   size_t max_tasks_per_round() const;
--- a/src/dispatch/reconciler.cpp
+++ b/src/dispatch/reconciler.cpp
@@ -206,7 +206,8 @@
     attempt.placed_at = now;
     attempt.start_sent = true;
     attempt.desired_running = false;
-    if (Job* job = state_.find_job(task.key.job)) attempts_.adopt(machine, id, attempt, *job, now);
+    if (Job* job = state_.find_job(task.key.job))
+      attempts_.adopt(machine, id, attempt, *job, task.state == TaskState::Fetching, now);
   }
   if (task.state == TaskState::Exited) attempt.cause = task.cause;
   attempts_.set_state(machine, id, attempt, attempt_state_of(task.state), now);
--- a/src/dispatch/record_ingestion.cpp
+++ b/src/dispatch/record_ingestion.cpp
@@ -66,8 +66,9 @@
     for (auto attempt = machine.attempts.lower_bound({{id, 0}, 0});
          attempt != machine.attempts.end() && attempt->first.task.job == id; ++attempt) {
       ++context_.work_counters.adoption_checks;
-      if (attempt->second.may_be_present())
-        context_.attempts.adopt(machine, attempt->first, attempt->second, job, now);
+      if (!attempt->second.may_be_present()) continue;
+      const bool fetching = attempt->second.state == TaskAttemptState::Fetching;
+      context_.attempts.adopt(machine, attempt->first, attempt->second, job, fetching, now);
     }
 }
 
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -18,6 +18,7 @@
 #include "dispatch/failure_attribution.h"
 #include "dispatch/failure_detector.h"
 #include "dispatch/fleet_summary_log.h"
+#include "dispatch/gang_start_barrier.h"
 #include "dispatch/placement_round.h"
 #include "dispatch/preemptor.h"
 #include "dispatch/quota_tracker.h"
@@ -179,6 +180,7 @@
   ClusterState state_;
   FailureAttribution failures_;
   CommandDispatcher commands_;
+  GangStartBarrier gang_starts_;
   RecordQueue record_queue_;
   AttemptTracker attempts_;
   FailureDetector failure_detector_;
--- a/src/dispatch/scheduling_queue.cpp
+++ b/src/dispatch/scheduling_queue.cpp
@@ -60,13 +60,29 @@
   if (!job.can_record_host()) return false;
   count_arrival(state_, arrivals_, job);
   if (job.possible_placements.size() + job.done.count() >= job.spec().tasks) return false;
-  if (job.spec().kind == JobKind::Gang && !job.possible_placements.empty()) return false;
+  if (job.spec().kind == JobKind::Gang && !missing_gang_tasks_may_join(job)) return false;
   if (!failures_.crash_looping(job) || job.possible_placements.empty()) return true;
   if (!failures_.runs_steadily(job, now)) return false;
   failures_.record_task_success(job, now);
   return true;
 }
 
+/// Whether the missing tasks of a gang may be placed while others of its tasks are present. A gang
+/// that was found after a failover without some of its tasks is abandoned in its round.
+bool SchedulingQueue::missing_gang_tasks_may_join(const Job& job) const {
+  if (job.possible_placements.empty()) return true;
+  switch (job.gang_attempt_state) {
+    case GangAttemptState::None:
+      return false;
+    case GangAttemptState::Intact:
+    case GangAttemptState::Adopted:
+      return true;
+    case GangAttemptState::Abandoned:
+      return state_.only_image_fetches_left(job);
+  }
+  return false;
+}
+
 std::vector<Job*> SchedulingQueue::waiting_jobs(Seconds now) {
   std::vector<Job*> jobs;
   for (auto& [id, job] : state_.jobs())
--- a/src/dispatch/scheduling_queue.h
+++ b/src/dispatch/scheduling_queue.h
@@ -26,6 +26,7 @@
 
  private:
   bool may_be_placed(Job& job, Seconds now);
+  bool missing_gang_tasks_may_join(const Job& job) const;
   void find_jobs_within_fair_share(const std::vector<Job*>& waiting);
 
   ClusterState& state_;
--- a/src/fleet/machine.h
+++ b/src/fleet/machine.h
@@ -29,6 +29,7 @@
   ExitCause cause = ExitCause::None;
   bool desired_running = true;  ///< false: the attempt must be stopped
   bool start_sent = false;      ///< a start command may have been sent to the worker
+  bool start_held = false;      ///< the start waits for image fetches of other tasks of the gang
   bool graceful = false;        ///< the attempt may write a checkpoint before it is stopped
   bool exit_recorded = false;   ///< the exit has been processed
   Seconds placed_at = 0;
@@ -40,6 +41,12 @@
   double image_gb = 0;
 
   bool may_be_present() const { return state != TaskAttemptState::Exited; }
+  /// Whether the task is not known to have its image yet.
+  bool before_image() const {
+    return state == TaskAttemptState::Scheduled || state == TaskAttemptState::Fetching;
+  }
+  /// Whether the worker fetches the task's image, and is to go on with that.
+  bool fetching_image() const { return state == TaskAttemptState::Fetching && desired_running; }
 };
 
 /// States of a machine in the usual order of its life cycle.
