Exits count only from workers that have shown a token of this term

What users saw: after a failover a team can run more than its limit (rule quota).

Cause: the first heartbeat that a new leader gets of a machine may be a late one, of a machine that is gone. An exit in it counted at once. A task that it shows as done may have a later attempt on a machine that has not been heard since the failover; stored completions count as absent, so the quota had room for tasks that were not gone.

Change: Reconciler::reconcile takes an exit in only if the heartbeat carries a token of this leader's term. A machine that is gone never shows one. Workers report exits until they may discard them, so an exit is only learned later, with the first heartbeat or probe answer that shows the token.

LargeArrayRecordStaysWithinValueSizeLimit gave its exits in a first heartbeat without a token, which no longer counts: the same exits now come with the leader's token, the checks are the same.

--- a/src/dispatch/cluster_state.h
+++ b/src/dispatch/cluster_state.h
@@ -125,6 +125,8 @@
   uint64_t fencing_token(const Machine& machine) const {
     return token_allocator_.with_term(machine.fencing_token_counter);
   }
+  /// The lowest fencing token of this leader's term.
+  uint64_t first_fencing_token() const { return token_allocator_.with_term(0); }
   /// The lowest fencing token whose acknowledgement shows that the worker rejects all commands
   /// without an answer.
   uint64_t required_fencing_token(const Machine& machine) const {
--- a/src/dispatch/reconciler.cpp
+++ b/src/dispatch/reconciler.cpp
@@ -177,6 +177,10 @@
 /// Applies a heartbeat that is newer than all previous ones. `absence_is_conclusive`: attempts that
 /// it does not list may be removed, which holds only for periodic heartbeats and not for responses
 /// to commands or probes.
+///
+/// Exits count only once the worker has shown a token of this term. Before, the heartbeat may be a
+/// late one of a machine that is gone, and a later attempt of the task may be on a machine that has
+/// not been heard yet. Workers report exits until they may discard them.
 void Reconciler::reconcile(Machine& machine, const WorkerHeartbeat& heartbeat,
                            bool absence_is_conclusive, Seconds now) {
   if (heartbeat.agent_epoch > machine.latest_sequence.agent_epoch) begin_agent_epoch(machine, now);
@@ -192,7 +196,9 @@
     machine.fencing_token_acknowledged = true;
     commands_.enqueue(machine);
   }
-  for (const auto& task : heartbeat.tasks) reconcile_task(machine, task, now);
+  const bool follows_this_leader = heartbeat.fencing_token >= state_.first_fencing_token();
+  for (const auto& task : heartbeat.tasks)
+    if (follows_this_leader || task.state != TaskState::Exited) reconcile_task(machine, task, now);
   if (!required_token) return;
   if (absence_is_conclusive) remove_unlisted(machine, heartbeat, now);
   accept_worker(machine, now);
--- a/tests/gang_restart_test.cpp
+++ b/tests/gang_restart_test.cpp
@@ -121,12 +121,13 @@
   for (const auto& id : *record.hosts)
     scheduler->restore_machine({id, "10.0.0.2:9", "g", "e", false}, now);
   scheduler->on_job_record(record, ++revision, now);
-  scheduler->on_heartbeat(heartbeat(kFirst, 5, 1, {{{kJob, 0}, 8, TaskState::Running}}), true, now);
-  scheduler->on_heartbeat(heartbeat(kSecond, 5, 1, {{{kJob, 1}, 8, TaskState::Running}}), true,
-                          now);
+  scheduler->on_heartbeat(heartbeat(kFirst, 5, fencing_token, {{{kJob, 0}, 8, TaskState::Running}}),
+                          true, now);
   scheduler->on_heartbeat(
-      heartbeat("i-3", 5, 1, {{{kJob, 1}, 7, TaskState::Exited, ExitCause::GangIncomplete}}), true,
-      now);
+      heartbeat(kSecond, 5, fencing_token, {{{kJob, 1}, 8, TaskState::Running}}), true, now);
+  scheduler->on_heartbeat(heartbeat("i-3", 5, fencing_token,
+                                    {{{kJob, 1}, 7, TaskState::Exited, ExitCause::GangIncomplete}}),
+                          true, now);
   EXPECT_TRUE(desired_running(kFirst));
   EXPECT_TRUE(desired_running(kSecond));
 }
--- a/tests/scheduler_safety_test.cpp
+++ b/tests/scheduler_safety_test.cpp
@@ -916,7 +916,9 @@
   std::vector<TaskStatus> done;
   for (uint32_t t = 0; t < 100000; t += 20)
     done.push_back({{"job-1", t}, 7, TaskState::Exited, ExitCause::Done});
-  scheduler->on_heartbeat(heartbeat("i-9", 1, 0, done), true, now);
+  const auto fencing_token =
+      scheduler->on_heartbeat(heartbeat("i-9", 1, 0), true, now).fencing_token;
+  scheduler->on_heartbeat(heartbeat("i-9", 2, fencing_token, done), true, now);
   now += 5;
   const auto writes = scheduler->plan_writes(now, 20);
   ASSERT_EQ(writes.size(), 1u);
