A gang keeps its room while the rest of an abandoned attempt is being stopped

What users saw: a gang that had waited for an image lost machines of its own to a later job, and with them the fetches that went on for it.

Cause: the missing tasks of an abandoned attempt were placed only once nothing but image fetches was left of it. Until the last stop was answered, rounds gave the room of the tasks that had exited to jobs after the gang; then there was no room for the missing tasks, and the fetches were stopped.

Change: as long as an image fetch goes on, missing tasks are placed in each round, at the gang's place in the queue. The starts wait until no task of the earlier attempt is left, as before.

Evidence: GangRestartTest.MissingTaskTakesItsRoomBackAtOnce, which failed before the change: the later job had the room, the gang two of three tasks.

--- a/src/dispatch/cluster_state.cpp
+++ b/src/dispatch/cluster_state.cpp
@@ -143,10 +143,10 @@
   return attempt == machine->attempts.end() ? nullptr : &attempt->second;
 }
 
-bool ClusterState::only_image_fetches_left(const Job& job) const {
-  return std::all_of(
+bool ClusterState::image_fetch_left(const Job& job) const {
+  return std::any_of(
       job.possible_placements.begin(), job.possible_placements.end(), [&](const auto& entry) {
-        return std::all_of(
+        return std::any_of(
             entry.second.begin(), entry.second.end(), [&](const TaskPlacement& placement) {
               const TaskAttempt* attempt = find_attempt({job.spec().id, entry.first}, placement);
               return attempt && attempt->fetching_image();
--- a/src/dispatch/cluster_state.h
+++ b/src/dispatch/cluster_state.h
@@ -107,9 +107,8 @@
   /// Null if the leader has no such attempt.
   TaskAttempt* find_attempt(const TaskKey& task, const TaskPlacement& placement);
   const TaskAttempt* find_attempt(const TaskKey& task, const TaskPlacement& placement) const;
-  /// Whether all that is present of the job are image fetches that are to go on. True for a job of
-  /// which nothing is present.
-  bool only_image_fetches_left(const Job& job) const;
+  /// Whether an image fetch for a task of the job is to go on.
+  bool image_fetch_left(const Job& job) const;
   /// Whether tasks of the job may be on machines that have not been reconciled since the failover.
   bool placement_unknown(const Job& job) const;
   /// Whether no task of the job can be present on any machine.
--- a/src/dispatch/scheduling_queue.cpp
+++ b/src/dispatch/scheduling_queue.cpp
@@ -67,8 +67,10 @@
   return true;
 }
 
-/// Whether the missing tasks of a gang may be placed while others of its tasks are present. A gang
-/// that was found after a failover without some of its tasks is abandoned in its round.
+/// Whether the missing tasks of a gang may be placed while others of its tasks are present: beside
+/// image fetches of an abandoned attempt they are placed as soon as they are missing, or jobs after
+/// the gang would take the room. A gang that was found after a failover without some of its tasks
+/// is abandoned in its round.
 bool SchedulingQueue::missing_gang_tasks_may_join(const Job& job) const {
   if (job.possible_placements.empty()) return true;
   switch (job.gang_attempt_state) {
@@ -78,7 +80,7 @@
     case GangAttemptState::Adopted:
       return true;
     case GangAttemptState::Abandoned:
-      return state_.only_image_fetches_left(job);
+      return state_.image_fetch_left(job);
   }
   return false;
 }
--- a/tests/gang_restart_test.cpp
+++ b/tests/gang_restart_test.cpp
@@ -171,6 +171,24 @@
   EXPECT_EQ(attempt_on(kFirst), attempt_on(kSecond));
 }
 
+// Guards against a gang that loses the room of the task that has exited to a job after it, while
+// another of its tasks is still being stopped.
+TEST_F(GangRestartTest, MissingTaskTakesItsRoomBackAtOnce) {
+  add_workers({kFirst, kSecond, "i-3"});
+  submit(gang_record(kLongFetchGb, 3));
+  report(kFirst, TaskState::Waiting);
+  report("i-3", TaskState::Waiting);
+  JobRecord later = job_record("job-2", 1);
+  later.spec.request = machine_type.capacity;
+  later.submitted_ms = 2;
+  scheduler->on_job_record(later, ++revision, now);
+  report(kFirst, TaskState::Exited, ExitCause::GangIncomplete);
+  scheduler->request_round();
+  scheduler->tick(now);  // the stop on i-3 is not answered yet
+  EXPECT_TRUE(scheduler->jobs().at("job-2").possible_placements.empty());
+  EXPECT_EQ(scheduler->jobs().at(kJob).possible_placements.size(), 3u);
+}
+
 // Guards against part of a gang that holds machines while there is no room for the rest.
 TEST_F(GangRestartTest, FetchIsStoppedWhenOtherTaskFindsNoRoom) {
   add_workers({kFirst, kSecond});
--- a/tests/gang_start_test.cpp
+++ b/tests/gang_start_test.cpp
@@ -51,7 +51,7 @@
 }
 
 struct GangStart : ::testing::TestWithParam<uint64_t> {
-  void expect_no_violations() {
+  void expect_no_violations() const {
     EXPECT_EQ(simulation.checker().violations(), std::vector<std::string>{});
   }
   bool runs_within(const std::string& job, Seconds timeout) {
@@ -173,7 +173,8 @@
 // 90 s beside room for it.
 TEST(GangStartFaults, InvariantsHoldAndGangsRunOnceFaultsEnd) {
   constexpr uint64_t kFaultSeeds = 40;
-  size_t incomplete_exits = 0, starts = 0;
+  size_t incomplete_exits = 0;
+  size_t starts = 0;
   for (uint64_t seed = 1; seed <= kFaultSeeds; ++seed) {
     SimulationOptions options;
     options.fetch_gb_per_s = 1;
