Gang restarts read through: one loop that stops attempts, tables in the tests

- AttemptTracker: stop_job and abandon_gang_attempt stop attempts in the same loop (stop_attempts); adopt, which had grown to 50 lines, is three functions. gang_attempt_abandoned logs the number of the attempt also when nothing is left of it, which was 0 before.
- ClusterState: one look-up of an attempt instead of two alike; fetches are counted by for_each_possible_placement.
- SchedulingQueue: the switch over the states of a gang attempt had one case that mattered.
- Simulation: the checker and the tests find running tasks in one place, Fleet; Simulation::complete, which nothing called, goes.
- Tests: the three cases of a machine lost while others fetch are one table, with the delay of the zone cases (10 to 25 s) for all; long and short fetches are one table.
GangRestartTest uses the simulators' WorkerState in place of a worker of its own.

--- a/src/dispatch/attempt_tracker.cpp
+++ b/src/dispatch/attempt_tracker.cpp
@@ -33,6 +33,26 @@
   return "unknown";
 }
 
+using Placements = decltype(Job::possible_placements);
+
+/// Some of a job's placements, by task.
+struct PlacementRange {
+  Placements::const_iterator first;
+  Placements::const_iterator last;
+  Placements::const_iterator begin() const { return first; }
+  Placements::const_iterator end() const { return last; }
+};
+
+/// The placements whose attempts are compared with an attempt of the task. All tasks of a gang
+/// share an attempt number, so a gang's attempts are compared across its tasks. For other jobs only
+/// attempts of the same task are compared: an array may have tens of thousands of other tasks.
+PlacementRange compared_placements(const Job& job, uint32_t task) {
+  const Placements& placements = job.possible_placements;
+  if (job.spec().kind == JobKind::Gang) return {placements.begin(), placements.end()};
+  const auto found = placements.find(task);
+  return {found, found == placements.end() ? found : std::next(found)};
+}
+
 }  // namespace
 
 void AttemptTracker::adopt(Machine& machine, const TaskAttemptId& id, TaskAttempt& attempt,
@@ -42,35 +62,39 @@
   attempt.image = spec.image;
   attempt.image_gb = spec.image_gb;
   state_.add_possible_placement(machine, id);
-  const bool gang = spec.kind == JobKind::Gang;
-  // All tasks of a gang share an attempt number, so a gang's attempts are compared across its
-  // tasks. For other jobs only attempts of the same task are compared: an array may have tens of
-  // thousands of other tasks.
-  const auto end = job.possible_placements.end();
-  const auto first =
-      gang ? job.possible_placements.begin() : job.possible_placements.find(id.task.task);
-  const auto last = gang || first == end ? end : std::next(first);
-  uint64_t newest = id.attempt;
-  for (auto at = first; at != last; ++at)
-    for (const TaskPlacement& placement : at->second) {
-      ++work_counters_.adoption_checks;
-      newest = std::max(newest, placement.attempt);
-    }
-  if (gang && newest > job.gang_attempt) {
+  const uint64_t newest = newest_attempt(job, id);
+  if (spec.kind == JobKind::Gang && newest > job.gang_attempt) {
     job.gang_attempt = newest;
     job.gang_attempt_state = GangAttemptState::Adopted;
   }
   const bool newest_or_fetch = id.attempt == newest || (fetching && continues_fetch(job, id));
   attempt.desired_running = newest_or_fetch && job.runnable() && id.task.task < spec.tasks &&
                             !job.done.contains(id.task.task);
-  // A task is restarted only after its earlier attempt is certainly gone. A heartbeat that still
-  // lists the earlier attempt is outdated and must not stop the newer one.
-  for (auto at = first; at != last; ++at)
-    for (const TaskPlacement& placement : at->second) {
-      const TaskAttemptId older{{id.task.job, at->first}, placement.attempt};
+  stop_attempts_before(newest, job, id, fetching, now);
+}
+
+uint64_t AttemptTracker::newest_attempt(const Job& job, const TaskAttemptId& adopted) {
+  uint64_t newest = adopted.attempt;
+  for (const auto& [task, placements] : compared_placements(job, adopted.task.task))
+    for (const TaskPlacement& placement : placements) {
+      ++work_counters_.adoption_checks;
+      newest = std::max(newest, placement.attempt);
+    }
+  return newest;
+}
+
+/// A task is restarted only after its earlier attempt is certainly gone. A heartbeat that still
+/// lists the earlier attempt is outdated and must not stop the newer one. `fetching` is of the
+/// adopted attempt, whose reported state has not been applied yet.
+void AttemptTracker::stop_attempts_before(uint64_t newest, const Job& job,
+                                          const TaskAttemptId& adopted, bool fetching,
+                                          Seconds now) {
+  for (const auto& [task, placements] : compared_placements(job, adopted.task.task))
+    for (const TaskPlacement& placement : placements) {
+      const TaskAttemptId older{{adopted.task.job, task}, placement.attempt};
       if (older.attempt >= newest) continue;
       const TaskAttempt* found = state_.find_attempt(older.task, placement);
-      const bool older_fetches = older == id ? fetching : found && found->fetching_image();
+      const bool older_fetches = older == adopted ? fetching : found && found->fetching_image();
       if (older_fetches && continues_fetch(job, older)) continue;
       request_stop_on(placement.machine, older, now);
     }
@@ -180,26 +204,32 @@
   attempt.stop_since = now;
 }
 
-void AttemptTracker::remove_or_stop(const TaskAttemptId& id, const std::string& machine_id,
-                                    bool graceful, Seconds now) {
-  Machine* machine = state_.find_machine(machine_id);
-  if (!machine) return;
-  const auto attempt = machine->attempts.find(id);
-  if (attempt == machine->attempts.end()) return;
-  if (!attempt->second.start_sent)
-    state_.remove_attempt(*machine, id);  // no start command was sent
-  else
-    request_stop(attempt->second, graceful, now);
-  commands_.enqueue(*machine);
+/// Stops the job's tasks. Returns how many are stopped, or removed because no start was sent.
+size_t AttemptTracker::stop_attempts(Job& job, ImageFetches fetches, bool graceful, Seconds now) {
+  size_t stopped = 0;
+  const auto placements_before = job.possible_placements;  // removals modify the job's map
+  for (const auto& [task, placements] : placements_before)
+    for (const TaskPlacement& placement : placements) {
+      Machine* machine = state_.find_machine(placement.machine);
+      if (!machine) continue;
+      const TaskAttemptId id{{job.spec().id, task}, placement.attempt};
+      const auto attempt = machine->attempts.find(id);
+      if (attempt == machine->attempts.end()) continue;
+      if (fetches == ImageFetches::Continue && attempt->second.fetching_image()) continue;
+      ++stopped;
+      if (!attempt->second.start_sent)
+        state_.remove_attempt(*machine, id);  // no start command was sent
+      else
+        request_stop(attempt->second, graceful, now);
+      commands_.enqueue(*machine);
+    }
+  return stopped;
 }
 
 void AttemptTracker::stop_job(Job& job, bool graceful, Seconds now) {
   if (job.spec().kind == JobKind::Gang && !job.possible_placements.empty())
     job.gang_attempt_state = GangAttemptState::Abandoned;
-  const auto placements_before = job.possible_placements;  // removals modify the job's map
-  for (const auto& [task, placements] : placements_before)
-    for (const TaskPlacement& placement : placements)
-      remove_or_stop({{job.spec().id, task}, placement.attempt}, placement.machine, graceful, now);
+  stop_attempts(job, ImageFetches::Stop, graceful, now);
 }
 
 void AttemptTracker::restart_gang_of(const TaskAttemptId& lost, Seconds now) {
@@ -214,22 +244,10 @@
   if (failures_.crash_looping(job)) return stop_job(job, false, now);
   if (job.gang_attempt_state == GangAttemptState::Abandoned) return;
   job.gang_attempt_state = GangAttemptState::Abandoned;
-  size_t fetching = 0;
-  size_t stopped = 0;
-  const auto placements_before = job.possible_placements;  // removals modify the job's map
-  for (const auto& [task, placements] : placements_before)
-    for (const TaskPlacement& placement : placements) {
-      const TaskAttemptId id{{job.spec().id, task}, placement.attempt};
-      const TaskAttempt* attempt = state_.find_attempt(id.task, placement);
-      if (attempt && attempt->fetching_image()) {
-        ++fetching;
-        continue;
-      }
-      ++stopped;
-      remove_or_stop(id, placement.machine, false, now);
-    }
+  const uint64_t abandoned = job.gang_attempt;
+  const size_t stopped = stop_attempts(job, ImageFetches::Continue, false, now);
   log_info("gang_attempt_abandoned", log_field("job", job.spec().id),
-           log_field("attempt", job.gang_attempt), log_field("fetching", fetching),
+           log_field("attempt", abandoned), log_field("fetching", state_.image_fetches_left(job)),
            log_field("stopped", stopped));
 }
 
--- a/src/dispatch/attempt_tracker.h
+++ b/src/dispatch/attempt_tracker.h
@@ -50,9 +50,13 @@
 
  private:
   void request_stop_on(const std::string& machine_id, const TaskAttemptId& id, Seconds now);
+  uint64_t newest_attempt(const Job& job, const TaskAttemptId& adopted);
+  void stop_attempts_before(uint64_t newest, const Job& job, const TaskAttemptId& adopted,
+                            bool fetching, Seconds now);
   bool continues_fetch(const Job& job, const TaskAttemptId& id) const;
-  void remove_or_stop(const TaskAttemptId& id, const std::string& machine_id, bool graceful,
-                      Seconds now);
+  /// What happens to the image fetches of a job that is being stopped.
+  enum class ImageFetches { Stop, Continue };
+  size_t stop_attempts(Job& job, ImageFetches fetches, bool graceful, Seconds now);
   void on_image_present(Machine& machine, const TaskAttemptId& id, TaskAttempt& attempt,
                         Seconds now);
   void handle_exit(Machine& machine, const TaskAttemptId& id, TaskAttempt& attempt, Seconds now);
--- a/src/dispatch/cluster_state.cpp
+++ b/src/dispatch/cluster_state.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/cluster_state.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "logging/log_event.h"
 
@@ -129,10 +130,7 @@
 }
 
 TaskAttempt* ClusterState::find_attempt(const TaskKey& task, const TaskPlacement& placement) {
-  Machine* machine = find_machine(placement.machine);
-  if (!machine) return nullptr;
-  const auto attempt = machine->attempts.find({task, placement.attempt});
-  return attempt == machine->attempts.end() ? nullptr : &attempt->second;
+  return const_cast<TaskAttempt*>(std::as_const(*this).find_attempt(task, placement));
 }
 
 const TaskAttempt* ClusterState::find_attempt(const TaskKey& task,
@@ -143,15 +141,13 @@
   return attempt == machine->attempts.end() ? nullptr : &attempt->second;
 }
 
-bool ClusterState::image_fetch_left(const Job& job) const {
-  return std::any_of(
-      job.possible_placements.begin(), job.possible_placements.end(), [&](const auto& entry) {
-        return std::any_of(
-            entry.second.begin(), entry.second.end(), [&](const TaskPlacement& placement) {
-              const TaskAttempt* attempt = find_attempt({job.spec().id, entry.first}, placement);
-              return attempt && attempt->fetching_image();
-            });
-      });
+size_t ClusterState::image_fetches_left(const Job& job) const {
+  size_t count = 0;
+  for_each_possible_placement(job, [&](uint32_t task, const TaskPlacement& placement) {
+    const TaskAttempt* attempt = find_attempt({job.spec().id, task}, placement);
+    if (attempt && attempt->fetching_image()) ++count;
+  });
+  return count;
 }
 
 void ClusterState::remove_attempt(Machine& machine, const TaskAttemptId& id) {
--- a/src/dispatch/cluster_state.h
+++ b/src/dispatch/cluster_state.h
@@ -107,8 +107,8 @@
   /// Null if the leader has no such attempt.
   TaskAttempt* find_attempt(const TaskKey& task, const TaskPlacement& placement);
   const TaskAttempt* find_attempt(const TaskKey& task, const TaskPlacement& placement) const;
-  /// Whether an image fetch for a task of the job is to go on.
-  bool image_fetch_left(const Job& job) const;
+  /// The number of the job's tasks whose image fetches are to go on.
+  size_t image_fetches_left(const Job& job) const;
   /// Whether tasks of the job may be on machines that have not been reconciled since the failover.
   bool placement_unknown(const Job& job) const;
   /// Whether no task of the job can be present on any machine.
--- a/src/dispatch/placement_round.cpp
+++ b/src/dispatch/placement_round.cpp
@@ -55,7 +55,7 @@
                                    Seconds now) {
   if (job.gang_attempt_state == GangAttemptState::Adopted) {
     context_.attempts.abandon_gang_attempt(job, now);
-    if (!state_.image_fetch_left(job)) return;
+    if (state_.image_fetches_left(job) == 0) return;
   }
   auto request = create_request(job, max_placeable_tasks(job));
   if (request) place_fitting_tasks(job, *request, candidates, now);
--- a/src/dispatch/scheduling_queue.cpp
+++ b/src/dispatch/scheduling_queue.cpp
@@ -73,16 +73,8 @@
 /// is abandoned in its round.
 bool SchedulingQueue::missing_gang_tasks_may_join(const Job& job) const {
   if (job.possible_placements.empty()) return true;
-  switch (job.gang_attempt_state) {
-    case GangAttemptState::None:
-      return false;
-    case GangAttemptState::Intact:
-    case GangAttemptState::Adopted:
-      return true;
-    case GangAttemptState::Abandoned:
-      return state_.image_fetch_left(job);
-  }
-  return false;
+  return job.gang_attempt_state != GangAttemptState::Abandoned ||
+         state_.image_fetches_left(job) > 0;
 }
 
 std::vector<Job*> SchedulingQueue::waiting_jobs(Seconds now) {
--- a/tests/gang_restart_test.cpp
+++ b/tests/gang_restart_test.cpp
@@ -7,10 +7,13 @@
 #include <vector>
 
 #include "scheduler_fixture.h"
+#include "simulators/worker_state.h"
 
 namespace sumacquay {
 namespace {
 
+using simulators::WorkerState;
+
 constexpr uint64_t kTerm = 3;
 constexpr const char* kJob = "job-1";
 constexpr const char* kFirst = "i-1";
@@ -21,19 +24,26 @@
 /// A leader with machines that have room for one task of the gang job-1 each. Their workers answer
 /// every command at once with the states that the test gives.
 struct GangRestartTest : testing::SchedulerFixture {
-  struct Worker {
-    uint64_t sequence_number = 2, token = 0;
-    std::vector<TaskStatus> tasks;
-  };
-
   GangRestartTest() : SchedulerFixture(kTerm, 1, 10) { machine_type.fetch_gb_per_s = 1; }
 
+  /// A worker that the leader knows, which has shown its token.
+  void add_worker(const std::string& id) {
+    add_machine(id);
+    WorkerState& worker = workers[id] = worker_state(id);
+    worker.sequence_number = 2;
+    worker.fencing_token = fencing_token;
+  }
   void add_workers(const std::vector<std::string>& ids) {
     new_scheduler();
-    for (const auto& id : ids) {
-      add_machine(id);
-      workers[id].token = fencing_token;
-    }
+    for (const auto& id : ids) add_worker(id);
+  }
+  static WorkerState worker_state(const std::string& id) {
+    WorkerState worker;
+    worker.id = id;
+    worker.addr = "10.0.0.2:9";
+    worker.type = "g";
+    worker.zone = "e";
+    return worker;
   }
 
   JobRecord gang_record(double image_gb, uint32_t tasks = 2) const {
@@ -65,31 +75,31 @@
   }
 
   void carry_out(const SendCommands& commands, std::map<std::string, std::vector<Command>>& sent) {
-    Worker& worker = workers[commands.machine];
-    worker.token = std::max(worker.token, commands.fencing_token);
+    WorkerState& worker = workers.at(commands.machine);
+    worker.fencing_token = std::max(worker.fencing_token, commands.fencing_token);
     for (const Command& command : commands.commands) {
       sent[commands.machine].push_back(command);
-      if (command.type == CommandType::Start)
-        worker.tasks.push_back({command.key, command.attempt, TaskState::Fetching});
-      for (TaskStatus& task : worker.tasks)
-        if (command.type == CommandType::Stop && task.attempt == command.attempt)
-          task = {task.key, task.attempt, TaskState::Exited, ExitCause::Stopped};
+      if (command.type == CommandType::Start && worker.accepts_start(command))
+        worker.tasks[{command.key, command.attempt}] = {};
+      if (command.type == CommandType::Stop && worker.find(command))
+        *worker.find(command) = {TaskState::Exited, ExitCause::Stopped};
     }
-    scheduler->on_commands_answered(commands.machine, heartbeat_of(commands.machine), true, now);
-  }
-
-  WorkerHeartbeat heartbeat_of(const std::string& machine) {
-    Worker& worker = workers[machine];
-    return heartbeat(machine, ++worker.sequence_number, worker.token, worker.tasks);
+    scheduler->on_commands_answered(commands.machine, worker.heartbeat(), true, now);
   }
 
   /// The newest attempt on the machine is now in this state, and the worker reports it.
   void report(const std::string& machine, TaskState state, ExitCause cause = ExitCause::None) {
     now += 0.1;
-    TaskStatus& task = workers[machine].tasks.back();
-    task.state = state;
-    task.cause = cause;
-    scheduler->on_heartbeat(heartbeat_of(machine), true, now);
+    workers.at(machine).tasks.rbegin()->second = {state, cause};
+    scheduler->on_heartbeat(workers.at(machine).heartbeat(), true, now);
+  }
+
+  /// Both machines begin to fetch, the first one has the image and its task exits incomplete.
+  void lose_task_while_second_machine_fetches() {
+    add_workers({kFirst, kSecond});
+    submit(gang_record(kLongFetchGb));
+    report(kFirst, TaskState::Waiting);
+    report(kFirst, TaskState::Exited, ExitCause::GangIncomplete);
   }
 
   static size_t count(const std::vector<Command>& commands, CommandType type) {
@@ -98,7 +108,7 @@
                       [type](const Command& command) { return command.type == type; }));
   }
   uint64_t attempt_on(const std::string& machine) const {
-    return workers.at(machine).tasks.back().attempt;
+    return workers.at(machine).tasks.rbegin()->first.attempt;
   }
   bool desired_running(const std::string& machine) const {
     const auto& attempts = scheduler->machines().at(machine).attempts;
@@ -108,7 +118,7 @@
   }
 
   double now = kNow;
-  std::map<std::string, Worker> workers;
+  std::map<std::string, WorkerState> workers;
 };
 
 // Guards against a gang that runs and is stopped because a new leader hears of a task that ended
@@ -132,34 +142,26 @@
   EXPECT_TRUE(desired_running(kSecond));
 }
 
-// Guards against tasks that exit before the fetch of another machine ends.
+// Guards against tasks that exit before the fetch of another machine ends, and against starts that
+// wait for a fetch that ends in time.
 TEST_F(GangRestartTest, StartWaitsForFetchThatMayOutlastGangWait) {
-  add_workers({kFirst, kSecond});
-  scheduler->on_cached_image(kFirst, "img", kLongFetchGb);
-  submit(gang_record(kLongFetchGb));
-  EXPECT_TRUE(workers[kFirst].tasks.empty());
-  ASSERT_EQ(workers[kSecond].tasks.size(), 1u);
-  EXPECT_EQ(scheduler->jobs().at(kJob).possible_placements.size(), 2u) << "the room is taken";
-  report(kSecond, TaskState::Waiting);
-  run_round();
-  ASSERT_EQ(workers[kFirst].tasks.size(), 1u);
-  EXPECT_EQ(attempt_on(kFirst), attempt_on(kSecond));
-}
-
-TEST_F(GangRestartTest, StartsAtOnceWhenFetchEndsWithinGangWait) {
-  add_workers({kFirst, kSecond});
-  scheduler->on_cached_image(kFirst, "img", kShortFetchGb);
-  submit(gang_record(kShortFetchGb));
-  EXPECT_EQ(workers[kFirst].tasks.size(), 1u);
-  EXPECT_EQ(workers[kSecond].tasks.size(), 1u);
+  for (const double image_gb : {kLongFetchGb, kShortFetchGb}) {
+    add_workers({kFirst, kSecond});
+    scheduler->on_cached_image(kFirst, "img", image_gb);
+    submit(gang_record(image_gb));
+    EXPECT_EQ(workers.at(kFirst).tasks.size(), image_gb == kShortFetchGb ? 1u : 0u) << image_gb;
+    ASSERT_EQ(workers.at(kSecond).tasks.size(), 1u) << image_gb;
+    EXPECT_EQ(scheduler->jobs().at(kJob).possible_placements.size(), 2u) << "the room is taken";
+    report(kSecond, TaskState::Waiting);
+    run_round();
+    ASSERT_EQ(workers.at(kFirst).tasks.size(), 1u) << image_gb;
+    EXPECT_EQ(attempt_on(kFirst), attempt_on(kSecond)) << image_gb;
+  }
 }
 
 // Guards against a fetch that is given up because the other task has not waited for its end.
 TEST_F(GangRestartTest, FetchGoesOnAfterOtherTaskHasExited) {
-  add_workers({kFirst, kSecond});
-  submit(gang_record(kLongFetchGb));
-  report(kFirst, TaskState::Waiting);
-  report(kFirst, TaskState::Exited, ExitCause::GangIncomplete);
+  lose_task_while_second_machine_fetches();
   EXPECT_TRUE(run_round().empty()) << "the second machine fetches, the first one's start waits";
   EXPECT_TRUE(desired_running(kSecond));
   EXPECT_EQ(scheduler->jobs().at(kJob).possible_placements.size(), 2u) << "the room is taken";
@@ -194,10 +196,9 @@
   add_workers({kFirst, kSecond});
   submit(gang_record(kLongFetchGb));
   report(kFirst, TaskState::Waiting);
-  WorkerHeartbeat reclaimed = heartbeat_of(kFirst);
+  workers.at(kFirst).tasks.rbegin()->second = {TaskState::Exited, ExitCause::GangIncomplete};
+  WorkerHeartbeat reclaimed = workers.at(kFirst).heartbeat();
   reclaimed.preemption_notice_s = 30;
-  reclaimed.tasks[0].state = TaskState::Exited;
-  reclaimed.tasks[0].cause = ExitCause::GangIncomplete;
   scheduler->on_heartbeat(reclaimed, true, now);
   const auto sent = run_round();
   EXPECT_EQ(count(sent.at(kSecond), CommandType::Stop), 1u);
@@ -205,16 +206,13 @@
 }
 
 TEST_F(GangRestartTest, FetchIsStoppedWhenJobIsCancelled) {
-  add_workers({kFirst, kSecond});
-  submit(gang_record(kLongFetchGb));
-  report(kFirst, TaskState::Waiting);
-  report(kFirst, TaskState::Exited, ExitCause::GangIncomplete);
+  lose_task_while_second_machine_fetches();
   run_round();
   JobRecord cancelled = scheduler->jobs().at(kJob).stored;
   cancelled.state = JobState::Cancelled;
   scheduler->on_job_record(cancelled, ++revision, now);
   EXPECT_EQ(count(run_round()[kSecond], CommandType::Stop), 1u);
-  EXPECT_EQ(workers[kFirst].tasks.size(), 1u) << "the start that waited is not sent any more";
+  EXPECT_EQ(workers.at(kFirst).tasks.size(), 1u) << "the start that waited is not sent any more";
 }
 
 // Guards against a new leader that gives up the fetch of an abandoned attempt, in whichever order
@@ -235,14 +233,17 @@
     scheduler->on_heartbeat(older_first ? newer : older, true, now);
     EXPECT_TRUE(desired_running(kFirst)) << older_first;
     for (const auto* early : {&older, &newer}) {
-      workers[early->machine] = {early->sequence_number, fencing_token, early->tasks};
-      scheduler->on_heartbeat(heartbeat_of(early->machine), true, now);
+      WorkerState& worker = workers[early->machine] = worker_state(early->machine);
+      worker.sequence_number = early->sequence_number;
+      worker.fencing_token = fencing_token;
+      for (const TaskStatus& task : early->tasks)
+        worker.tasks[{task.key, task.attempt}] = {task.state, task.cause};
+      scheduler->on_heartbeat(worker.heartbeat(), true, now);
     }
-    add_machine("i-3");
-    workers["i-3"].token = fencing_token;
+    add_worker("i-3");
     run_round();
     EXPECT_TRUE(desired_running(kFirst)) << "the fetch goes on";
-    ASSERT_EQ(workers["i-3"].tasks.size(), 1u) << "the missing task fetches its image";
+    ASSERT_EQ(workers.at("i-3").tasks.size(), 1u) << "the missing task fetches its image";
     EXPECT_GT(attempt_on("i-3"), 8u);
     report("i-3", TaskState::Waiting);
     report(kFirst, TaskState::Waiting);
--- a/tests/gang_start_test.cpp
+++ b/tests/gang_start_test.cpp
@@ -87,16 +87,6 @@
   expect_no_violations();
 }
 
-// Guards against fetches that are given up, and so start anew, because another machine is lost.
-TEST_P(GangStart, RunsWhenFetchingMachineIsLost) {
-  const std::string job = simulation.users().submit(gang_spec());
-  ASSERT_TRUE(reaches(job, TaskState::Fetching, 4, kElectionTime));
-  simulation.run_for(20);
-  simulation.faults().lose_machine(simulation.machines_running(job)[2]);
-  EXPECT_TRUE(runs_within(job, kMaxReplacement + kMaxWait));
-  expect_no_violations();
-}
-
 // Guards against a new leader that gives up the fetches of an earlier one.
 TEST_P(GangStart, RunsWhenLeadersEndWhileMachinesFetch) {
   const std::string job = simulation.users().submit(gang_spec());
@@ -140,33 +130,35 @@
   expect_no_violations();
 }
 
-/// Gangs of two tasks on four machines in two zones.
-struct ZoneBoundGangStart : GangStart {};
-
-INSTANTIATE_TEST_SUITE_P(Seeds, ZoneBoundGangStart, ::testing::Range<uint64_t>(1, kSeeds + 1));
-
-// Guards against starts in a second zone while a fetch of the gang goes on in the first.
-TEST_P(ZoneBoundGangStart, RunsInOneZoneWhenMachinesAreLost) {
-  JobSpec spec = gang_spec();
-  spec.tasks = 2;
-  spec.one_zone = true;
-  const std::string job = simulation.users().submit(spec);
-  ASSERT_TRUE(reaches(job, TaskState::Fetching, 2, kElectionTime));
-  simulation.run_for(simulation.random_between(10, 25));
-  simulation.faults().lose_machine(simulation.machines_running(job)[0]);
-  EXPECT_TRUE(runs_within(job, kMaxReplacement + kMaxWait));
-  expect_no_violations();
-}
-
-TEST_P(ZoneBoundGangStart, SpreadsOverZonesWhenMachinesAreLost) {
-  JobSpec spec = gang_spec();
-  spec.spread = true;
-  const std::string job = simulation.users().submit(spec);
-  ASSERT_TRUE(reaches(job, TaskState::Fetching, 4, kElectionTime));
-  simulation.run_for(simulation.random_between(10, 25));
-  simulation.faults().lose_machine(simulation.machines_running(job)[0]);
-  EXPECT_TRUE(runs_within(job, kMaxReplacement + kMaxWait));
-  expect_no_violations();
+// Guards against fetches that are given up, and so start anew, because another machine is lost, and
+// against starts in a second zone while a fetch of a gang of one zone goes on in the first.
+TEST_P(GangStart, RunsWhenMachineIsLostWhileOthersFetch) {
+  struct Case {
+    const char* description;
+    uint32_t tasks;
+    bool one_zone;
+    bool spread;
+    size_t lost_machine;
+  };
+  for (const Case& gang :
+       {Case{"any zone", 4, false, false, 2}, Case{"one zone", 2, true, false, 0},
+        Case{"spread over zones", 4, false, true, 0}}) {
+    SCOPED_TRACE(gang.description);
+    Simulation deployment(GetParam(), four_machines());
+    JobSpec spec = gang_spec();
+    spec.tasks = gang.tasks;
+    spec.one_zone = gang.one_zone;
+    spec.spread = gang.spread;
+    const std::string job = deployment.users().submit(spec);
+    ASSERT_TRUE(deployment.run_until(
+        [&] { return deployment.machines_with(job, TaskState::Fetching).size() == gang.tasks; },
+        kElectionTime));
+    deployment.run_for(deployment.random_between(10, 25));
+    deployment.faults().lose_machine(deployment.machines_running(job)[gang.lost_machine]);
+    EXPECT_TRUE(
+        deployment.run_until([&] { return deployment.all_run(job); }, kMaxReplacement + kMaxWait));
+    EXPECT_EQ(deployment.checker().violations(), std::vector<std::string>{});
+  }
 }
 
 // Gangs and images among all other jobs and faults. The checker lets no gang wait for longer than
--- a/tests/simulation/checker.cpp
+++ b/tests/simulation/checker.cpp
@@ -252,20 +252,11 @@
 
 bool Checker::gang_could_run(const std::string& id, const ObservedJob& job) const {
   const JobSpec& spec = job.spec;
-  if (running_tasks(id) == spec.tasks) return false;
+  if (fleet_.running_tasks(id) == spec.tasks) return false;
   const Usage others = usage(id);
   return placeable_tasks(id, spec, others) >= spec.tasks && within_quota(spec, spec.tasks, others);
 }
 
-size_t Checker::running_tasks(const std::string& id) const {
-  std::set<uint32_t> running;
-  for (const auto& [name, machine] : fleet_.machines())
-    for (const auto& [attempt_id, task] : machine.tasks)
-      if (attempt_id.task.job == id && task.state == TaskState::Running)
-        running.insert(attempt_id.task.task);
-  return running.size();
-}
-
 bool Checker::within_quota(const JobSpec& spec, size_t tasks, const Usage& used) const {
   if (spec.team != kLimitedTeam) return true;
   const auto team = used.team_gpus.find(kLimitedTeam);
--- a/tests/simulation/checker.h
+++ b/tests/simulation/checker.h
@@ -71,7 +71,6 @@
   void check_waiting_jobs();
   /// `without`: a job whose tasks are left out.
   Usage usage(const std::string& without = {}) const;
-  size_t running_tasks(const std::string& id) const;
   bool could_start(const std::string& id, const ObservedJob& job, const Usage& used) const;
   /// Whether a gang could run but doesn't: all of its tasks could be placed if those that are
   /// present were not.
--- a/tests/simulation/machine.cpp
+++ b/tests/simulation/machine.cpp
@@ -1,5 +1,7 @@
 #include "simulation/machine.h"
 
+#include <set>
+
 #include "simulation/options.h"
 
 namespace sumacquay::simulation {
@@ -34,4 +36,21 @@
   return out;
 }
 
+std::vector<std::string> Fleet::machines_with(const std::string& job, TaskState state) const {
+  std::vector<std::string> out;
+  for (const auto& [id, machine] : machines_)
+    for (const auto& [attempt_id, task] : machine.tasks)
+      if (attempt_id.task.job == job && task.state == state) out.push_back(id);
+  return out;
+}
+
+size_t Fleet::running_tasks(const std::string& job) const {
+  std::set<uint32_t> running;
+  for (const auto& [id, machine] : machines_)
+    for (const auto& [attempt_id, task] : machine.tasks)
+      if (attempt_id.task.job == job && task.state == TaskState::Running)
+        running.insert(attempt_id.task.task);
+  return running.size();
+}
+
 }  // namespace sumacquay::simulation
--- a/tests/simulation/machine.h
+++ b/tests/simulation/machine.h
@@ -50,6 +50,10 @@
   Machines& machines() { return machines_; }
   const Machines& machines() const { return machines_; }
   std::vector<std::string> running(Seconds now) const;
+  /// Machines with a task of the job in this state, one entry for each such task.
+  std::vector<std::string> machines_with(const std::string& job, TaskState state) const;
+  /// The number of the job's tasks that run.
+  size_t running_tasks(const std::string& job) const;
 
   /// Calls `visit(machine, key)` for each task present on a machine.
   template <class Visit>
--- a/tests/simulation/simulation.cpp
+++ b/tests/simulation/simulation.cpp
@@ -135,16 +135,8 @@
   return out;
 }
 
-std::vector<std::string> Simulation::machines_with(const std::string& job, TaskState state) const {
-  std::vector<std::string> out;
-  for (const auto& [id, machine] : env_.fleet.machines())
-    for (const auto& [attempt_id, task] : machine.tasks)
-      if (attempt_id.task.job == job && task.state == state) out.push_back(id);
-  return out;
-}
-
 bool Simulation::all_run(const std::string& job) const {
-  return machines_with(job, TaskState::Running).size() == env_.jobs.at(job).spec.tasks;
+  return env_.fleet.running_tasks(job) == env_.jobs.at(job).spec.tasks;
 }
 
 void Simulation::preload_image(const std::string& image) {
--- a/tests/simulation/simulation.h
+++ b/tests/simulation/simulation.h
@@ -75,11 +75,12 @@
   std::vector<std::string> machines() const { return env_.fleet.running(now()); }
   /// Machines with a task of the job.
   std::vector<std::string> machines_running(const std::string& job) const;
-  /// Machines with a task of the job in this state.
-  std::vector<std::string> machines_with(const std::string& job, TaskState state) const;
+  /// Machines with a task of the job in this state, one entry for each such task.
+  std::vector<std::string> machines_with(const std::string& job, TaskState state) const {
+    return env_.fleet.machines_with(job, state);
+  }
   /// Whether all tasks of the job run.
   bool all_run(const std::string& job) const;
-  bool complete(const std::string& job) const { return env_.jobs.at(job).complete(); }
   /// Stores the image on all machines.
   void preload_image(const std::string& image);
   /// Machines that fetch an image.
