Log requests refused for their size, and commands that workers refuse

A request body beyond the limit got 413 without a trace in the log, so a worker whose report no controller takes looked like one that had failed: machine_lease_expired, with nothing before it. Likewise a worker that answers commands or a probe with neither 200 nor 409 looked like one without an answer.

requests_too_large says once a lease how many requests were refused, with the path and the IP address of the latest; commands_refused names the machine and the status.

--- a/src/net/http_parsing.h
+++ b/src/net/http_parsing.h
@@ -39,6 +39,9 @@
   /// Returns the complete request and moves its body out of the parser.
   HttpRequest take_request();
 
+  /// The request target as far as it has been received.
+  const std::string& target() const { return target_; }
+
   /// Whether the request permits a further request on the connection.
   KeepAlive keep_alive() const;
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -117,7 +117,7 @@
       case ParseProgress::Complete:
         return handle();
       case ParseProgress::TooLarge:
-        return refuse(kPayloadTooLarge);
+        return refuse_oversized();
       case ParseProgress::Invalid:
         return refuse(kBadRequest);
     }
@@ -143,6 +143,16 @@
     });
   }
 
+  void refuse_oversized() {
+    OversizedRequests& oversized = server_->oversized_requests_;
+    ++oversized.count;
+    oversized.latest_target = parser_.target();
+    asio::error_code error;
+    const auto peer = socket_.remote_endpoint(error);
+    oversized.latest_peer = error ? std::string() : peer.address().to_string();
+    refuse(kPayloadTooLarge);
+  }
+
   void refuse(int status, int retry_after_s = 0) {
     write(HttpReply{status, {}, retry_after_s}, KeepAlive::No);
   }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <string>
 #include <unordered_set>
 
 #include "config/settings.h"
@@ -48,6 +49,13 @@
   size_t refused = 0;
 };
 
+/// Requests that a server has refused since the start because they exceed a size limit.
+struct OversizedRequests {
+  size_t count = 0;
+  std::string latest_target;  ///< request target of the latest one, as far as it was received
+  std::string latest_peer;    ///< IP address that the latest one came from
+};
+
 /// Serves one request at a time on each of a bounded number of keep-alive connections. A request
 /// that exceeds a size limit gets status 413, one that is not valid HTTP status 400; then the
 /// connection is closed. When all connections are taken, a new one is refused immediately rather
@@ -66,6 +74,7 @@
   void close_all();
 
   ConnectionCounts counts() const { return {connections_.size(), closed_after_answer_, refused_}; }
+  const OversizedRequests& oversized_requests() const { return oversized_requests_; }
 
  private:
   class Connection;
@@ -93,6 +102,7 @@
   IdleConnections idle_;
   size_t closed_after_answer_ = 0;
   size_t refused_ = 0;
+  OversizedRequests oversized_requests_;
 };
 
 }  // namespace sumacquay
--- a/src/node/action_executor.cpp
+++ b/src/node/action_executor.cpp
@@ -1,5 +1,6 @@
 #include "node/action_executor.h"
 
+#include "logging/log_event.h"
 #include "node/steady_time.h"
 #include "wire/messages.h"
 
@@ -18,6 +19,13 @@
 constexpr int kStatusConflict = 409;
 constexpr int kStatusUnavailable = 503;
 
+/// Logs that a worker has answered, but not with the heartbeat that it owes to commands and probes.
+void log_refusal(const std::string& machine, const HttpResult& result, bool has_heartbeat) {
+  if (!result.answered || has_heartbeat) return;
+  log_warning("commands_refused", log_field("machine", machine),
+              log_field("status", result.status));
+}
+
 }  // namespace
 
 ActionExecutor::ActionExecutor(asio::io_context& io, const Settings& settings,
@@ -76,6 +84,7 @@
        generation = scheduler_.generation()](const HttpResult& result) {
         if (!scheduler_.get(generation)) return;
         const auto heartbeat = receive_heartbeat(result);
+        log_refusal(machine, result, heartbeat.has_value());
         // The scheduler that issued the commands gets the outcome even if the heartbeat's term
         // has just made this node step down: a posted handler releases the scheduler later.
         if (scheduler_)
@@ -113,6 +122,7 @@
                    generation = scheduler_.generation()](const HttpResult& result) {
                     if (!scheduler_.get(generation)) return;
                     const auto heartbeat = receive_heartbeat(result);
+                    log_refusal(machine, result, heartbeat.has_value());
                     if (scheduler_) scheduler_->on_probe_answered(machine, heartbeat, steady_now());
                     send_queued();
                   });
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -63,6 +63,7 @@
                  unix_time_ms}),
       outage_log_(settings.lease_s),
       connection_log_(settings.lease_s),
+      oversized_request_log_(settings.lease_s),
       tick_timer_(io) {}
 
 void Node::start() {
@@ -103,6 +104,7 @@
   tick_requested_ = false;
   outage_log_.observe(steady_now(), state_service_.available());
   connection_log_.observe(steady_now(), server_->counts());
+  oversized_request_log_.observe(steady_now(), server_->oversized_requests());
   election_driver_.tick(random_jitter());
   if (const auto reason = scheduler_driver_.reason_to_resign()) {
     log_info("leader_resigned", log_field("reason", name(*reason)),
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -15,6 +15,7 @@
 #include "node/machine_list_poller.h"
 #include "node/machine_types_poller.h"
 #include "node/outage_log.h"
+#include "node/oversized_request_log.h"
 #include "node/peer_heartbeat_exchange.h"
 #include "node/record_writer.h"
 #include "node/scheduler_driver.h"
@@ -77,6 +78,7 @@
   Frontend frontend_;
   OutageLog outage_log_;
   ConnectionLog connection_log_;
+  OversizedRequestLog oversized_request_log_;
   std::unique_ptr<HttpServer> server_;
   asio::steady_timer tick_timer_;
   bool tick_requested_ = false;  ///< since the start of the last tick
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -103,6 +103,18 @@
   EXPECT_EQ(handled, 0);
 }
 
+TEST_F(HttpLoopback, CountsOversizedRequestsWithTargetAndPeer) {
+  limits.max_body_bytes = 1000;
+  serve();
+  send_raw("POST /in-limit HTTP/1.1\r\nConnection: close\r\nContent-Length: 1000\r\n\r\n" +
+           std::string(1000, 'x'));
+  EXPECT_EQ(server->oversized_requests().count, 0u);
+  send_raw("POST /too-large HTTP/1.1\r\nContent-Length: 1001\r\n\r\n" + std::string(1001, 'x'));
+  EXPECT_EQ(server->oversized_requests().count, 1u);
+  EXPECT_EQ(server->oversized_requests().latest_target, "/too-large");
+  EXPECT_EQ(server->oversized_requests().latest_peer, "127.0.0.1");
+}
+
 TEST_F(HttpLoopback, TimesOutSlowRequestsAndIdleConnections) {
   limits.request_timeout_s = 0.05;
   limits.idle_timeout_s = 0.05;
--- a/tests/socket_budget_test.cpp
+++ b/tests/socket_budget_test.cpp
@@ -6,6 +6,7 @@
 #include "config/settings_error.h"
 #include "generators.h"
 #include "node/connection_log.h"
+#include "node/oversized_request_log.h"
 
 namespace sumacquay {
 namespace {
@@ -81,5 +82,14 @@
   EXPECT_TRUE(log.observe(130, {5, 3, 1}));
 }
 
+TEST(OversizedRequestLog, ReportsNewRequestsOnceInAnInterval) {
+  OversizedRequestLog log(10);
+  EXPECT_FALSE(log.observe(100, {0, "", ""}));
+  EXPECT_TRUE(log.observe(101, {1, "/hello", "10.0.0.2"})) << "the first one at once";
+  EXPECT_FALSE(log.observe(105, {3, "/hello", "10.0.0.2"})) << "the interval has not passed yet";
+  EXPECT_TRUE(log.observe(111, {3, "/hello", "10.0.0.2"}));
+  EXPECT_FALSE(log.observe(130, {3, "/hello", "10.0.0.2"})) << "no new requests";
+}
+
 }  // namespace
 }  // namespace sumacquay
