Simulation: workers and controllers refuse messages beyond the limit on bodies

The protocol limits request bodies, and responses to workers, to 64 KiB in JSON form. The simulation passed messages of any size, so no test could see that a worker's report, an answer to it or a batch of commands grows beyond that. Controllers now answer such a report as refused, and workers drop such an answer and refuse such a batch. Leases lost and refusals are counted.

--- a/tests/simulation/command_channel.cpp
+++ b/tests/simulation/command_channel.cpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <utility>
 
+#include "simulation/body_limit.h"
 #include "simulation/controller_process.h"
 
 namespace sumacquay::simulation {
@@ -85,6 +86,11 @@
   if (!machine || !machine->up(now)) return;
   const Fault& hung = machine->faults.hung;
   if (hung.active(now)) return deliver(delivery, hung.end() - now);
+  if (request_exceeds_body_limit(worker_commands.fencing_token, worker_commands.agent_epoch,
+                                 worker_commands.commands)) {
+    ++requests_refused_;
+    return delivery.answer(env_.random.between(kMinDelay, kMaxDelay), std::nullopt, false);
+  }
   const bool executed = accepted_by(*machine, worker_commands);
   const bool late = now - delivery.sent_at > kLateCommandThreshold;
   late_commands_ += late;
--- a/tests/simulation/command_channel.h
+++ b/tests/simulation/command_channel.h
@@ -24,6 +24,8 @@
   /// not reject for their fencing token or agent epoch.
   size_t copies() const { return copies_; }
   size_t copies_accepted() const { return copies_accepted_; }
+  /// Command batches that a worker has refused for their size.
+  size_t requests_refused() const { return requests_refused_; }
 
  private:
   using Answer =
@@ -54,6 +56,7 @@
   Workers& workers_;
   size_t late_commands_ = 0, late_commands_executed_ = 0;
   size_t copies_ = 0, copies_accepted_ = 0;
+  size_t requests_refused_ = 0;
 };
 
 }  // namespace sumacquay::simulation
--- a/tests/simulation/controller_process.h
+++ b/tests/simulation/controller_process.h
@@ -31,6 +31,7 @@
   Answered,    ///< by the leader or its delegate
   NotLeading,  ///< the worker has to send its heartbeat to another controller
   Late,        ///< a stale or duplicate heartbeat
+  TooLarge,    ///< refused: the heartbeat is beyond the limit on request bodies
 };
 struct HeartbeatReply {
   HeartbeatReplyStatus status = HeartbeatReplyStatus::NotLeading;
--- a/tests/simulation/controller_worker_heartbeats.cpp
+++ b/tests/simulation/controller_worker_heartbeats.cpp
@@ -1,4 +1,5 @@
 // Answers of a controller to worker heartbeats.
+#include "simulation/body_limit.h"
 #include "simulation/controller_process.h"
 #include "simulation/workers.h"
 
@@ -16,6 +17,11 @@
 }
 
 HeartbeatReply ControllerProcess::answer_worker_heartbeat(const WorkerHeartbeat& heartbeat) {
+  if (exceeds_body_limit(heartbeat)) {
+    HeartbeatReply refusal;
+    refusal.status = HeartbeatReplyStatus::TooLarge;
+    return add_to_digest(heartbeat, refusal);
+  }
   election_->observe_term(env_.now(), term_of_fencing_token(heartbeat.fencing_token));
   if (may_answer()) return add_to_digest(heartbeat, answer_as_leader(heartbeat));
   if (const auto reply = answer_as_delegate(heartbeat)) return add_to_digest(heartbeat, *reply);
--- a/tests/simulation/simulation.h
+++ b/tests/simulation/simulation.h
@@ -81,6 +81,8 @@
   }
   /// Whether all tasks of the job run.
   bool all_run(const std::string& job) const;
+  /// Whether all tasks of the job are done, whatever the controllers know of it.
+  bool completed(const std::string& job) const { return env_.jobs.at(job).complete(); }
   /// Stores the image on all machines.
   void preload_image(const std::string& image);
   /// Machines that fetch an image.
--- a/tests/simulation/workers.cpp
+++ b/tests/simulation/workers.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "simulation/body_limit.h"
+
 namespace sumacquay::simulation {
 
 namespace {
@@ -25,7 +27,9 @@
   const Seconds now = env_.now();
   if (!machine.up(now)) return;
   // Lease expiry also applies to hung machines: their tasks end with the lease.
+  const uint64_t agent_epoch = machine.agent_epoch;
   machine.restart_agent_epoch_if_expired(env_.options.lease_s, now);
+  if (machine.agent_epoch != agent_epoch) ++leases_lost_;
   if (machine.faults.hung.active(now)) return;
   if (env_.options.models_images()) fetch_images(machine);
   for (auto& [id, task] : machine.tasks) run_task(machine, id.task, task);
@@ -173,6 +177,11 @@
   }
   if (now - delivery.sent_at > kHeartbeatTimeout) return;
   const HeartbeatReply& reply = delivery.reply;
+  if (reply.status == HeartbeatReplyStatus::TooLarge) ++heartbeats_refused_;
+  if (answer_exceeds_body_limit(reply.fencing_token, reply.commands)) {
+    ++answers_refused_;
+    return switch_to_next_controller(*machine);
+  }
   if (reply.status != HeartbeatReplyStatus::Answered) return follow_redirect(*machine, delivery);
   machine->heartbeat_sent.reset();
   if (machine->agent_epoch != delivery.heartbeat.agent_epoch ||
