Place no more tasks on a machine than its worker can report

Cause: a worker reports all tasks of its machine in one request, and the protocol limits a request to 64 KiB in JSON form. Placement counted CPUs, GPUs and memory alone, so a machine got 1,600 to 1,800 tasks and its report 97 to 110 KB. Every controller refuses it with 413, the lease ends, all tasks of the machine are killed, and the leader places the same again.

Evidence: requests_too_large path=/hello, 6 to 8 in a lease at each controller, and machine_lease_expired count=1800 ten seconds after the starts, again and again; no other event between.

Fix: space in the heartbeat is one more resource of a machine. Each attempt takes the most bytes that it may ever take there, by the length of its own name and number, from its placement until the worker has discarded it, so exits that are not cleared count too. Being a resource, it is the same for placement, reservation, preemption, relocation and scale-out: what one of them makes room for, the others can use. An eighth of it is kept for tasks that use a machine's other resources in proportion, so that small tasks do not keep other teams' work off a machine that has room for it.

The limit itself stays.

--- a/src/autoscaling/scale_out_planner.cpp
+++ b/src/autoscaling/scale_out_planner.cpp
@@ -8,24 +8,21 @@
 namespace sumacquay {
 namespace {
 
-double share(double request, double capacity) {
-  return capacity > 0 ? request / capacity : 0;
+/// The largest fraction of the machine that one task takes of any resource, or of the space in the
+/// heartbeat.
+double largest_share(const Resources& request, const Resources& capacity) {
+  constexpr double kMinShare = 1e-6;
+  return std::max({request.dominant_share(capacity), request.heartbeat_share(capacity), kMinShare});
 }
 
-/// The dominant share of one task: the largest fraction of the machine that it takes of any
-/// resource.
-double dominant_share(const Resources& request, const Resources& capacity) {
-  return std::max({share(request.cpus, capacity.cpus), share(request.gpus, capacity.gpus),
-                   share(request.memory_gb, capacity.memory_gb), 1e-6});
-}
-
-/// The weighted cost of scaling out with this offering for `tasks` tasks: the price of the capacity
+/// The weighted cost of scaling out with this offering for the tasks: the price of the capacity
 /// that the tasks use, plus half the price of the capacity that they leave unused, since other
 /// tasks may use it. The cost rises with the time to boot and to fetch the image.
-double cost(const InstanceOffering& offering, const JobSpec& spec, size_t tasks) {
+double cost(const InstanceOffering& offering, const PlacementRequest& placement_request) {
   constexpr double kCostDoublingWaitSeconds = 120;  // a wait of this length doubles the cost
-  const auto task_count = static_cast<double>(tasks);
-  const double per_task = dominant_share(spec.request, offering.type->capacity);
+  const JobSpec& spec = *placement_request.spec;
+  const auto task_count = static_cast<double>(placement_request.tasks.size());
+  const double per_task = largest_share(placement_request.request(), offering.type->capacity);
   const double tasks_per_machine = std::max(1.0, std::floor(1 / per_task + 1e-9));
   const double machines = std::ceil(task_count / tasks_per_machine);
   const double used = std::min(machines, task_count * per_task);
@@ -74,8 +71,7 @@
                                                offering.zone, offering.spot))
       continue;
     if (!one_task_fits(placement_request, offering)) continue;
-    const double offering_cost =
-        cost(offering, *placement_request.spec, placement_request.tasks.size());
+    const double offering_cost = cost(offering, placement_request);
     if (best && offering_cost >= best_cost) continue;
     best = &offering;
     best_cost = offering_cost;
--- a/src/dispatch/autoscaler.cpp
+++ b/src/dispatch/autoscaler.cpp
@@ -57,7 +57,7 @@
   auto booting = context_.capacity.booting(now);
   auto up = context_.capacity.up(now);
   const auto expected = context_.arrivals.expected(settings.tuning.headroom);
-  for (auto& arrival : placement_requests_for(expected)) {
+  for (auto& arrival : arrival_requests(expected)) {
     for (const auto& assignment : bin_pack(arrival, up)) {
       ++arrival.tasks_per_zone[up[assignment.candidate].zone];
       std::erase(arrival.tasks, assignment.task);
@@ -124,9 +124,17 @@
 
 // ---------------------------------------------------------------- scale in
 
+std::vector<PlacementRequest> Autoscaler::arrival_requests(
+    const std::vector<JobSpec>& expected) const {
+  auto requests = placement_requests_for(expected);
+  for (PlacementRequest& request : requests)
+    request.heartbeat_bytes = state_.heartbeat_bytes_per_task(*request.spec);
+  return requests;
+}
+
 bool Autoscaler::has_headroom(TentativePlacement& placement) const {
   const auto expected = context_.arrivals.expected(state_.settings().tuning.headroom);
-  const auto arrivals = placement_requests_for(expected);
+  const auto arrivals = arrival_requests(expected);
   return std::all_of(
       arrivals.begin(), arrivals.end(),
       [&placement](const PlacementRequest& arrival) { return placement.place(arrival); });
--- a/src/dispatch/autoscaler.h
+++ b/src/dispatch/autoscaler.h
@@ -56,6 +56,8 @@
 
  private:
   void request_instances(const ScaleOutRequest& plan, std::vector<Action>& actions);
+  /// Requests for the arrivals, which must outlive them.
+  std::vector<PlacementRequest> arrival_requests(const std::vector<JobSpec>& expected) const;
   void release_failed_machines(Seconds now);
   void release_idle_machines(Seconds now);
   void update_idle_times(Seconds now);
--- a/src/dispatch/capacity_view.cpp
+++ b/src/dispatch/capacity_view.cpp
@@ -11,7 +11,8 @@
 /// Allowance for network delay.
 constexpr Seconds kNetworkDelayAllowance = 0.5;
 
-CandidateMachine candidate_for(const Machine& machine, const MachineType& type) {
+CandidateMachine candidate_for(const ClusterState& state, const Machine& machine,
+                               const MachineType& type) {
   CandidateMachine candidate;
   candidate.machine = machine.host.id;
   candidate.source = &machine;
@@ -20,9 +21,11 @@
   candidate.spot = machine.host.spot;
   candidate.capacity = candidate.available = type.capacity;
   for (const auto& [id, attempt] : machine.attempts) {
-    if (!attempt.may_be_present()) continue;
-    candidate.available -= attempt.request;
-    if (!attempt.desired_running) candidate.releasing += attempt.request;
+    const Resources occupied = attempt.occupied();
+    candidate.available -= occupied;
+    const bool leaving =
+        attempt.may_be_present() ? !attempt.desired_running : state.may_discard(id, attempt);
+    if (leaving) candidate.releasing += occupied;
   }
   return candidate;
 }
@@ -46,7 +49,7 @@
     if (machine.state != machine_state) continue;
     const MachineType* type = state_.find_machine_type(machine.host.type);
     if (!type) continue;
-    CandidateMachine candidate = candidate_for(machine, *type);
+    CandidateMachine candidate = candidate_for(state_, machine, *type);
     candidate.schedulable = machine_state == MachineState::Booting || schedulable(machine, now);
     candidates.push_back(std::move(candidate));
   }
--- a/src/dispatch/cluster_state.cpp
+++ b/src/dispatch/cluster_state.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "logging/log_event.h"
+#include "wire/worker_message_size.h"
 
 namespace sumacquay {
 namespace {
@@ -91,6 +92,11 @@
   return nullptr;
 }
 
+void ClusterState::set_machine_types(std::vector<MachineType> types) {
+  machine_types_ = std::move(types);
+  for (MachineType& type : machine_types_) type.capacity.heartbeat_bytes = wire::kMaxListBytes;
+}
+
 void ClusterState::set_machine_state(Machine& machine, MachineState next) {
   if (machine.state == next) return;
   log_debug("machine_state_changed", log_field("machine", machine.host.id),
@@ -167,6 +173,19 @@
                      });
 }
 
+double ClusterState::heartbeat_bytes_per_task(const JobSpec& spec) const {
+  const uint64_t max_attempt = token_allocator_.with_term(kFencingTokenCounterEnd - 1);
+  return static_cast<double>(wire::attempt_size_bound(spec, max_attempt));
+}
+
+/// Without the completed attempt and the record, a later leader would not find out that the task is
+/// done and would run it again.
+bool ClusterState::may_discard(const TaskAttemptId& id, const TaskAttempt& attempt) const {
+  const Job* job = find_job(id.task.job);
+  return attempt.cause != ExitCause::Done || !job || job->spec().kind == JobKind::Service ||
+         job->stored.done.contains(id.task.task);
+}
+
 void ClusterState::fence_unanswered_commands(Machine& machine) {
   advance_fencing_token(machine);
   machine.required_token_counter = machine.fencing_token_counter;
--- a/src/dispatch/cluster_state.h
+++ b/src/dispatch/cluster_state.h
@@ -80,8 +80,9 @@
   /// Machines that the cloud has released, with the time of the release. Nothing runs on them.
   std::map<std::string, Seconds>& released_machines() { return released_machines_; }
   const std::map<std::string, Seconds>& released_machines() const { return released_machines_; }
-  /// The cloud's catalog of machine types; empty until it has been read.
-  void set_machine_types(std::vector<MachineType> types) { machine_types_ = std::move(types); }
+  /// The cloud's catalog of machine types; empty until it has been read. Adds to each capacity the
+  /// space that a worker's heartbeat has for tasks.
+  void set_machine_types(std::vector<MachineType> types);
   const std::vector<MachineType>& machine_types() const { return machine_types_; }
   /// Null if the catalog has no such type.
   const MachineType* find_machine_type(const std::string& name) const;
@@ -116,6 +117,12 @@
     return job.possible_placements.empty() && !placement_unknown(job);
   }
 
+  /// Upper bound on the bytes that a task of the job takes in the heartbeat of its worker.
+  double heartbeat_bytes_per_task(const JobSpec& spec) const;
+  /// Whether the worker may forget this attempt, which has exited. It keeps a completed one until
+  /// the job's record lists the task as done.
+  bool may_discard(const TaskAttemptId& id, const TaskAttempt& attempt) const;
+
   // Fencing tokens and attempt numbers.
 
   FencingTokenAllocator& token_allocator() { return token_allocator_; }
--- a/src/dispatch/command_dispatcher.cpp
+++ b/src/dispatch/command_dispatcher.cpp
@@ -58,14 +58,6 @@
   }
 }
 
-/// A worker keeps a completed attempt until the job's record lists the task as done. Without
-/// either, a later leader would not find out that the task is done and would run it again.
-bool CommandDispatcher::may_discard(const TaskAttemptId& id, const TaskAttempt& attempt) const {
-  const Job* job = state_.find_job(id.task.job);
-  return attempt.cause != ExitCause::Done || !job || job->spec().kind == JobKind::Service ||
-         job->stored.done.contains(id.task.task);
-}
-
 /// Appends starts until the message is full. Returns the number of starts appended.
 size_t CommandDispatcher::add_starts(Machine& machine, std::vector<Command>& commands) const {
   size_t starts = 0;
@@ -85,7 +77,7 @@
   size_t discards = 0;
   for (const auto& [id, attempt] : machine.attempts) {
     if (commands.size() >= kMaxCommandsPerMessage) break;
-    if (attempt.state != TaskAttemptState::Exited || !may_discard(id, attempt)) continue;
+    if (attempt.state != TaskAttemptState::Exited || !state_.may_discard(id, attempt)) continue;
     commands.push_back({CommandType::Discard, id.task, id.attempt, 0});
     ++discards;
   }
--- a/src/dispatch/command_dispatcher.h
+++ b/src/dispatch/command_dispatcher.h
@@ -42,7 +42,6 @@
   void add_stops(Machine& machine, std::vector<Command>& commands) const;
   size_t add_starts(Machine& machine, std::vector<Command>& commands) const;
   size_t add_discards(const Machine& machine, std::vector<Command>& commands) const;
-  bool may_discard(const TaskAttemptId& id, const TaskAttempt& attempt) const;
   void dispatch_to(const std::string& id, Machine& machine, Seconds now,
                    std::vector<Action>& actions);
 
--- a/src/dispatch/placement_round.cpp
+++ b/src/dispatch/placement_round.cpp
@@ -100,6 +100,7 @@
   PlacementRequest request;
   request.spec = &spec;
   request.tasks = tasks_to_place(job, limit);
+  request.heartbeat_bytes = state_.heartbeat_bytes_per_task(spec);
   if (request.tasks.empty() || request.tasks.size() > max_tasks) return std::nullopt;
   if (spec.has_zone_constraint())
     for_each_possible_placement(job, [this, &request](uint32_t, const TaskPlacement& placement) {
@@ -182,6 +183,7 @@
     job.gang_attempt_state = GangAttemptState::Intact;
   }
   job.start_record_requested = true;
+  const double heartbeat_bytes = state_.heartbeat_bytes_per_task(spec);
   for (const Assignment& assignment : assignments) {
     Machine& machine = state_.machines().at(candidates[assignment.candidate].machine);
     const TaskAttemptId id{{spec.id, assignment.task},
@@ -191,6 +193,7 @@
     TaskAttempt& attempt = machine.attempts[id];
     attempt.placed_at = now;
     attempt.request = spec.request;
+    attempt.heartbeat_bytes = heartbeat_bytes;
     attempt.image = spec.image;
     attempt.image_gb = spec.image_gb;
     machine.request_host_record();
--- a/src/dispatch/preemptor.cpp
+++ b/src/dispatch/preemptor.cpp
@@ -41,7 +41,7 @@
   victim.team = spec.team;
   victim.task = id.task.task;
   victim.candidate = candidate;
-  victim.request = attempt.request;
+  victim.request = attempt.occupied();
   victim.priority = job.priority;
   victim.loss_s = preemption_loss(job, attempt, now);
   victim.gang = gang;
@@ -182,7 +182,7 @@
     if (!preemption) return;
     CandidateMachine& candidate = candidates[preemption->candidate];
     for (const size_t index : preemption->victims) stop_victim(victims[index], job, candidate, now);
-    candidate.available -= request.spec->request;
+    candidate.available -= request.request();
     ++request.tasks_per_zone[candidate.zone];
     request.tasks.pop_back();
     if (!preemption->victims.empty()) return;
--- a/src/dispatch/rebalancer.cpp
+++ b/src/dispatch/rebalancer.cpp
@@ -25,8 +25,11 @@
   return candidate.capacity.cpus > 0 ? 1 - candidate.available.cpus / candidate.capacity.cpus : 1;
 }
 
+/// Whether no task is on the machine. Attempts that have exited may still be in its heartbeat.
 bool empty(const CandidateMachine& candidate) {
-  return candidate.capacity.fits_in(candidate.available);
+  Resources capacity = candidate.capacity;
+  capacity.heartbeat_bytes = 0;
+  return capacity.fits_in(candidate.available);
 }
 
 /// Returns a request for one task of the first gang in `unplaced`, or none if there is no gang.
@@ -56,6 +59,7 @@
   PlacementRequest request;
   request.spec = &job.spec();
   request.tasks = {task};
+  request.heartbeat_bytes = state_.heartbeat_bytes_per_task(job.spec());
   if (request.spec->has_zone_constraint())
     for_each_possible_placement(job, [&](uint32_t other, const TaskPlacement& placement) {
       if (other != task)
--- a/src/dispatch/reconciler.cpp
+++ b/src/dispatch/reconciler.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <tuple>
 
+#include "wire/worker_message_size.h"
+
 namespace sumacquay {
 namespace {
 
@@ -210,6 +212,7 @@
   TaskAttempt& attempt = entry->second;
   if (added) {
     attempt.placed_at = now;
+    attempt.heartbeat_bytes = static_cast<double>(wire::attempt_size_bound(id));
     attempt.start_sent = true;
     attempt.desired_running = false;
     if (Job* job = state_.find_job(task.key.job))
--- a/src/fleet/machine.h
+++ b/src/fleet/machine.h
@@ -37,10 +37,18 @@
   std::optional<Seconds> stop_since;
   bool stop_sent = false;
   Resources request;
+  double heartbeat_bytes = 0;  ///< upper bound on its space in the worker's heartbeat
   std::string image;
   double image_gb = 0;
 
   bool may_be_present() const { return state != TaskAttemptState::Exited; }
+  /// What the attempt takes of its machine. Once it has exited, only its space in the heartbeat,
+  /// until the worker discards it.
+  Resources occupied() const {
+    Resources occupied = may_be_present() ? request : Resources{};
+    occupied.heartbeat_bytes = heartbeat_bytes;
+    return occupied;
+  }
   /// Whether the task is not known to have its image yet.
   bool before_image() const {
     return state == TaskAttemptState::Scheduled || state == TaskAttemptState::Fetching;
--- a/src/jobs/spec.h
+++ b/src/jobs/spec.h
@@ -1,4 +1,5 @@
 #pragma once
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -15,33 +16,51 @@
 /// State of a job as stored; "running" is derived for answers to users.
 enum class JobState { Pending, Cancelled, Done };
 
-/// Amounts of CPUs, GPUs and memory.
+/// Amounts of CPUs, GPUs and memory, and of space in the heartbeat of a machine's worker.
 struct Resources {
   double cpus = 0, gpus = 0, memory_gb = 0;
+  /// Bytes of the worker's heartbeat, which lists every task of the machine and has a size limit.
+  /// The scheduler adds them; job specifications and the cloud's catalog have none.
+  double heartbeat_bytes = 0;
 
   Resources& operator+=(const Resources& other) {
     cpus += other.cpus;
     gpus += other.gpus;
     memory_gb += other.memory_gb;
+    heartbeat_bytes += other.heartbeat_bytes;
     return *this;
   }
   Resources& operator-=(const Resources& other) {
     cpus -= other.cpus;
     gpus -= other.gpus;
     memory_gb -= other.memory_gb;
+    heartbeat_bytes -= other.heartbeat_bytes;
     return *this;
   }
   Resources times(double factor) const {
-    return {cpus * factor, gpus * factor, memory_gb * factor};
+    return {cpus * factor, gpus * factor, memory_gb * factor, heartbeat_bytes * factor};
   }
   /// Tolerates rounding errors in sums of floating-point amounts.
   bool fits_in(const Resources& capacity) const {
     constexpr double kRoundingTolerance = 1e-6;
     return cpus <= capacity.cpus + kRoundingTolerance &&
            gpus <= capacity.gpus + kRoundingTolerance &&
-           memory_gb <= capacity.memory_gb + kRoundingTolerance;
+           memory_gb <= capacity.memory_gb + kRoundingTolerance &&
+           heartbeat_bytes <= capacity.heartbeat_bytes + kRoundingTolerance;
   }
   bool operator==(const Resources&) const = default;
+  /// The largest fraction of the capacity's CPUs, GPUs or memory that this takes.
+  double dominant_share(const Resources& capacity) const {
+    return std::max({share(cpus, capacity.cpus), share(gpus, capacity.gpus),
+                     share(memory_gb, capacity.memory_gb)});
+  }
+  /// The fraction of the capacity's space in the heartbeat that this takes.
+  double heartbeat_share(const Resources& capacity) const {
+    return share(heartbeat_bytes, capacity.heartbeat_bytes);
+  }
+
+ private:
+  static double share(double amount, double total) { return total > 0 ? amount / total : 0; }
 };
 
 /// Specification of a job as submitted; immutable.
--- a/src/placement/bin_packing.cpp
+++ b/src/placement/bin_packing.cpp
@@ -55,9 +55,9 @@
   CandidateQueue(const PlacementRequest& placement_request,
                  const std::vector<CandidateMachine>& candidates,
                  const TasksPerZone& tasks_per_zone) {
+    const Resources request = placement_request.request();
     for (size_t i = 0; i < candidates.size(); ++i)
-      if (candidates[i].fits(placement_request.spec->request) &&
-          eligible(candidates[i], placement_request, tasks_per_zone))
+      if (candidates[i].fits(request) && eligible(candidates[i], placement_request, tasks_per_zone))
         heap_.push_back({rank_of(candidates[i], placement_request), i});
     std::make_heap(heap_.begin(), heap_.end(), std::greater<>());
   }
@@ -78,8 +78,8 @@
 
 void release(const PlacementRequest& placement_request, std::vector<CandidateMachine>& candidates,
              const std::vector<Assignment>& assignments) {
-  for (const auto& assignment : assignments)
-    candidates[assignment.candidate].available += placement_request.spec->request;
+  const Resources request = placement_request.request();
+  for (const auto& assignment : assignments) candidates[assignment.candidate].available += request;
 }
 
 /// Tries each zone, because a single-zone gang may fit in a zone other than that of the fullest
@@ -115,6 +115,7 @@
 std::vector<Assignment> pack_partially(const PlacementRequest& placement_request,
                                        std::vector<CandidateMachine>& candidates) {
   const JobSpec& spec = *placement_request.spec;
+  const Resources request = placement_request.request();
   TasksPerZone tasks_per_zone = placement_request.tasks_per_zone;
   CandidateQueue queue(placement_request, candidates, tasks_per_zone);
   std::vector<Assignment> assignments;
@@ -122,9 +123,9 @@
   while (task != placement_request.tasks.end() && !queue.empty()) {
     const size_t index = queue.pop();
     CandidateMachine& candidate = candidates[index];
-    while (task != placement_request.tasks.end() && candidate.fits(spec.request) &&
+    while (task != placement_request.tasks.end() && candidate.fits(request) &&
            zone_constraints_allow(spec, tasks_per_zone, candidate.zone)) {
-      candidate.available -= spec.request;
+      candidate.available -= request;
       ++tasks_per_zone[candidate.zone];
       assignments.push_back({*task++, index});
     }
--- a/src/placement/candidate_machine.h
+++ b/src/placement/candidate_machine.h
@@ -25,7 +25,24 @@
   bool fits(const Resources& request) const {
     Resources usable = available;
     if (request.gpus == 0) usable -= reserved;
-    return request.fits_in(usable);
+    return fits_in(request, usable);
+  }
+
+  /// Whether a task with this request fits if these resources of the machine are free. Some space
+  /// in the heartbeat is kept for tasks that use the machine's other resources in proportion, so
+  /// that a large number of small tasks does not keep them off the machine.
+  bool fits_in(const Resources& request, Resources free_resources) const {
+    if (needs_mostly_heartbeat_space(request))
+      free_resources.heartbeat_bytes -= kReservedHeartbeatFraction * capacity.heartbeat_bytes;
+    return request.fits_in(free_resources);
+  }
+
+ private:
+  static constexpr double kReservedHeartbeatFraction = 1.0 / 8;
+
+  /// Whether the task's share of the heartbeat is larger than its share of any other resource.
+  bool needs_mostly_heartbeat_space(const Resources& request) const {
+    return request.heartbeat_share(capacity) > request.dominant_share(capacity);
   }
 };
 
--- a/src/placement/placement_request.h
+++ b/src/placement/placement_request.h
@@ -21,6 +21,7 @@
   std::unordered_map<std::string, uint32_t> tasks_per_zone;
   /// Highest priority of the jobs that depend on this one, if higher than the job's own.
   std::optional<Priority> inherited_priority;
+  double heartbeat_bytes = 0;        ///< space that a task takes in its worker's heartbeat
   bool prefer_cached_image = false;  ///< fetching the image costs more than tight packing gains
   /// The job is within its team's fair share, so it may preempt tasks of other teams that are
   /// beyond theirs.
@@ -30,6 +31,12 @@
   /// Whether a machine likely has the image cached.
   std::function<bool(const CandidateMachine&)> has_image;
 
+  /// What each task takes of its machine.
+  Resources request() const {
+    Resources request = spec->request;
+    request.heartbeat_bytes = heartbeat_bytes;
+    return request;
+  }
   /// Effective priority for placement and preemption.
   Priority priority() const { return inherited_priority.value_or(spec->priority); }
 };
--- a/src/placement/preemption.cpp
+++ b/src/placement/preemption.cpp
@@ -52,7 +52,7 @@
   PreemptionSearch(const PlacementRequest& placement_request, const std::vector<Victim>& victims,
                    const RunningResources& running)
       : placement_request_(placement_request),
-        request_(placement_request.spec->request),
+        request_(placement_request.request()),
         victims_(victims),
         running_(running) {}
 
@@ -72,19 +72,20 @@
     Resources free_resources = candidate.available;
     free_resources += candidate.releasing;
     // Cheap check first: it rules out most machines before victims are sorted.
-    if (!fits_without_all_victims(preemptible, free_resources) ||
+    if (!fits_without_all_victims(candidate, preemptible, free_resources) ||
         !eligible(candidate, placement_request_, placement_request_.tasks_per_zone))
       return std::nullopt;
-    if (request_.fits_in(free_resources)) return PreemptionPlan{{index, {}, true}, 0};
+    if (candidate.fits_in(request_, free_resources)) return PreemptionPlan{{index, {}, true}, 0};
     sort_by_cost(preemptible);
-    return choose_victims(index, preemptible, free_resources);
+    return choose_victims(index, candidate, preemptible, free_resources);
   }
 
  private:
-  bool fits_without_all_victims(const std::vector<size_t>& preemptible,
+  bool fits_without_all_victims(const CandidateMachine& candidate,
+                                const std::vector<size_t>& preemptible,
                                 Resources free_resources) const {
     for (const size_t victim : preemptible) free_resources += victims_[victim].request;
-    return request_.fits_in(free_resources);
+    return candidate.fits_in(request_, free_resources);
   }
 
   void sort_by_cost(std::vector<size_t>& preemptible) const {
@@ -95,12 +96,13 @@
   }
 
   /// Adds victims, cheapest first, until the task fits.
-  std::optional<PreemptionPlan> choose_victims(size_t index, const std::vector<size_t>& preemptible,
+  std::optional<PreemptionPlan> choose_victims(size_t index, const CandidateMachine& candidate,
+                                               const std::vector<size_t>& preemptible,
                                                Resources free_resources) const {
     PreemptionPlan plan{{index, {}, false}, 0};
     std::vector<size_t>& chosen = plan.preemption.victims;
     for (const size_t victim : preemptible) {
-      if (request_.fits_in(free_resources)) break;
+      if (candidate.fits_in(request_, free_resources)) break;
       if (victims_[victim].priority >= placement_request_.priority() &&
           !team_keeps_fair_share(victims_[victim], chosen))
         continue;
@@ -108,9 +110,9 @@
       plan.cost += cost_of(victims_[victim]);
       chosen.push_back(victim);
     }
-    if (!request_.fits_in(free_resources)) return std::nullopt;
+    if (!candidate.fits_in(request_, free_resources)) return std::nullopt;
     if (placement_request_.within_fair_share)
-      plan.cost -= remove_redundant_victims(chosen, free_resources);
+      plan.cost -= remove_redundant_victims(candidate, chosen, free_resources);
     return plan;
   }
 
@@ -125,13 +127,14 @@
 
   /// Removes victims without which the task still fits, most costly first: a large victim that was
   /// added last may make smaller ones unnecessary. Returns the total cost of the removed victims.
-  double remove_redundant_victims(std::vector<size_t>& chosen, Resources free_resources) const {
+  double remove_redundant_victims(const CandidateMachine& candidate, std::vector<size_t>& chosen,
+                                  Resources free_resources) const {
     double saved_cost = 0;
     for (size_t i = chosen.size(); i-- > 0;) {
       const Victim& victim = victims_[chosen[i]];
       Resources remaining = free_resources;
       remaining -= victim.request;
-      if (!request_.fits_in(remaining)) continue;
+      if (!candidate.fits_in(request_, remaining)) continue;
       free_resources = remaining;
       saved_cost += cost_of(victim);
       chosen.erase(chosen.begin() + static_cast<std::ptrdiff_t>(i));
@@ -140,7 +143,7 @@
   }
 
   const PlacementRequest& placement_request_;
-  const Resources& request_;
+  const Resources request_;
   const std::vector<Victim>& victims_;
   const RunningResources& running_;
 };
--- a/src/placement/reservation.cpp
+++ b/src/placement/reservation.cpp
@@ -57,7 +57,7 @@
 
 void reserve_for_gpu_tasks(const PlacementRequest& placement_request,
                            std::vector<CandidateMachine>& candidates) {
-  const Resources& request = placement_request.spec->request;
+  const Resources request = placement_request.request();
   if (request.gpus <= 0) return;
   struct Reservable {
     double negated_available_cpus = 0;  ///< negated, so that the most available CPUs come first
--- a/src/placement/tentative_placement.cpp
+++ b/src/placement/tentative_placement.cpp
@@ -11,7 +11,7 @@
 bool TentativePlacement::place(const PlacementRequest& placement_request) {
   const auto assignments = bin_pack(placement_request, candidates_);
   for (const auto& assignment : assignments)
-    taken_.emplace_back(assignment.candidate, placement_request.spec->request);
+    taken_.emplace_back(assignment.candidate, placement_request.request());
   return assignments.size() == placement_request.tasks.size();
 }
 
--- a/src/wire/json_size.cpp
+++ b/src/wire/json_size.cpp
@@ -38,12 +38,6 @@
   return lead >= kMinLeadByteOfThree ? 2 : 1;
 }
 
-size_t decimal_size(uint64_t number) {
-  size_t digits = 1;
-  for (; number >= 10; number /= 10) ++digits;
-  return digits;
-}
-
 size_t negative_size(int64_t number) {
   return 1 + decimal_size(uint64_t{0} - static_cast<uint64_t>(number));
 }
@@ -113,6 +107,12 @@
 
 }  // namespace
 
+size_t decimal_size(uint64_t number) {
+  size_t digits = 1;
+  for (; number >= 10; number /= 10) ++digits;
+  return digits;
+}
+
 size_t json_size(std::string_view text) {
   size_t size = kQuotes;
   int missing_bytes = 0;  // continuation bytes still expected for the current character
--- a/src/wire/json_size.h
+++ b/src/wire/json_size.h
@@ -1,5 +1,6 @@
 #pragma once
 #include <cstddef>
+#include <cstdint>
 #include <string_view>
 
 #include "wire/view.h"
@@ -20,4 +21,7 @@
 /// Size of a string in bytes, including its quotes.
 size_t json_size(std::string_view text);
 
+/// Number of decimal digits of a number, its size in bytes.
+size_t decimal_size(uint64_t number);
+
 }  // namespace sumacquay::wire
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -7,4 +7,5 @@
 #include "wire/records.h"
 #include "wire/store_messages.h"
 #include "wire/user_messages.h"
+#include "wire/worker_message_size.h"
 #include "wire/worker_messages.h"
