Make reports that are too large smaller, and send no message beyond the limit

Cause: (1) a worker whose report is refused gets no answer, and a worker forgets an exited task only on a command in an answer, so stopping tasks doesn't make its report smaller: an exited task takes more space than a running one. (2) Stops were never cut. One takes more space than a running task in a report, so from about 900 on they exceed the limit on answers and on commands. The worker refuses the message, and the leader sent the same again, under a raised token.

Fix: the leader sees such a report in the answers to its probes and commands, which have no limit. HeartbeatSizeGuard then stops the tasks of the lowest priority until the others fit, and as long as the report is too large, requests clear exits. They carry a token above that of every request that started a task (as answers do), never together with starts, and each clear is sent once unless the request had no answer. All messages to workers are filled up to the limit, in bytes instead of 300 commands. If they don't all fit, stops of jobs that have ended go first, and an answer that can't carry all of these is not given, by leader or delegate, since whoever renews a lease stops what it knows to be cancelled; commands bring them.

Tests: OverfullMachines.StopMoreCancelledTasksThanOneMessageCarries, OverfullMachines.ServiceKeepsRunningWhereNewLeaderFindsTooManyTasks, CommandCopyTest.DiscardInRequestRejectsCopiesOfRequestThatStartedAttempt.

--- a/src/dispatch/command_dispatcher.cpp
+++ b/src/dispatch/command_dispatcher.cpp
@@ -7,8 +7,6 @@
 namespace sumacquay {
 namespace {
 
-/// Keeps an answer to a worker well below the protocol's limit of 64 KiB.
-constexpr size_t kMaxCommandsPerMessage = 300;
 /// The grace period for saving a checkpoint before a task is killed: this multiple of the job's
 /// checkpoint duration, plus the extra time.
 constexpr double kCheckpointGraceFactor = 1.5;
@@ -43,8 +41,9 @@
   return job && job->runnable() && job->host_recorded(machine.host.id);
 }
 
-void CommandDispatcher::add_stops(Machine& machine, std::vector<Command>& commands) const {
-  for (auto& [id, attempt] : machine.attempts) {
+std::vector<Command> CommandDispatcher::due_stops(const Machine& machine) const {
+  std::vector<Command> stops;
+  for (const auto& [id, attempt] : machine.attempts) {
     if (attempt.desired_running || !attempt.may_be_present() ||
         attempt.state == TaskAttemptState::Scheduled)
       continue;
@@ -54,65 +53,129 @@
     const Seconds grace = checkpoint ? job->spec().checkpoint_duration_s * kCheckpointGraceFactor +
                                            kCheckpointGraceExtra
                                      : 0;
-    commands.push_back({CommandType::Stop, id.task, id.attempt, grace});
+    stops.push_back({CommandType::Stop, id.task, id.attempt, grace});
   }
+  return stops;
+}
+
+/// Adds the due stops. If the message has no space for all of them, those of jobs that have ended
+/// go first, since a worker's lease may be renewed only together with these.
+CommandDispatcher::StopsAdded CommandDispatcher::add_stops(const Machine& machine,
+                                                           CommandMessage& message) const {
+  const auto job_ended = [this](const Command& stop) { return state_.job_ended(stop.key.job); };
+  std::vector<Command> stops = due_stops(machine);
+  if (!wire::fit_in_message(stops)) std::stable_partition(stops.begin(), stops.end(), job_ended);
+  for (const Command& stop : stops)
+    if (!message.add(stop)) return job_ended(stop) ? StopsAdded::Some : StopsAdded::AllOfEndedJobs;
+  return StopsAdded::All;
+}
+
+void CommandDispatcher::mark_stops_sent(Machine& machine, const CommandMessage& message,
+                                        StopsAdded added) {
+  if (added == StopsAdded::All) {
+    for (auto& [id, attempt] : machine.attempts)
+      if (!attempt.desired_running && attempt.may_be_present()) attempt.stop_sent = true;
+    return;
+  }
+  for (const Command& command : message.commands())
+    if (command.type == CommandType::Stop)
+      machine.attempts.at({command.key, command.attempt}).stop_sent = true;
 }
 
 /// Appends starts until the message is full. Returns the number of starts appended.
-size_t CommandDispatcher::add_starts(Machine& machine, std::vector<Command>& commands) const {
+size_t CommandDispatcher::add_starts(Machine& machine, CommandMessage& message) const {
   size_t starts = 0;
   for (auto& [id, attempt] : machine.attempts) {
-    if (commands.size() >= kMaxCommandsPerMessage) break;
     if (!startable(machine, id, attempt)) continue;
+    if (!message.add({CommandType::Start, id.task, id.attempt, 0})) break;
     attempt.start_sent = true;
-    commands.push_back({CommandType::Start, id.task, id.attempt, 0});
     ++starts;
   }
   return starts;
 }
 
+std::vector<TaskAttemptId> CommandDispatcher::discardable_attempts(const Machine& machine) const {
+  std::vector<TaskAttemptId> discardable;
+  for (const auto& [id, attempt] : machine.attempts)
+    if (attempt.state == TaskAttemptState::Exited && state_.may_discard(id, attempt))
+      discardable.push_back(id);
+  return discardable;
+}
+
 /// Appends permissions to discard attempts until the message is full. Returns the number appended.
-size_t CommandDispatcher::add_discards(const Machine& machine,
-                                       std::vector<Command>& commands) const {
+size_t CommandDispatcher::add_discards(Machine& machine, CommandMessage& message) const {
   size_t discards = 0;
-  for (const auto& [id, attempt] : machine.attempts) {
-    if (commands.size() >= kMaxCommandsPerMessage) break;
-    if (attempt.state != TaskAttemptState::Exited || !state_.may_discard(id, attempt)) continue;
-    commands.push_back({CommandType::Discard, id.task, id.attempt, 0});
+  for (const TaskAttemptId& id : discardable_attempts(machine)) {
+    if (!message.add({CommandType::Discard, id.task, id.attempt, 0})) break;
     ++discards;
   }
   return discards;
 }
 
-std::vector<Command> CommandDispatcher::commands_in_heartbeat_response(Machine& machine) {
-  std::vector<Command> commands;
-  add_stops(machine, commands);
-  add_starts(machine, commands);
-  const size_t discards = add_discards(machine, commands);
-  if (discards == 0) return commands;
+/// Like add_discards, without those that a request has carried already: the leader keeps the
+/// attempts until a heartbeat of the worker lacks them.
+size_t CommandDispatcher::add_unsent_discards(Machine& machine, CommandMessage& message) const {
+  size_t discards = 0;
+  for (const TaskAttemptId& id : discardable_attempts(machine)) {
+    TaskAttempt& attempt = machine.attempts.at(id);
+    if (attempt.discard_sent) continue;
+    if (!message.add({CommandType::Discard, id.task, id.attempt, 0})) break;
+    attempt.discard_sent = true;
+    ++discards;
+  }
+  return discards;
+}
+
+/// A worker that has discarded an attempt would carry out a copy of the request that started it, so
+/// the message must carry a higher fencing token than that request.
+void CommandDispatcher::on_discards_added(Machine& machine, size_t discards) {
+  if (discards == 0) return;
   state_.fence_copies_of_starts(machine);
   log_debug("attempts_discarded", log_field("machine", machine.host.id),
             log_field("fencing_token", state_.fencing_token(machine)),
             log_field("count", discards));
-  return commands;
 }
 
-/// Stops and starts alone: only answers to heartbeats let a worker discard attempts.
+std::optional<std::vector<Command>> CommandDispatcher::commands_in_heartbeat_response(
+    Machine& machine) {
+  CommandMessage message;
+  if (add_stops(machine, message) == StopsAdded::Some) return std::nullopt;
+  add_starts(machine, message);
+  on_discards_added(machine, add_discards(machine, message));
+  return message.release();
+}
+
+/// Stops and starts, or, while controllers refuse the worker's heartbeats for their size, stops and
+/// permissions to discard attempts. Never both starts and discards: the token of a request that
+/// starts tasks must not be that of one that discards attempts.
 std::vector<Command> CommandDispatcher::commands_in_request(Machine& machine) {
-  std::vector<Command> commands;
-  add_stops(machine, commands);
-  const size_t starts = add_starts(machine, commands);
-  if (starts > 0) machine.token_used_for_starts = true;
-  return commands;
+  CommandMessage message;
+  const StopsAdded added = add_stops(machine, message);
+  mark_stops_sent(machine, message, added);
+  if (machine.heartbeat_too_large)
+    on_discards_added(machine, add_unsent_discards(machine, message));
+  else if (add_starts(machine, message) > 0)
+    machine.token_used_for_starts = true;
+  return message.release();
+}
+
+bool CommandDispatcher::has_unsent_discards(const Machine& machine) const {
+  const auto discardable = discardable_attempts(machine);
+  return std::any_of(discardable.begin(), discardable.end(), [&machine](const TaskAttemptId& id) {
+    return !machine.attempts.at(id).discard_sent;
+  });
 }
 
-/// Whether a start or stop is due that has not been sent yet.
+/// Whether a request has to be sent: a start or stop is due that has not been sent yet, or the
+/// worker's heartbeats are refused for attempts that it may discard.
 bool CommandDispatcher::has_unsent_commands(const Machine& machine) const {
+  if (machine.heartbeat_too_large && has_unsent_discards(machine)) return true;
   return std::any_of(machine.attempts.begin(), machine.attempts.end(),
                      [this, &machine](const auto& entry) {
                        const auto& [id, attempt] = entry;
                        if (attempt.desired_running)
-                         return !attempt.start_sent && startable(machine, id, attempt);
+                         return !machine.heartbeat_too_large && !attempt.start_sent &&
+                                startable(machine, id, attempt);
                        return attempt.may_be_present() &&
                               attempt.state != TaskAttemptState::Scheduled && !attempt.stop_sent;
                      });
@@ -127,11 +190,12 @@
   if (machine.host.addr.empty() || !machine.fencing_token_acknowledged ||
       !has_unsent_commands(machine))
     return;
-  SendCommands batch{id, machine.host.addr, state_.fencing_token(machine),
-                     std::max<uint64_t>(machine.latest_sequence.agent_epoch, 1),
-                     commands_in_request(machine)};
-  for (auto& [attempt_id, attempt] : machine.attempts)
-    if (!attempt.desired_running && attempt.may_be_present()) attempt.stop_sent = true;
+  SendCommands batch;
+  batch.machine = id;
+  batch.addr = machine.host.addr;
+  batch.agent_epoch = std::max<uint64_t>(machine.latest_sequence.agent_epoch, 1);
+  batch.commands = commands_in_request(machine);  // may raise the token
+  batch.fencing_token = state_.fencing_token(machine);
   machine.commands_in_flight = true;
   log_debug("commands_sent", log_field("machine", id),
             log_field("fencing_token", batch.fencing_token),
--- a/src/dispatch/command_dispatcher.h
+++ b/src/dispatch/command_dispatcher.h
@@ -1,10 +1,12 @@
 #pragma once
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "backlog/pending_queue.h"
 #include "dispatch/actions.h"
 #include "dispatch/cluster_state.h"
+#include "dispatch/command_message.h"
 #include "dispatch/work_counters.h"
 
 namespace sumacquay {
@@ -26,22 +28,31 @@
   /// due with time. Called once per round; checks every machine.
   void enqueue_all_due();
 
-  /// All commands that are due for the worker, for the answer to its heartbeat: stops first, which
-  /// are never truncated, then starts and permissions to discard attempts that have exited. A
-  /// worker that has discarded an attempt would carry out a copy of the request that started it, so
-  /// this may advance the fencing token. The answer must carry the token that is current
-  /// afterwards.
-  std::vector<Command> commands_in_heartbeat_response(Machine& machine);
+  /// The commands that are due for the worker, for the answer to its heartbeat: stops first, then
+  /// starts and permissions to discard attempts that have exited, as far as the message has space.
+  /// None if it has no space for the stops of all tasks whose jobs have ended, so that the worker's
+  /// lease must not be renewed. A worker that has discarded an attempt would carry out a copy of
+  /// the request that started it, so this may advance the fencing token. The answer must carry the
+  /// token that is current afterwards.
+  std::optional<std::vector<Command>> commands_in_heartbeat_response(Machine& machine);
   /// Appends a `SendCommands` for each queued machine that has commands and can receive them now.
   void dispatch(Seconds now, std::vector<Action>& actions);
 
  private:
   bool startable(const Machine& machine, const TaskAttemptId& id, const TaskAttempt& attempt) const;
   bool has_unsent_commands(const Machine& machine) const;
+  bool has_unsent_discards(const Machine& machine) const;
   std::vector<Command> commands_in_request(Machine& machine);
-  void add_stops(Machine& machine, std::vector<Command>& commands) const;
-  size_t add_starts(Machine& machine, std::vector<Command>& commands) const;
-  size_t add_discards(const Machine& machine, std::vector<Command>& commands) const;
+  std::vector<Command> due_stops(const Machine& machine) const;
+  /// How many of the due stops were added to a message.
+  enum class StopsAdded { All, AllOfEndedJobs, Some };
+  StopsAdded add_stops(const Machine& machine, CommandMessage& message) const;
+  static void mark_stops_sent(Machine& machine, const CommandMessage& message, StopsAdded added);
+  size_t add_starts(Machine& machine, CommandMessage& message) const;
+  std::vector<TaskAttemptId> discardable_attempts(const Machine& machine) const;
+  size_t add_discards(Machine& machine, CommandMessage& message) const;
+  size_t add_unsent_discards(Machine& machine, CommandMessage& message) const;
+  void on_discards_added(Machine& machine, size_t discards);
   void dispatch_to(const std::string& id, Machine& machine, Seconds now,
                    std::vector<Action>& actions);
 
--- a/src/dispatch/reconciler.cpp
+++ b/src/dispatch/reconciler.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
+#include "logging/log_event.h"
 #include "wire/worker_message_size.h"
 
 namespace sumacquay {
@@ -88,25 +90,39 @@
       heartbeat.agent_epoch < machine.latest_sequence.agent_epoch)
     return answer;
   machine.latest_heartbeat_sequence = heartbeat.sequence();
-  answer.accepted = true;
   machine.last_lease_renewal_at = now;
   failure_detector_.record_heartbeat(machine, now);
   const bool newest = heartbeat.sequence() > machine.latest_sequence;
   const bool no_commands_in_flight = !machine.commands_in_flight;
   if (newest) reconcile(machine, heartbeat, no_commands_in_flight, now);
-  if (newest && may_act && machine.fencing_token_acknowledged && no_commands_in_flight)
-    answer.commands = commands_.commands_in_heartbeat_response(machine);
-  else
-    // The response renews the worker's lease. Without these stops, a cancelled task whose stop
-    // command was lost would keep running for as long as the lease is renewed.
-    answer.commands = stop_commands_for_ended_jobs(
-        heartbeat, [this](const std::string& id) { return state_.job_ended(id); });
+  const bool may_command =
+      newest && may_act && machine.fencing_token_acknowledged && no_commands_in_flight;
+  auto commands = may_command ? commands_.commands_in_heartbeat_response(machine)
+                              : stops_for_ended_jobs(heartbeat);
   // A probe delivers the fencing token and its acknowledgement before the next heartbeat does.
   if (!machine.fencing_token_acknowledged) machine.next_token_probe_at = now;
+  if (!commands) {
+    log_warning("heartbeat_not_answered", log_field("machine", machine.host.id),
+                log_field("reason", "stops_too_large"));
+    return answer;
+  }
+  answer.accepted = true;
+  answer.commands = std::move(*commands);
   answer.fencing_token = state_.fencing_token(machine);
   return answer;
 }
 
+/// The response to a heartbeat renews the worker's lease. Without these stops, a cancelled task
+/// whose stop command was lost would keep running for as long as the lease is renewed. None if one
+/// message cannot carry them all.
+std::optional<std::vector<Command>> Reconciler::stops_for_ended_jobs(
+    const WorkerHeartbeat& heartbeat) const {
+  auto stops = stop_commands_for_ended_jobs(
+      heartbeat, [this](const std::string& id) { return state_.job_ended(id); });
+  if (!wire::fit_in_message(stops)) return std::nullopt;
+  return stops;
+}
+
 void Reconciler::on_commands_answered(const std::string& machine_id,
                                       const std::optional<WorkerHeartbeat>& heartbeat,
                                       bool executed, Seconds now) {
@@ -120,7 +136,7 @@
     // as gone.
     state_.fence_unanswered_commands(*machine);
     machine->next_commands_at = now + state_.settings().heartbeat_period_s;
-    for (auto& [id, attempt] : machine->attempts) attempt.stop_sent = false;
+    for (auto& [id, attempt] : machine->attempts) attempt.stop_sent = attempt.discard_sent = false;
   }
   commands_.enqueue(*machine);
   if (!heartbeat || heartbeat->machine != machine_id) return;
@@ -204,6 +220,7 @@
   if (!required_token) return;
   if (absence_is_conclusive) remove_unlisted(machine, heartbeat, now);
   accept_worker(machine, now);
+  heartbeat_sizes_.on_heartbeat(machine, heartbeat, now);
 }
 
 void Reconciler::reconcile_task(Machine& machine, const TaskStatus& task, Seconds now) {
--- a/src/dispatch/reconciler.h
+++ b/src/dispatch/reconciler.h
@@ -8,13 +8,16 @@
 #include "dispatch/cluster_state.h"
 #include "dispatch/command_dispatcher.h"
 #include "dispatch/failure_detector.h"
+#include "dispatch/heartbeat_size_guard.h"
 #include "fleet/worker_heartbeat.h"
 
 namespace sumacquay {
 
 /// The answer to a worker's heartbeat, which renews the worker's lease.
 struct HeartbeatResponse {
-  bool accepted = false;  ///< false: late or duplicate, no response is expected
+  /// False if the heartbeat is late or a duplicate, or if the answer has no space for all stops
+  /// that have to go with a renewal of the lease.
+  bool accepted = false;
   uint64_t fencing_token = 0;
   std::vector<Command> commands;
 };
@@ -28,11 +31,12 @@
 class Reconciler {
  public:
   Reconciler(ClusterState& state, AttemptTracker& attempts, CommandDispatcher& commands,
-             FailureDetector& failure_detector)
+             FailureDetector& failure_detector, HeartbeatSizeGuard& heartbeat_sizes)
       : state_(state),
         attempts_(attempts),
         commands_(commands),
-        failure_detector_(failure_detector) {}
+        failure_detector_(failure_detector),
+        heartbeat_sizes_(heartbeat_sizes) {}
 
   /// Applies a worker's periodic heartbeat. Without `may_act` the response contains only stop
   /// commands for tasks of jobs that have ended.
@@ -54,6 +58,7 @@
   void reconcile(Machine& machine, const WorkerHeartbeat& heartbeat, bool absence_is_conclusive,
                  Seconds now);
   void reconcile_task(Machine& machine, const TaskStatus& task, Seconds now);
+  std::optional<std::vector<Command>> stops_for_ended_jobs(const WorkerHeartbeat& heartbeat) const;
   void begin_agent_epoch(Machine& machine, Seconds now);
   void remove_unlisted(Machine& machine, const WorkerHeartbeat& heartbeat, Seconds now);
   void accept_worker(Machine& machine, Seconds now);
@@ -62,6 +67,7 @@
   AttemptTracker& attempts_;
   CommandDispatcher& commands_;
   FailureDetector& failure_detector_;
+  HeartbeatSizeGuard& heartbeat_sizes_;
 };
 
 }  // namespace sumacquay
--- a/src/dispatch/scheduler.h
+++ b/src/dispatch/scheduler.h
@@ -19,6 +19,7 @@
 #include "dispatch/failure_detector.h"
 #include "dispatch/fleet_summary_log.h"
 #include "dispatch/gang_start_barrier.h"
+#include "dispatch/heartbeat_size_guard.h"
 #include "dispatch/placement_round.h"
 #include "dispatch/preemptor.h"
 #include "dispatch/quota_tracker.h"
@@ -184,6 +185,7 @@
   RecordQueue record_queue_;
   AttemptTracker attempts_;
   FailureDetector failure_detector_;
+  HeartbeatSizeGuard heartbeat_sizes_;
   Reconciler reconciler_;
   RecordIngestion ingestion_;
   RecordPlanner record_planner_;
--- a/src/fleet/machine.h
+++ b/src/fleet/machine.h
@@ -36,6 +36,7 @@
   std::optional<Seconds> running_since;
   std::optional<Seconds> stop_since;
   bool stop_sent = false;
+  bool discard_sent = false;  ///< sent in a request; answers to heartbeats repeat it
   Resources request;
   double heartbeat_bytes = 0;  ///< upper bound on its space in the worker's heartbeat
   std::string image;
@@ -98,6 +99,9 @@
   Seconds last_lease_renewal_at = kNever;
   /// The previous leader may have renewed the worker's lease up to the time that leader was fenced.
   bool previous_leader_may_renew = true;
+  /// No controller accepts its heartbeats, which are too large, so that requests have to carry what
+  /// answers to heartbeats do otherwise.
+  bool heartbeat_too_large = false;
   bool commands_in_flight = false;
   Seconds next_commands_at = 0, next_token_probe_at = 0;
   bool probe_in_flight = false;   ///< a liveness probe is in flight
--- a/src/node/worker_endpoint.cpp
+++ b/src/node/worker_endpoint.cpp
@@ -2,6 +2,7 @@
 
 #include "node/steady_time.h"
 #include "wire/messages.h"
+#include "wire/worker_message_size.h"
 
 namespace sumacquay {
 
@@ -39,7 +40,7 @@
     const auto stop_commands = delegated_responder_.answer(
         heartbeat, election_.highest_term(), to_seconds(record_cache_.fresh_as_of()),
         [this](const std::string& id) { return record_cache_.job_ended(id); }, steady_now());
-    if (stop_commands)
+    if (stop_commands && wire::fit_in_message(*stop_commands))
       return respond(
           {200, wire::heartbeat_response_body(heartbeat.fencing_token, *stop_commands), 0});
   }
--- a/src/wire/worker_message_size.cpp
+++ b/src/wire/worker_message_size.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <string_view>
 
+#include "wire/enum_names.h"
 #include "wire/json_size.h"
 
 namespace sumacquay::wire {
@@ -20,14 +21,37 @@
 constexpr size_t kStopBytes = kStop.size() + kMaxDurationBytes;
 constexpr size_t kSlashBytes = 1;
 
+constexpr std::string_view kListedTask = R"({"thread":,"try":,"stage":""},)";
+constexpr std::string_view kListedCause = R"(,"cause":"")";
+constexpr std::string_view kListedSavedProgress = R"(,"kept":true)";
+
 /// Size of the name of the task, `"job/task"`, and of the attempt number.
 size_t identity_size(const TaskKey& task, uint64_t attempt) {
   return json_size(std::string_view(task.job)) + kSlashBytes + decimal_size(task.task) +
          decimal_size(attempt);
 }
 
+/// Size of the fields about the exit of a task. Whether its progress was saved is not known here.
+size_t exit_size(const TaskStatus& task) {
+  const size_t cause =
+      kListedCause.size() + codec::name_of(enum_names::kExitCauses, task.cause).size();
+  return task.cause == ExitCause::Stopped ? cause + kListedSavedProgress.size() : cause;
+}
+
+size_t listed_task_size(const TaskStatus& task) {
+  const size_t size = kListedTask.size() + identity_size(task.key, task.attempt) +
+                      codec::name_of(enum_names::kTaskStates, task.state).size();
+  return task.state == TaskState::Exited ? size + exit_size(task) : size;
+}
+
 }  // namespace
 
+size_t listed_tasks_size(const WorkerHeartbeat& heartbeat) {
+  size_t size = 0;
+  for (const TaskStatus& task : heartbeat.tasks) size += listed_task_size(task);
+  return size;
+}
+
 size_t attempt_size_bound(const TaskAttemptId& id) {
   return std::max({kLongestListedTask.size(), kStart.size(), kDiscard.size(), kStopBytes}) +
          identity_size(id.task, id.attempt);
--- a/src/wire/worker_message_size.h
+++ b/src/wire/worker_message_size.h
@@ -23,6 +23,9 @@
 /// The same for any task of the job, for attempt numbers up to `max_attempt`.
 size_t attempt_size_bound(const JobSpec& spec, uint64_t max_attempt);
 
+/// Bytes of the list of tasks in a heartbeat, in the states that it reports.
+size_t listed_tasks_size(const WorkerHeartbeat& heartbeat);
+
 /// Upper bound on the bytes that a command takes in a message.
 size_t command_size_bound(const Command& command);
 /// Whether one message can carry all of these commands.
--- a/tests/command_copy_test.cpp
+++ b/tests/command_copy_test.cpp
@@ -113,6 +113,30 @@
   EXPECT_GT(answer.fencing_token, sent.fencing_token);
 }
 
+// Guards against a second start of an attempt that a request has let the worker discard. Requests
+// do so only while controllers refuse the worker's heartbeats for their size.
+TEST_F(CommandCopyTest, DiscardInRequestRejectsCopiesOfRequestThatStartedAttempt) {
+  const SendCommands started = start_with_command();
+  submit("job-2");
+  std::vector<TaskStatus> tasks{stopped(started.commands.at(0))};
+  for (uint32_t task = 0; task < 1200; ++task)
+    tasks.push_back({{"job-9", task}, 1, TaskState::Exited, ExitCause::Stopped});
+  scheduler->on_probe_answered(kMachine,
+                               heartbeat(kMachine, ++sequence_number, worker_token, tasks), now);
+  size_t discards = 0;
+  while (discards < tasks.size()) {
+    const auto request = send_commands();
+    ASSERT_TRUE(request.has_value());
+    const size_t in_request = count(request->commands, CommandType::Discard);
+    ASSERT_GT(in_request, 0u);
+    discards += in_request;
+    EXPECT_EQ(count(request->commands, CommandType::Start), 0u) << "the token is that of discards";
+    EXPECT_GT(request->fencing_token, started.fencing_token);
+    tasks.resize(tasks.size() - in_request);
+    if (discards < 1201) answer_commands(*request, tasks);
+  }
+}
+
 // Guards against a token that is raised again for each repeated discard.
 TEST_F(CommandCopyTest, DiscardIsRepeatedWithSameTokenWhenAnswerIsLost) {
   const SendCommands sent = start_with_command();
--- a/tests/report_size_test.cpp
+++ b/tests/report_size_test.cpp
@@ -2,7 +2,9 @@
 // virtual time. Workers and controllers refuse what is beyond it.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
+#include <vector>
 
 #include "simulation/simulation.h"
 
@@ -54,25 +56,60 @@
   return spec;
 }
 
-struct SmallTasks : ::testing::TestWithParam<uint64_t> {
+struct ReportSize : ::testing::TestWithParam<uint64_t> {
+  explicit ReportSize(const SimulationOptions& options) : simulation(GetParam(), options) {}
+
   /// Starts a service with replicas on each machine, beside which the array runs.
   void start_service() {
     service_job = simulation.users().submit(service(12));
     ASSERT_TRUE(
         simulation.run_until([&] { return simulation.all_run(service_job); }, kElectionTime));
   }
+  /// Runs the array until its tasks fill the heartbeats of all machines.
+  void fill_machines(uint32_t tasks = kArrayTasks) {
+    start_service();
+    JobSpec array = small_tasks();
+    array.tasks = tasks;
+    array_job = simulation.users().submit(array);
+    simulation.run_for(5);
+    ASSERT_GT(tasks - simulation.waiting_tasks(array_job), 2000u);
+  }
+  /// Ends the leader's process, and starts more tasks on a machine before another leads.
+  std::string overfill_machine(size_t tasks) {
+    simulation.faults().restart_controller(simulation.leader_or_first(), 1);
+    std::string machine = simulation.machines_running(service_job)[0];
+    simulation.faults().overfill_machine(machine, array_job, tasks);
+    return machine;
+  }
   bool ends_within(const std::string& job, Seconds timeout) {
     return simulation.run_until([&] { return simulation.completed(job); }, timeout);
   }
-  void expect_no_message_refused() const {
-    EXPECT_EQ(simulation.workers().heartbeats_refused(), 0u);
+  void expect_answers_and_commands_fit() const {
     EXPECT_EQ(simulation.workers().answers_refused(), 0u);
     EXPECT_EQ(simulation.command_channel().requests_refused(), 0u);
     EXPECT_EQ(simulation.checker().violations(), std::vector<std::string>{});
   }
+  void expect_no_message_refused() const {
+    EXPECT_EQ(simulation.workers().heartbeats_refused(), 0u);
+    expect_answers_and_commands_fit();
+  }
+  /// Whether tasks have ended with the lease of the machine's worker.
+  bool lease_lost(const std::string& machine) const {
+    const auto& lost = simulation.workers().leases_lost();
+    return std::find(lost.begin(), lost.end(), machine) != lost.end();
+  }
+  /// No task has ended with a worker's lease, and the service runs.
+  void expect_nothing_lost() const {
+    EXPECT_EQ(simulation.workers().leases_lost(), std::vector<std::string>{});
+    EXPECT_TRUE(simulation.all_run(service_job));
+  }
+
+  Simulation simulation;
+  std::string service_job, array_job;
+};
 
-  Simulation simulation{GetParam(), four_machines()};
-  std::string service_job;
+struct SmallTasks : ReportSize {
+  SmallTasks() : ReportSize(four_machines()) {}
 };
 
 INSTANTIATE_TEST_SUITE_P(Seeds, SmallTasks, ::testing::Range<uint64_t>(1, kSeeds + 1));
@@ -84,11 +121,77 @@
   const size_t starts_before = simulation.checker().starts();
   const std::string array = simulation.users().submit(small_tasks());
   EXPECT_TRUE(ends_within(array, kMaxArrayTime));
-  EXPECT_TRUE(simulation.all_run(service_job));
-  EXPECT_EQ(simulation.workers().leases_lost(), 0u);
   EXPECT_EQ(simulation.checker().starts(), starts_before + kArrayTasks) << "each task starts once";
+  expect_nothing_lost();
   expect_no_message_refused();
 }
 
+// A new leader takes the tasks that it finds on a machine into account before it places others.
+TEST_P(SmallTasks, RunToTheEndThroughFailovers) {
+  fill_machines();
+  for (int failover = 0; failover < 3; ++failover) {
+    simulation.faults().restart_controller(simulation.leader_or_first(), 1);
+    simulation.run_for(15);
+  }
+  EXPECT_TRUE(ends_within(array_job, kMaxArrayTime));
+  expect_nothing_lost();
+  expect_no_message_refused();
+}
+
+TEST_P(SmallTasks, AreGoneInTimeOnceCancelled) {
+  fill_machines();
+  simulation.users().cancel(array_job);
+  simulation.run_for(four_machines().cancel_s + 5);
+  EXPECT_TRUE(simulation.machines_running(array_job).empty());
+  expect_nothing_lost();
+  expect_no_message_refused();
+}
+
+/// Tasks that outlast a test.
+SimulationOptions long_tasks() {
+  SimulationOptions options = four_machines();
+  options.min_task_s = 100;
+  options.max_task_s = 120;
+  return options;
+}
+
+struct OverfullMachines : ReportSize {
+  OverfullMachines() : ReportSize(long_tasks()) {}
+};
+
+INSTANTIATE_TEST_SUITE_P(Seeds, OverfullMachines, ::testing::Range<uint64_t>(1, kSeeds + 1));
+
+// Guards against stops that are sent in a message beyond the limit, again and again: a stop takes
+// more space than a running task in a heartbeat.
+TEST_P(OverfullMachines, StopMoreCancelledTasksThanOneMessageCarries) {
+  fill_machines();
+  const std::string machine = overfill_machine(450);
+  ASSERT_TRUE(simulation.run_until([&] { return simulation.leader().has_value(); }, 15));
+  simulation.run_for(5);
+  ASSERT_EQ(simulation.workers().heartbeats_refused(), 0u);
+  simulation.users().cancel(array_job);
+  simulation.run_for(long_tasks().cancel_s + 5);
+  EXPECT_TRUE(simulation.machines_running(array_job).empty());
+  EXPECT_FALSE(lease_lost(machine));
+  expect_answers_and_commands_fit();
+}
+
+// Guards against a new leader that leaves a machine to its lease because an earlier leader has
+// started more tasks there than its worker can report. It hears of them in answers to probes.
+TEST_P(OverfullMachines, ServiceKeepsRunningWhereNewLeaderFindsTooManyTasks) {
+  fill_machines();
+  const std::string machine = overfill_machine(1000);
+  simulation.run_for(2 * long_tasks().lease_s);
+  EXPECT_FALSE(lease_lost(machine));
+  const auto running = simulation.machines_with(array_job, TaskState::Running);
+  EXPECT_GT(std::count(running.begin(), running.end(), machine), 0);
+  EXPECT_LT(std::count(running.begin(), running.end(), machine), 1000);
+  EXPECT_TRUE(simulation.all_run(service_job));
+  const size_t refused = simulation.workers().heartbeats_refused();
+  simulation.run_for(2 * long_tasks().lease_s);
+  EXPECT_EQ(simulation.workers().heartbeats_refused(), refused) << "its heartbeats fit by now";
+  expect_answers_and_commands_fit();
+}
+
 }  // namespace
 }  // namespace sumacquay
--- a/tests/simulation/controller_worker_heartbeats.cpp
+++ b/tests/simulation/controller_worker_heartbeats.cpp
@@ -2,6 +2,7 @@
 #include "simulation/body_limit.h"
 #include "simulation/controller_process.h"
 #include "simulation/workers.h"
+#include "wire/worker_message_size.h"
 
 namespace sumacquay::simulation {
 
@@ -61,7 +62,7 @@
   const auto stop_commands = delegated_responder_->answer(
       heartbeat, election_->highest_term(), records_.fresh_as_of(),
       [this](const std::string& job) { return records_.job_ended(job); }, env_.now());
-  if (!stop_commands) return std::nullopt;
+  if (!stop_commands || !wire::fit_in_message(*stop_commands)) return std::nullopt;
   connections_.workers.on_delegate_reply();
   HeartbeatReply reply;
   reply.status = HeartbeatReplyStatus::Answered;
--- a/tests/simulation/faults.cpp
+++ b/tests/simulation/faults.cpp
@@ -1,5 +1,8 @@
 #include "simulation/faults.h"
 
+#include <set>
+#include <vector>
+
 namespace sumacquay::simulation {
 
 void Faults::restart_controller(size_t controller, Seconds restart_delay) {
@@ -26,6 +29,17 @@
   inject(&ControllerFaults::store_rejection, controller, span);
 }
 
+void Faults::overfill_machine(const std::string& machine, const std::string& job, size_t count) {
+  std::set<uint32_t> taken = env_.jobs.at(job).done_tasks;
+  env_.fleet.for_each_present_task([&](const SimulatedMachine&, const TaskKey& key) {
+    if (key.job == job) taken.insert(key.task);
+  });
+  std::vector<Command> starts;
+  for (uint32_t task = 0; starts.size() < count; ++task)
+    if (!taken.contains(task)) starts.push_back({CommandType::Start, {job, task}, task + 1, 0});
+  workers_.execute(*env_.fleet.find(machine), starts, env_.now());
+}
+
 void Faults::hang_machine(const std::string& machine, Seconds span) {
   inject(&MachineFaults::hung, machine, span);
 }
--- a/tests/simulation/faults.h
+++ b/tests/simulation/faults.h
@@ -54,6 +54,10 @@
   /// All tasks on the machine fail from now on.
   void fail_all_tasks(const std::string& machine);
   void lose_machine(const std::string& machine) { env_.fleet.remove(machine); }
+  /// Starts the first `count` tasks of the job that are neither done nor on a machine on this one,
+  /// as leaders of earlier versions did, which did not limit the size of heartbeats. The job's
+  /// record has to name the machine, and no controller may lead.
+  void overfill_machine(const std::string& machine, const std::string& job, size_t count);
   /// A fraction of the heartbeats is delivered a second time, late.
   void duplicate_heartbeats(double fraction, Seconds span,
                             DuplicateDelivery delivery = DuplicateDelivery::AfterDelay);
--- a/tests/simulation/options.cpp
+++ b/tests/simulation/options.cpp
@@ -37,6 +37,7 @@
     settings.gang_peer_s = options.gang_peer_s;
   }
   settings.state_txn_ops = 12;
+  settings.state_value_kb = options.state_value_kb;
   settings.tuning.prompt_dispatch = options.prompt_dispatch;
   settings.zones = machine_type(options).zones;
   TeamSettings limited;
--- a/tests/simulation/options.h
+++ b/tests/simulation/options.h
@@ -29,6 +29,7 @@
   Seconds min_fetch_s = 0.1, max_fetch_s = 1;
   /// Fraction of the command batches that arrive a second time after the worker has executed them.
   double command_copy_fraction = 0.3;
+  double state_value_kb = 8;  ///< the key-value store's limit on the size of a value
   bool prompt_dispatch = false;
   /// Mean rate at which machines fetch images; the rates differ by up to a third. 0: machines have
   /// every image, and each task starts after a random time.
--- a/tests/simulation/workers.cpp
+++ b/tests/simulation/workers.cpp
@@ -29,7 +29,7 @@
   // Lease expiry also applies to hung machines: their tasks end with the lease.
   const uint64_t agent_epoch = machine.agent_epoch;
   machine.restart_agent_epoch_if_expired(env_.options.lease_s, now);
-  if (machine.agent_epoch != agent_epoch) ++leases_lost_;
+  if (machine.agent_epoch != agent_epoch) leases_lost_.push_back(machine.id);
   if (machine.faults.hung.active(now)) return;
   if (env_.options.models_images()) fetch_images(machine);
   for (auto& [id, task] : machine.tasks) run_task(machine, id.task, task);
--- a/tests/simulation/workers.h
+++ b/tests/simulation/workers.h
@@ -35,8 +35,8 @@
   void end_faults();
 
   size_t delegate_replies() const { return delegate_replies_; }
-  /// Leases that have expired, with all tasks of their machines.
-  size_t leases_lost() const { return leases_lost_; }
+  /// Leases that have expired, with all tasks of their machines: one entry each, the machine.
+  const std::vector<std::string>& leases_lost() const { return leases_lost_; }
   /// Heartbeats that a controller has refused for their size, and answers that a worker has.
   size_t heartbeats_refused() const { return heartbeats_refused_; }
   size_t answers_refused() const { return answers_refused_; }
@@ -80,7 +80,8 @@
   double duplication_fraction_ = 0;
   DuplicateDelivery duplicate_delivery_ = DuplicateDelivery::AfterDelay;
   std::vector<HeartbeatDuplicate> kept_duplicates_;
-  size_t leases_lost_ = 0, heartbeats_refused_ = 0, answers_refused_ = 0;
+  std::vector<std::string> leases_lost_;
+  size_t heartbeats_refused_ = 0, answers_refused_ = 0;
   size_t delegate_replies_ = 0, duplicates_received_ = 0, duplicates_received_by_new_leader_ = 0;
 };
 
