Completed tasks leave half of the heartbeat to tasks that still run

Seen by users, once placement is limited by what workers can report: an array whose record has no room for its progress stops for good, since a worker keeps a completed task in its report until the record lists it as done (shown in virtual time: 631 of 3,000 tasks done, then nothing; before the limit, its machines would have lost their leases instead). A job gets such a record when the store's limits are lowered after its start.

Cause: completed tasks that aren't recorded may fill the report, and the tasks whose completion would let the record list them find no space there.

Fix: beyond half of the space in a report (some 340 tasks), the leader lets the worker forget completed tasks that are not recorded. It knows them itself, and writes the job as done when all are. Only a later leader doesn't know them; it starts them again, and by the protocol ("The result is kept") such a task exits as done as soon as it has its image. Weighed against it: placing only what the record could list (slows every array whose tasks end out of order), and reserving space for the lowest numbers (needs to know which of them a record waits for). No task of an array of usual size is affected.

--- a/src/dispatch/command_dispatcher.cpp
+++ b/src/dispatch/command_dispatcher.cpp
@@ -94,11 +94,20 @@
   return starts;
 }
 
+/// The attempts that the worker may discard. Beyond `kMaxRetainedHeartbeatBytes`, these include
+/// completed ones whose completion is not recorded: a later leader starts such a task again, and it
+/// exits as done at once, since workers keep the results.
 std::vector<TaskAttemptId> CommandDispatcher::discardable_attempts(const Machine& machine) const {
   std::vector<TaskAttemptId> discardable;
-  for (const auto& [id, attempt] : machine.attempts)
-    if (attempt.state == TaskAttemptState::Exited && state_.may_discard(id, attempt))
-      discardable.push_back(id);
+  double retained_bytes = 0;
+  for (const auto& [id, attempt] : machine.attempts) {
+    if (attempt.state != TaskAttemptState::Exited) continue;
+    if (!state_.may_discard(id, attempt)) {
+      retained_bytes += attempt.heartbeat_bytes;
+      if (retained_bytes <= kMaxRetainedHeartbeatBytes) continue;
+    }
+    discardable.push_back(id);
+  }
   return discardable;
 }
 
--- a/src/dispatch/command_dispatcher.h
+++ b/src/dispatch/command_dispatcher.h
@@ -11,6 +11,11 @@
 
 namespace sumacquay {
 
+/// The largest space in a worker's heartbeat, in bytes, for completed attempts that the job's
+/// record does not list as done: half of all. The rest is left to tasks that run, among them those
+/// whose completion lets the record list the others.
+inline constexpr double kMaxRetainedHeartbeatBytes = 0.5 * wire::kMaxListBytes;
+
 /// Decides which commands a worker gets, either in the answer to its heartbeat or in a request from
 /// the leader. Owns the queue of machines that may have commands to send, so that the cost of
 /// sending depends on the number of commands and not on the size of the fleet. An entry in the
--- a/src/dispatch/heartbeat_size_guard.cpp
+++ b/src/dispatch/heartbeat_size_guard.cpp
@@ -35,7 +35,7 @@
   for (const auto& [id, attempt] : machine.attempts)
     if (!attempt.may_be_present() && !state_.may_discard(id, attempt))
       bytes += attempt.heartbeat_bytes;
-  return bytes;
+  return std::min(bytes, kMaxRetainedHeartbeatBytes);
 }
 
 /// Returns the number of tasks stopped on the machine. A gang is stopped as a whole.
--- a/tests/report_size_test.cpp
+++ b/tests/report_size_test.cpp
@@ -3,10 +3,13 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "scheduler_fixture.h"
 #include "simulation/simulation.h"
+#include "simulators/worker_state.h"
 
 namespace sumacquay {
 namespace {
@@ -193,5 +196,69 @@
   expect_answers_and_commands_fit();
 }
 
+/// A worker whose tasks end as soon as they are started, driven by hand.
+struct RecordWithoutSpace : testing::SchedulerFixture {
+  RecordWithoutSpace() : SchedulerFixture(1, 1, 10) {
+    settings.state_value_kb = 0.1;  // lowered after the job had started
+    machine_type.capacity = {96, 8, 384};
+    new_scheduler();
+    worker.id = "i-1";
+    worker.addr = "10.0.0.2:9";
+    worker.type = "g";
+    worker.zone = "e";
+    add_machine(worker.id);
+    worker.sequence_number = 2;
+    worker.fencing_token = fencing_token;
+  }
+
+  /// Sends a heartbeat and carries out the commands in the answer.
+  void exchange_heartbeat() {
+    const auto answer = scheduler->on_heartbeat(worker.heartbeat(), true, now);
+    worker.fencing_token = std::max(worker.fencing_token, answer.fencing_token);
+    execute(answer.commands);
+  }
+  void execute(const std::vector<Command>& commands) {
+    for (const Command& command : commands) {
+      const TaskAttemptId id{command.key, command.attempt};
+      if (command.type == CommandType::Start)
+        worker.tasks[id] = {TaskState::Exited, ExitCause::Done, 0};
+      if (command.type == CommandType::Discard) worker.tasks.erase(id);
+    }
+  }
+  void tick() {
+    for (const Action& action : scheduler->tick(now)) {
+      const auto* sent = std::get_if<SendCommands>(&action);
+      if (!sent) continue;
+      worker.fencing_token = std::max(worker.fencing_token, sent->fencing_token);
+      execute(sent->commands);
+      scheduler->on_commands_answered(worker.id, worker.heartbeat(), true, now);
+    }
+    for (const RecordWrite& write : scheduler->plan_writes(now, 10)) {
+      if (write.finished && write.record->state == JobState::Done)
+        done_tasks = write.record->done.count();
+      scheduler->on_write_answered(write, true, ++revision, now);
+    }
+  }
+
+  Seconds now = kNow;
+  simulators::WorkerState worker;
+  std::optional<uint32_t> done_tasks;  ///< in the finished record
+};
+
+// Guards against completed tasks that fill the heartbeat for good. They stay there until the record
+// lists them as done, and this record has no space for that.
+TEST_F(RecordWithoutSpace, ArrayLargerThanHeartbeatEnds) {
+  JobRecord array = job_record("job-1", 3000);
+  array.spec.request = {0.01, 0, 0.01};
+  array.started = true;
+  scheduler->on_job_record(array, ++revision, now);
+  for (int round = 0; round < 200 && !done_tasks; ++round) {
+    tick();
+    exchange_heartbeat();
+    now += 0.5;
+  }
+  EXPECT_EQ(done_tasks, 3000u);
+}
+
 }  // namespace
 }  // namespace sumacquay
